Add the design page, the build and the interfaces between the modules

Cause: nothing existed. The interfaces come first so that the replicated log, the routing decisions and the daemons can be written side by side.

--- /dev/null
+++ b/include/vanillaferry/connection/message.hpp
@@ -0,0 +1,292 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/reason.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace vanillaferry {
+
+/// Largest answer body that the journal keeps.
+constexpr Bytes MaxJournaledBody{64 * 1024};
+
+enum class NodeRole : std::uint8_t { Router, Keeper };
+
+/// First frame in both directions of a peer link.
+struct Hello {
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  std::uint32_t m_Protocol = 1;
+  NodeRole m_Role = NodeRole::Router;
+};
+
+struct Heartbeat {
+  Millis m_SentAt;
+};
+
+/// A router in the replicated membership.
+struct Member {
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  std::string m_PeerUrl;
+  ZoneId m_Zone;
+  bool m_Leaving = false;
+};
+
+/// Running requests of one pool at one owner.
+struct PoolLoad {
+  PoolId m_Pool;
+  std::uint32_t m_Running = 0;
+};
+
+/// Running requests at one target.
+struct TargetLoad {
+  TargetId m_Target;
+  std::uint32_t m_Running = 0;
+};
+
+/// What one account uses and waits for at one router.
+struct AccountDemand {
+  AccountId m_Account;
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+};
+
+/// The part of an account's fleet-wide concurrency limit given to one router.
+struct AccountShare {
+  AccountId m_Account;
+  std::uint32_t m_Limit = 0;
+};
+
+/// Lower bound of a pool's running requests over all owners.
+struct PoolTotal {
+  PoolId m_Pool;
+  std::uint32_t m_Running = 0;
+  /// Age of the oldest report in the sum when the grant was sent.
+  Millis m_Age;
+};
+
+/// One section of the document at one version; the content is JSON text.
+struct SectionContent {
+  SectionName m_Name;
+  SectionVersion m_Version;
+  std::string m_Json;
+};
+
+/// A router asks the leader to grant or renew its node lease.
+struct Renew {
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  std::uint64_t m_Sequence = 0;
+  std::string m_PeerUrl;
+  ZoneId m_Zone;
+  Epoch m_AckedEpoch;
+  DocumentVersion m_AckedVersion;
+  /// Set by graceful shutdown: the node gives its targets away.
+  bool m_Leaving = false;
+  std::vector<PoolLoad> m_Pools;
+  /// Also lists targets that the node no longer owns and whose requests run on.
+  std::vector<TargetLoad> m_Targets;
+  std::vector<AccountDemand> m_Accounts;
+};
+
+/// The leader's answer to Renew.
+struct Grant {
+  std::uint64_t m_Sequence = 0;
+  /// Counted by the router from the moment it sent the Renew.
+  Millis m_Duration;
+  Epoch m_Epoch;
+  Epoch m_SafeEpoch;
+  /// All members, present only when m_Epoch is above the acknowledged one.
+  std::vector<Member> m_Members;
+  DocumentVersion m_Version;
+  /// Sections that changed since the acknowledged version.
+  std::vector<SectionContent> m_Sections;
+  std::vector<PoolTotal> m_Totals;
+  /// Requests of other (ended or former) owners at targets of this node.
+  std::vector<TargetLoad> m_Residual;
+  std::vector<AccountShare> m_Shares;
+};
+
+/// A keeper that does not lead names the leader; empty when unknown.
+struct RedirectLeader {
+  KeeperId m_Leader;
+  std::string m_PeerUrl;
+};
+
+/// Replication message between keepers, encoded by the replication codec.
+struct Replicate {
+  std::string m_Payload;
+};
+
+/// Registers a non-idempotent call before its first byte leaves.
+struct JournalBegin {
+  RequestId m_Request;
+  AccountId m_Account;
+  IdempotencyKey m_Key;
+  /// Hex SHA-256 of method, path and body.
+  std::string m_BodyHash;
+  UnixMillis m_IssuedAt;
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+};
+
+enum class CallOutcome : std::uint8_t { Answered, NotRun, Unknown };
+
+/// What a journaled call answered to its caller.
+struct CallAnswer {
+  int m_HttpStatus = 0;
+  std::string m_ContentType;
+  std::string m_Body;
+};
+
+/// Records the outcome of a journaled call.
+struct JournalEnd {
+  RequestId m_Request;
+  AccountId m_Account;
+  IdempotencyKey m_Key;
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  CallOutcome m_Outcome = CallOutcome::Unknown;
+  CallAnswer m_Answer;
+};
+
+enum class JournalStatus : std::uint8_t {
+  /// Begin: this call may be sent, once.
+  Granted,
+  /// Begin: the call ran; its answer is attached.
+  Recorded,
+  /// Begin: the same key runs now.
+  Running,
+  /// Begin: an earlier call with this key may have run.
+  OutcomeUnknown,
+  /// Begin: the key was used with another body.
+  BodyMismatch,
+  /// Begin: the key's time of issue is too long ago or in the future.
+  KeyExpired,
+  KeyFromFuture,
+  /// End: the outcome is durable.
+  Ended,
+  /// The keeper does not lead or cannot reach a quorum; nothing is known.
+  Unavailable,
+};
+
+/// Answer to JournalBegin and JournalEnd, matched by request id.
+struct JournalAnswer {
+  RequestId m_Request;
+  JournalStatus m_Status = JournalStatus::Unavailable;
+  CallAnswer m_Answer;
+};
+
+enum class Priority : std::uint8_t { Latency, Batch };
+
+/// An entry router asks the owner of a target to run a request.
+struct Forward {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  AccountId m_Account;
+  ChatId m_Chat;
+  PoolId m_Pool;
+  /// The target asked for; its owner decides.
+  TargetId m_Target;
+  /// Set when the owner's redirect is not to be consulted again.
+  bool m_IgnoreRedirect = false;
+  /// Set when any target of the owner may take the request.
+  bool m_AnyTarget = false;
+  Priority m_Priority = Priority::Latency;
+  /// Time left until the caller's deadline.
+  Millis m_TimeLeft;
+  Tokens m_PromptTokens;
+  bool m_Stream = false;
+  std::string m_Method;
+  std::string m_Path;
+  std::string m_ContentType;
+  std::string m_Body;
+  /// Events that the caller already has; the owner relays only later ones.
+  std::uint64_t m_ResumeOffset = 0;
+  /// Text that the caller already has, for continuing at another engine.
+  std::string m_ResumeText;
+};
+
+/// The owner dispatched the request.
+struct ForwardAccept {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  TargetId m_Target;
+  /// Short text for the X-Placement field.
+  std::string m_Why;
+};
+
+/// The owner did not dispatch the request: nothing was sent.
+struct ForwardDecline {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  RetryReason m_Reason = RetryReason::Declined;
+  /// A target that holds the chat's prefix, when the owner knows one.
+  TargetId m_Holder;
+};
+
+/// Part of an answer. Offsets count stream events (or body parts) from 0.
+struct ForwardChunk {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  std::uint64_t m_Offset = 0;
+  /// One or more whole events; m_Count says how many.
+  std::uint32_t m_Count = 1;
+  std::string m_Data;
+};
+
+/// How an answer ended at the owner.
+enum class StreamEnd : std::uint8_t {
+  Complete,
+  /// Nothing reached the target.
+  NotSent,
+  /// The target refused before running (its answer says so).
+  TargetRefused,
+  /// The stream broke; some of it may have run.
+  Broken,
+  Cancelled,
+};
+
+struct ForwardEnd {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  StreamEnd m_End = StreamEnd::Complete;
+  int m_HttpStatus = 0;
+  std::string m_ContentType;
+  std::uint64_t m_Events = 0;
+  std::string m_Detail;
+};
+
+struct ForwardCancel {
+  RequestId m_Request;
+  Attempt m_Attempt;
+};
+
+/// The receiver may send this many more bytes of an answer (flow control).
+struct ForwardCredit {
+  RequestId m_Request;
+  Attempt m_Attempt;
+  Bytes m_Bytes;
+};
+
+/// Tells a chat's home where the chat ran.
+struct Placed {
+  ChatId m_Chat;
+  PoolId m_Pool;
+  TargetId m_Home;
+  TargetId m_Target;
+};
+
+/// Every message between two of the system's processes.
+using PeerMessage =
+    std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
+                 JournalBegin, JournalEnd, JournalAnswer, Forward,
+                 ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
+                 ForwardCancel, ForwardCredit, Placed>;
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/process/replication.hpp
@@ -0,0 +1,240 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillaferry {
+
+/// What a log entry carries.
+enum class EntryKind : std::uint8_t { Noop, Command, KeeperSet };
+
+/// One entry of the replicated log.
+struct LogEntry {
+  LogIndex m_Index;
+  Term m_Term;
+  EntryKind m_Kind = EntryKind::Noop;
+  std::string m_Data;
+};
+
+/// A keeper's address as the other keepers know it.
+struct KeeperAddress {
+  KeeperId m_Keeper;
+  std::string m_PeerUrl;
+};
+
+/// The keepers that vote and those that only learn.
+struct KeeperSet {
+  std::vector<KeeperAddress> m_Voters;
+  std::vector<KeeperAddress> m_Learners;
+  /// Keepers that left; their identity is never taken back.
+  std::vector<KeeperId> m_Removed;
+};
+
+/// What must be synced before a vote or an append is answered.
+struct HardState {
+  Term m_Term;
+  KeeperId m_VotedFor;
+};
+
+/// State of the log up to an index, in place of the entries.
+struct Snapshot {
+  LogIndex m_LastIndex;
+  Term m_LastTerm;
+  KeeperSet m_Set;
+  std::string m_Data;
+};
+
+/// Message between keepers; the fields used depend on the kind.
+struct ReplicaMessage {
+  enum class Kind : std::uint8_t {
+    PreVote,
+    PreVoteAnswer,
+    Vote,
+    VoteAnswer,
+    Append,
+    AppendAnswer,
+    InstallSnapshot,
+    /// The leader's check of its leadership, without entries.
+    Confirm,
+    ConfirmAnswer,
+  };
+  Kind m_Kind = Kind::Append;
+  KeeperId m_From;
+  KeeperId m_To;
+  Term m_Term;
+  LogIndex m_PreviousIndex;
+  Term m_PreviousTerm;
+  LogIndex m_Commit;
+  std::vector<LogEntry> m_Entries;
+  bool m_Granted = false;
+  /// AppendAnswer: last index that matches and is synced, or a hint where the
+  /// logs part.
+  LogIndex m_Match;
+  std::uint64_t m_Sequence = 0;
+  std::optional<Snapshot> m_Snapshot;
+};
+
+struct ReplicaOptions {
+  Millis m_ElectionMin{600};
+  Millis m_ElectionMax{1200};
+  Millis m_HeartbeatInterval{100};
+  std::size_t m_MaxEntriesPerMessage = 512;
+  Bytes m_MaxBytesPerMessage{1024 * 1024};
+  /// A learner that is this close to the leader's log may be made a voter.
+  std::uint64_t m_LearnerLag = 16;
+};
+
+enum class ReplicaRole : std::uint8_t { Follower, Candidate, Leader, Learner };
+
+/// What the leader knows of one other keeper.
+struct PeerProgress {
+  LogIndex m_Next;
+  LogIndex m_Match;
+  Millis m_LastAnswer;
+  std::uint64_t m_ConfirmedSequence = 0;
+  bool m_SnapshotPending = false;
+  std::uint32_t m_InFlight = 0;
+};
+
+/// A read that waits until the leader confirmed its leadership.
+struct PendingRead {
+  std::uint64_t m_Token = 0;
+  std::uint64_t m_Sequence = 0;
+  LogIndex m_Commit;
+};
+
+/// Everything one keeper knows; changed only by the functions below.
+struct Replica {
+  KeeperId m_Self;
+  ReplicaOptions m_Options;
+  ReplicaRole m_Role = ReplicaRole::Follower;
+  HardState m_Hard;
+  KeeperId m_Leader;
+  KeeperSet m_Set;
+  LogIndex m_SetIndex;
+  /// Entries after the snapshot.
+  std::deque<LogEntry> m_Log;
+  LogIndex m_SnapshotIndex;
+  Term m_SnapshotTerm;
+  /// The newest snapshot, kept for members that are too far behind.
+  std::optional<Snapshot> m_Snapshot;
+  /// Committed sets by index, for truncation of uncommitted changes.
+  std::map<LogIndex, KeeperSet> m_SetHistory;
+  LogIndex m_Commit;
+  LogIndex m_Applied;
+  /// Last index known to be synced on the own disk.
+  LogIndex m_Synced;
+  std::map<KeeperId, PeerProgress> m_Peers;
+  std::set<KeeperId> m_Votes;
+  bool m_PreVoting = false;
+  Millis m_ElectionDeadline;
+  Millis m_NextHeartbeat;
+  Millis m_LastLeaderContact;
+  std::uint64_t m_ConfirmSequence = 0;
+  std::deque<PendingRead> m_Reads;
+  std::mt19937_64 m_Random;
+};
+
+/// What the caller must do, in this order: persist, then send, then apply.
+/// Messages in m_SendAfterSync may leave only once everything in this result
+/// that must be persisted is synced; m_Send may leave at once.
+struct ReplicaActions {
+  std::optional<HardState> m_PersistHard;
+  /// Remove entries from this index on before appending m_Append.
+  std::optional<LogIndex> m_TruncateFrom;
+  std::vector<LogEntry> m_Append;
+  std::optional<Snapshot> m_InstallSnapshot;
+  std::vector<ReplicaMessage> m_Send;
+  std::vector<ReplicaMessage> m_SendAfterSync;
+  /// Entries to apply to the state machine, in order.
+  std::vector<LogEntry> m_Committed;
+  std::vector<std::uint64_t> m_ConfirmedReads;
+  std::vector<std::uint64_t> m_FailedReads;
+  bool m_BecameLeader = false;
+  bool m_LostLeadership = false;
+};
+
+/// What the disk holds at start.
+struct ReplicaRecovery {
+  HardState m_Hard;
+  std::optional<Snapshot> m_Snapshot;
+  std::vector<LogEntry> m_Entries;
+  /// Used when there is neither a snapshot nor a set in the log.
+  KeeperSet m_InitialSet;
+};
+
+enum class ProposeError : std::uint8_t {
+  None,
+  NotLeader,
+  /// Another keeper set change is not committed yet.
+  ChangePending,
+  /// The learner has not caught up.
+  LearnerBehind,
+  /// The identity was removed before and is never taken back.
+  IdentityRemoved,
+  NoSuchKeeper,
+};
+
+/// Starts a replica from what its disk holds.
+Replica makeReplica(KeeperId Self, ReplicaOptions Options,
+                    ReplicaRecovery Recovery, std::uint64_t Seed, Millis Now);
+
+/// Advances elections, heartbeats and confirmations to the time Now.
+ReplicaActions tick(Replica &State, Millis Now);
+
+/// Handles a message of another keeper.
+ReplicaActions receive(Replica &State, ReplicaMessage Message, Millis Now);
+
+/// Appends commands at the leader; Indexes gets the index of each.
+ProposeError propose(Replica &State, std::vector<std::string> Commands,
+                     std::vector<LogIndex> &Indexes, ReplicaActions &Actions,
+                     Millis Now);
+
+/// Reports that everything up to this index is synced on the own disk; ignored
+/// when the entry at that index has another term by now.
+ReplicaActions synced(Replica &State, LogIndex Index, Term EntryTerm,
+                      Millis Now);
+
+/// Asks for confirmation of leadership; the token comes back in
+/// m_ConfirmedReads once a quorum answered a message sent after this call and
+/// the state machine has applied all entries committed before it, or in
+/// m_FailedReads.
+void requestRead(Replica &State, std::uint64_t Token, ReplicaActions &Actions,
+                 Millis Now);
+
+/// Adds a learner, makes a caught-up learner a voter, or removes a keeper.
+ProposeError addLearner(Replica &State, KeeperAddress Keeper,
+                        ReplicaActions &Actions, Millis Now);
+ProposeError promoteLearner(Replica &State, const KeeperId &Keeper,
+                            ReplicaActions &Actions, Millis Now);
+ProposeError removeKeeper(Replica &State, const KeeperId &Keeper,
+                          ReplicaActions &Actions, Millis Now);
+
+/// Drops entries up to the applied index in favour of this snapshot.
+void compact(Replica &State, Snapshot Taken);
+
+/// Index of the last entry, including those in the snapshot.
+LogIndex lastIndex(const Replica &State);
+
+/// True when a quorum has answered the leader within the election minimum, so
+/// that no other leader can have been elected (leader lease; Ongaro 2014,
+/// section 6.4.1).
+bool holdsQuorumLease(const Replica &State, Millis Now);
+
+/// Learners that have caught up and may be promoted.
+std::vector<KeeperId> caughtUpLearners(const Replica &State);
+
+/// CBOR text of keeper sets, as stored in entries and snapshots.
+std::string encodeKeeperSet(const KeeperSet &Set);
+std::optional<KeeperSet> decodeKeeperSet(const std::string &Data);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/result.hpp"
+#include "vanillaferry/request/journal.hpp"
+#include "vanillaferry/version/document.hpp"
+
+#include <map>
+#include <string>
+#include <variant>
+
+namespace vanillaferry {
+
+/// Adds a router to the membership or replaces its incarnation or address.
+struct AddMember {
+  Member m_Member;
+};
+
+/// Removes one incarnation of a router whose lease has ended.
+struct RemoveMember {
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+};
+
+/// An order to an engine that must not be given twice by two leaders.
+struct EngineOrder {
+  std::string m_OrderId;
+  TargetId m_Target;
+  /// "load_model", "load_adapter", "load_version" or "change_role".
+  std::string m_Action;
+  std::string m_Argument;
+  /// Set by the state machine: the log index of the order.
+  std::uint64_t m_FencingToken = 0;
+  bool m_Done = false;
+  std::string m_Result;
+};
+
+struct BeginOrder {
+  EngineOrder m_Order;
+};
+
+struct EndOrder {
+  std::string m_OrderId;
+  std::string m_Result;
+};
+
+/// Lets the journal and edit answers forget what is older than this time.
+struct AdvanceClock {
+  UnixMillis m_Now;
+};
+
+using Command = std::variant<EditSection, AddMember, RemoveMember, JournalBegin,
+                             JournalEnd, BeginOrder, EndOrder, AdvanceClock>;
+
+/// What applying a command answered.
+struct NoAnswer {};
+using CommandAnswer =
+    std::variant<NoAnswer, EditAnswer, JournalAnswer, EngineOrder>;
+
+/// Everything the replicated log decides. Equal logs give equal states.
+struct StateMachine {
+  LogIndex m_Applied;
+  Document m_Document;
+  Epoch m_Epoch;
+  std::map<NodeId, Member> m_Members;
+  Journal m_Journal;
+  std::map<std::string, EngineOrder> m_Orders;
+  UnixMillis m_Clock;
+};
+
+/// Applies the command at this index.
+CommandAnswer applyCommand(StateMachine &State, LogIndex Index,
+                           const Command &Input);
+
+/// CBOR text of a command, as stored in a log entry.
+std::string encodeCommand(const Command &Input);
+Result<Command> decodeCommand(const std::string &Data);
+
+/// CBOR text of the whole state, as stored in a snapshot.
+std::string encodeState(const StateMachine &State);
+Result<StateMachine> decodeState(const std::string &Data);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/process/units.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+
+namespace vanillaferry {
+
+/// A whole number with a unit; values of different units do not mix.
+template <typename Tag, typename Number = std::int64_t> struct Quantity {
+  Number m_Value = 0;
+
+  constexpr Quantity() = default;
+  constexpr explicit Quantity(Number Value) : m_Value(Value) {}
+
+  friend constexpr bool operator==(Quantity A, Quantity B) {
+    return A.m_Value == B.m_Value;
+  }
+  friend constexpr bool operator!=(Quantity A, Quantity B) {
+    return A.m_Value != B.m_Value;
+  }
+  friend constexpr bool operator<(Quantity A, Quantity B) {
+    return A.m_Value < B.m_Value;
+  }
+  friend constexpr bool operator<=(Quantity A, Quantity B) {
+    return A.m_Value <= B.m_Value;
+  }
+  friend constexpr bool operator>(Quantity A, Quantity B) {
+    return A.m_Value > B.m_Value;
+  }
+  friend constexpr bool operator>=(Quantity A, Quantity B) {
+    return A.m_Value >= B.m_Value;
+  }
+  friend constexpr Quantity operator+(Quantity A, Quantity B) {
+    return Quantity(A.m_Value + B.m_Value);
+  }
+  friend constexpr Quantity operator-(Quantity A, Quantity B) {
+    return Quantity(A.m_Value - B.m_Value);
+  }
+  friend std::ostream &operator<<(std::ostream &Out, Quantity Q) {
+    return Out << Q.m_Value;
+  }
+};
+
+/// Milliseconds, of a duration or of a monotonic clock that counts suspend.
+using Millis = Quantity<struct MillisTag>;
+/// Milliseconds since the Unix epoch (wall clock).
+using UnixMillis = Quantity<struct UnixMillisTag>;
+using Bytes = Quantity<struct BytesTag>;
+using Tokens = Quantity<struct TokensTag>;
+
+/// Election term of the replicated log.
+using Term = Quantity<struct TermTag, std::uint64_t>;
+/// Position in the replicated log; the first entry has index 1.
+using LogIndex = Quantity<struct LogIndexTag, std::uint64_t>;
+/// Version of the router membership: the log index of its last change.
+using Epoch = Quantity<struct EpochTag, std::uint64_t>;
+/// Version of the whole document: the log index of its last accepted edit.
+using DocumentVersion = Quantity<struct DocumentVersionTag, std::uint64_t>;
+/// Version of one section: 1 for its first content, one more for each edit.
+using SectionVersion = Quantity<struct SectionVersionTag, std::uint64_t>;
+/// Start of one process, drawn at random; a restarted process has another one.
+using Incarnation = Quantity<struct IncarnationTag, std::uint64_t>;
+/// Number of a try to run one request, from 1.
+using Attempt = Quantity<struct AttemptTag, std::uint32_t>;
+
+} // namespace vanillaferry
+
+template <typename Tag, typename Number>
+struct std::hash<vanillaferry::Quantity<Tag, Number>> {
+  std::size_t operator()(vanillaferry::Quantity<Tag, Number> Q) const noexcept {
+    return std::hash<Number>()(Q.m_Value);
+  }
+};
--- /dev/null
+++ b/include/vanillaferry/request/journal.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace vanillaferry {
+
+/// How long the journal keeps an entry after its key's time of issue.
+constexpr Millis JournalRetention{24LL * 3600 * 1000};
+/// Keys issued longer ago are refused: an hour before their entries may go, so
+/// that clocks that differ by less cannot let a forgotten key run again.
+constexpr Millis KeyMaxAge{23LL * 3600 * 1000};
+/// Keys issued further in the future are refused.
+constexpr Millis KeyMaxSkew{5LL * 60 * 1000};
+
+enum class CallState : std::uint8_t { Running, Ended, Unknown };
+
+/// What the journal knows of one non-idempotent call.
+struct JournalEntry {
+  CallState m_State = CallState::Running;
+  RequestId m_Request;
+  std::string m_BodyHash;
+  UnixMillis m_IssuedAt;
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  CallAnswer m_Answer;
+};
+
+using JournalKey = std::pair<AccountId, IdempotencyKey>;
+
+/// At-most-once journal of non-idempotent calls.
+struct Journal {
+  std::map<JournalKey, JournalEntry> m_Entries;
+};
+
+/// Registers a call; Granted is given at most once for a key. A begin that is
+/// repeated with the same request id, node and incarnation gets the same
+/// answer, because the first answer may have been lost.
+JournalAnswer beginCall(Journal &Calls, const JournalBegin &Begin,
+                        UnixMillis Now);
+
+/// Records an outcome. NotRun removes the entry, so that the key may be used
+/// again; an outcome from another incarnation than the one that began is
+/// ignored.
+JournalAnswer endCall(Journal &Calls, const JournalEnd &End);
+
+/// Marks the running calls of an ended incarnation as unknown.
+void abandonCalls(Journal &Calls, const NodeId &Node, Incarnation Ended);
+
+/// Forgets entries whose keys were issued longer ago than JournalRetention.
+void forgetCalls(Journal &Calls, UnixMillis Now);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/connection/peer_task.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/result.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace vanillaferry {
+
+/// What the peer task reports to the task that owns the process's state.
+struct PeerEvent {
+  enum class Kind { Up, Down, Message };
+  Kind m_Kind = Kind::Message;
+  /// Node id of the other end (a keeper's id is its node id).
+  NodeId m_From;
+  std::uint64_t m_Connection = 0;
+  PeerMessage m_Message;
+};
+
+struct PeerOptions {
+  NodeId m_Self;
+  Incarnation m_Incarnation;
+  NodeRole m_Role = NodeRole::Router;
+  std::string m_ListenAddress;
+  std::uint16_t m_ListenPort = 0;
+  Millis m_HeartbeatInterval{1000};
+  /// A link without any frame for this long is closed and dialled again.
+  Millis m_SilenceLimit{3000};
+  Bytes m_MaxFrame{8 * 1024 * 1024};
+};
+
+/// Counters of the peer task, readable from any thread.
+struct PeerCounters {
+  std::uint64_t m_FramesSent = 0;
+  std::uint64_t m_FramesReceived = 0;
+  std::uint64_t m_BytesSent = 0;
+  std::uint64_t m_BytesReceived = 0;
+  /// Bytes sent and received apart from forwarded requests and answers.
+  std::uint64_t m_ControlBytesSent = 0;
+  std::uint64_t m_ControlBytesReceived = 0;
+  std::uint64_t m_MalformedFrames = 0;
+  std::uint64_t m_LinksLost = 0;
+};
+
+/// Websocket links to other processes, on an Asio context in a thread of their
+/// own. Events are delivered through the function given at start, which runs
+/// on the peer thread and must only post to a mailbox.
+class PeerTask {
+public:
+  using Deliver = std::function<void(PeerEvent)>;
+
+  static Result<std::unique_ptr<PeerTask>> start(PeerOptions Options,
+                                                 Deliver OnEvent);
+  ~PeerTask();
+  PeerTask(const PeerTask &) = delete;
+  PeerTask &operator=(const PeerTask &) = delete;
+
+  /// Keeps a link to this URL up until disconnect(); dials again when lost.
+  void connect(const std::string &Url);
+  void disconnect(const std::string &Url);
+
+  /// Sends to the newest link of a node; dropped when there is none (the
+  /// owner of the state sees Down and decides).
+  void send(const NodeId &To, PeerMessage Message);
+  /// Sends over the link of this URL, whoever answers there.
+  void sendToUrl(const std::string &Url, PeerMessage Message);
+
+  PeerCounters counters() const;
+
+private:
+  struct Impl;
+  explicit PeerTask(std::unique_ptr<Impl> State);
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/command_line.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+namespace CLI {
+class App;
+}
+
+namespace vanillaferry {
+
+/// Exit codes of every subcommand (docs/operations.md).
+enum ExitCode : int {
+  ExitOk = 0,
+  /// The command ran and its check or request failed.
+  ExitFailed = 1,
+  /// The command line is wrong.
+  ExitUsage = 2,
+  /// Settings or an input file are invalid.
+  ExitInvalidInput = 3,
+  /// No keeper answered, or none leads.
+  ExitUnavailable = 4,
+  /// An edit met another version of its section.
+  ExitConflict = 5,
+  /// A broken invariant or a failed disk stopped the process.
+  ExitFatal = 6,
+};
+
+/// Parses the command line and runs one subcommand; returns its exit code.
+int runCommandLine(int Count, char **Arguments);
+
+/// Each adds its subcommands; the callback stores the exit code.
+void addCheckSettingsCommand(CLI::App &App, int &Code);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/settings.cpp
@@ -0,0 +1,152 @@
+#include "process/settings.hpp"
+
+#include "process/json_schema.hpp"
+#include "process/settings_schema.hpp"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace vanillaferry {
+
+namespace {
+
+using nlohmann::json;
+
+struct LoadedJson {
+  json m_Value;
+  std::vector<std::string> m_Faults;
+};
+
+const char *schemaOfKind(const std::string &Kind) {
+  if (Kind == "router")
+    return RouterSettingsSchema;
+  if (Kind == "keeper")
+    return KeeperSettingsSchema;
+  if (Kind == "operator")
+    return OperatorSettingsSchema;
+  return nullptr;
+}
+
+LoadedJson loadJson(const std::string &Path) {
+  LoadedJson Loaded;
+  std::ifstream File(Path);
+  if (!File) {
+    Loaded.m_Faults.push_back("cannot open " + Path);
+    return Loaded;
+  }
+  try {
+    Loaded.m_Value = json::parse(File, nullptr, true, true);
+  } catch (const json::parse_error &E) {
+    Loaded.m_Faults.push_back(std::string("not JSON: ") + E.what());
+    return Loaded;
+  }
+  std::string Kind = Loaded.m_Value.is_object()
+                         ? Loaded.m_Value.value("kind", std::string())
+                         : std::string();
+  const char *Schema = schemaOfKind(Kind);
+  if (!Schema) {
+    Loaded.m_Faults.push_back("/kind: expected \"router\", \"keeper\" or "
+                              "\"operator\", got \"" +
+                              Kind + "\".");
+    return Loaded;
+  }
+  Loaded.m_Faults = schemaFaults(json::parse(Schema), Loaded.m_Value);
+  return Loaded;
+}
+
+Result<json> loadKind(const std::string &Path, const std::string &Kind) {
+  LoadedJson Loaded = loadJson(Path);
+  if (Loaded.m_Faults.empty() && Loaded.m_Value["kind"] != Kind)
+    Loaded.m_Faults.push_back("/kind: expected \"" + Kind + "\".");
+  if (Loaded.m_Faults.empty())
+    return Loaded.m_Value;
+  std::string Text = Path + ":";
+  for (const std::string &Fault : Loaded.m_Faults)
+    Text += "\n  " + Fault;
+  return makeError(ErrorCode::InvalidSettings, Text);
+}
+
+ListenAddress readListen(const json &Value) {
+  ListenAddress Listen;
+  Listen.m_Address = Value["address"].get<std::string>();
+  Listen.m_Port = Value["port"].get<std::uint16_t>();
+  return Listen;
+}
+
+LogOptions readLog(const json &Settings, const std::string &Process) {
+  LogOptions Log;
+  Log.m_Process = Process;
+  if (!Settings.contains("log"))
+    return Log;
+  const json &Value = Settings["log"];
+  Log.m_Format = Value.value("format", Log.m_Format);
+  Log.m_Level = Value.value("level", Log.m_Level);
+  Log.m_File = Value.value("file", Log.m_File);
+  return Log;
+}
+
+} // namespace
+
+Result<RouterSettings> loadRouterSettings(const std::string &Path) {
+  Result<json> Loaded = loadKind(Path, "router");
+  if (!Loaded)
+    return Loaded.error();
+  const json &Value = Loaded.value();
+  RouterSettings Settings;
+  Settings.m_Node = NodeId(Value["node"].get<std::string>());
+  Settings.m_Vm = VmId(Value["vm"].get<std::string>());
+  Settings.m_Zone = ZoneId(Value["zone"].get<std::string>());
+  Settings.m_Http = readListen(Value["http"]);
+  Settings.m_Peer = readListen(Value["peer"]);
+  Settings.m_Keepers = Value["keepers"].get<std::vector<std::string>>();
+  Settings.m_VmListUrl = Value.value("vm_list_url", std::string());
+  Settings.m_VmListInterval =
+      Millis(Value.value("vm_list_interval_ms", std::int64_t(1000)));
+  Settings.m_DrainLimit =
+      Millis(Value.value("drain_limit_ms", std::int64_t(0)));
+  Settings.m_Record = Value.value("record", std::string());
+  Settings.m_Log = readLog(Value, Settings.m_Node.m_Value);
+  return Settings;
+}
+
+Result<KeeperSettings> loadKeeperSettings(const std::string &Path) {
+  Result<json> Loaded = loadKind(Path, "keeper");
+  if (!Loaded)
+    return Loaded.error();
+  const json &Value = Loaded.value();
+  KeeperSettings Settings;
+  Settings.m_Keeper = KeeperId(Value["keeper"].get<std::string>());
+  Settings.m_Vm = VmId(Value["vm"].get<std::string>());
+  Settings.m_Zone = ZoneId(Value["zone"].get<std::string>());
+  Settings.m_Http = readListen(Value["http"]);
+  Settings.m_Peer = readListen(Value["peer"]);
+  Settings.m_DataFolder = Value["data_folder"].get<std::string>();
+  for (const json &Item : Value["initial_keepers"])
+    Settings.m_InitialKeepers.push_back(
+        {KeeperId(Item["keeper"].get<std::string>()),
+         Item["peer_url"].get<std::string>()});
+  for (const json &Item : Value["operators"])
+    Settings.m_Operators.push_back(
+        {OperatorId(Item["operator"].get<std::string>()),
+         Item["token_sha256"].get<std::string>(),
+         Item["sections"].get<std::vector<std::string>>()});
+  Settings.m_Log = readLog(Value, Settings.m_Keeper.m_Value);
+  return Settings;
+}
+
+Result<OperatorCliSettings> loadOperatorCliSettings(const std::string &Path) {
+  Result<json> Loaded = loadKind(Path, "operator");
+  if (!Loaded)
+    return Loaded.error();
+  OperatorCliSettings Settings;
+  Settings.m_Keepers =
+      Loaded.value()["keepers"].get<std::vector<std::string>>();
+  Settings.m_Token = Loaded.value()["token"].get<std::string>();
+  return Settings;
+}
+
+std::vector<std::string> checkSettingsFile(const std::string &Path) {
+  return loadJson(Path).m_Faults;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/settings.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "process/log.hpp"
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/result.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace vanillaferry {
+
+/// An address to listen on, by IP number.
+struct ListenAddress {
+  std::string m_Address = "127.0.0.1";
+  std::uint16_t m_Port = 0;
+};
+
+/// Settings of a router process.
+struct RouterSettings {
+  NodeId m_Node;
+  VmId m_Vm;
+  ZoneId m_Zone;
+  ListenAddress m_Http;
+  ListenAddress m_Peer;
+  /// Websocket URLs of the keepers.
+  std::vector<std::string> m_Keepers;
+  /// Empty when the platform offers no VM list.
+  std::string m_VmListUrl;
+  Millis m_VmListInterval{1000};
+  /// A graceful shutdown ends after this time at the latest; 0 is no limit.
+  Millis m_DrainLimit{0};
+  /// File for the recorded trace; empty for none.
+  std::string m_Record;
+  LogOptions m_Log;
+};
+
+/// Another keeper of the first keeper set.
+struct InitialKeeper {
+  KeeperId m_Keeper;
+  std::string m_PeerUrl;
+};
+
+/// An operator's credentials and the sections that its roles own.
+struct OperatorSettings {
+  OperatorId m_Operator;
+  std::string m_TokenSha256;
+  /// Section names, or "*" for all sections and the keeper set.
+  std::vector<std::string> m_Sections;
+};
+
+/// Settings of a keeper process.
+struct KeeperSettings {
+  KeeperId m_Keeper;
+  VmId m_Vm;
+  ZoneId m_Zone;
+  ListenAddress m_Http;
+  ListenAddress m_Peer;
+  std::string m_DataFolder;
+  std::vector<InitialKeeper> m_InitialKeepers;
+  std::vector<OperatorSettings> m_Operators;
+  LogOptions m_Log;
+};
+
+/// Settings of the operator's command line.
+struct OperatorCliSettings {
+  /// HTTP URLs of the keepers; the first that leads answers.
+  std::vector<std::string> m_Keepers;
+  std::string m_Token;
+};
+
+/// Reads and checks a settings file; the error lists every fault with its
+/// path, value and what was expected.
+Result<RouterSettings> loadRouterSettings(const std::string &Path);
+Result<KeeperSettings> loadKeeperSettings(const std::string &Path);
+Result<OperatorCliSettings> loadOperatorCliSettings(const std::string &Path);
+
+/// All faults of a settings file of any kind, one per line; empty when valid.
+std::vector<std::string> checkSettingsFile(const std::string &Path);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/settings_schema.cpp
@@ -0,0 +1,124 @@
+#include "process/settings_schema.hpp"
+
+namespace vanillaferry {
+
+const char *const RouterSettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["kind", "node", "vm", "zone", "http", "peer", "keepers"],
+  "properties": {
+    "kind": {"enum": ["router"]},
+    "node": {"type": "string", "minLength": 1, "maxLength": 64},
+    "vm": {"type": "string", "minLength": 1, "maxLength": 64},
+    "zone": {"type": "string", "minLength": 1, "maxLength": 64},
+    "http": {
+      "type": "object", "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+      }
+    },
+    "peer": {
+      "type": "object", "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+      }
+    },
+    "keepers": {
+      "type": "array", "minItems": 1,
+      "items": {"type": "string", "pattern": "^ws://[0-9a-fA-F.:\\[\\]]+"}
+    },
+    "vm_list_url": {"type": "string", "pattern": "^http://"},
+    "vm_list_interval_ms": {"type": "integer", "minimum": 100, "maximum": 60000},
+    "drain_limit_ms": {"type": "integer", "minimum": 0},
+    "record": {"type": "string"},
+    "log": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "format": {"enum": ["json", "text"]},
+        "level": {"enum": ["debug", "info", "warn", "error"]},
+        "file": {"type": "string"}
+      }
+    }
+  }
+})json";
+
+const char *const KeeperSettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["kind", "keeper", "vm", "zone", "http", "peer", "data_folder",
+               "initial_keepers", "operators"],
+  "properties": {
+    "kind": {"enum": ["keeper"]},
+    "keeper": {"type": "string", "minLength": 1, "maxLength": 64},
+    "vm": {"type": "string", "minLength": 1, "maxLength": 64},
+    "zone": {"type": "string", "minLength": 1, "maxLength": 64},
+    "http": {
+      "type": "object", "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+      }
+    },
+    "peer": {
+      "type": "object", "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+      }
+    },
+    "data_folder": {"type": "string", "minLength": 1},
+    "initial_keepers": {
+      "type": "array",
+      "items": {
+        "type": "object", "additionalProperties": false,
+        "required": ["keeper", "peer_url"],
+        "properties": {
+          "keeper": {"type": "string", "minLength": 1, "maxLength": 64},
+          "peer_url": {"type": "string", "pattern": "^ws://[0-9a-fA-F.:\\[\\]]+"}
+        }
+      }
+    },
+    "operators": {
+      "type": "array", "minItems": 1,
+      "items": {
+        "type": "object", "additionalProperties": false,
+        "required": ["operator", "token_sha256", "sections"],
+        "properties": {
+          "operator": {"type": "string", "minLength": 1},
+          "token_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$"},
+          "sections": {"type": "array", "items": {"type": "string"}}
+        }
+      }
+    },
+    "log": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "format": {"enum": ["json", "text"]},
+        "level": {"enum": ["debug", "info", "warn", "error"]},
+        "file": {"type": "string"}
+      }
+    }
+  }
+})json";
+
+const char *const OperatorSettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["kind", "keepers", "token"],
+  "properties": {
+    "kind": {"enum": ["operator"]},
+    "keepers": {
+      "type": "array", "minItems": 1,
+      "items": {"type": "string", "pattern": "^http://[0-9a-fA-F.:\\[\\]]+"}
+    },
+    "token": {"type": "string", "minLength": 1}
+  }
+})json";
+
+} // namespace vanillaferry
