Add the peer links and the CBOR codec of peer messages

Cause: routers and keepers need links to each other before either daemon can run. Change: PeerTask on websocketpp with one Asio thread that listens and dials; hello in both directions, heartbeats, silence limit, redial with jitter, a bound on waiting bytes, counters with control bytes apart. Frames hold one CBOR map, or an array of up to 64 maps when several messages wait. Ruled out: a frame for each message. The CBOR reader of nlohmann is recursive, so a depth limit refuses frames that would exhaust the stack (tested with 4 MiB of nested arrays). Conclusion: the router daemon can build on PeerTask.

--- /dev/null
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -0,0 +1,276 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+
+#include <type_traits>
+
+namespace vanillaferry::internal {
+
+/// Marks a string of arbitrary bytes, written as a CBOR byte string.
+template <typename Text> struct RawBytes { Text &m_Text; };
+template <typename Text> RawBytes<Text> rawBytes(Text &Value) {
+  return RawBytes<Text>{Value};
+}
+
+/// Number of a message's kind on the wire. Numbers are never reused.
+template <typename T> struct KindOf;
+#define KIND(Type, Number)                                                     \
+  template <> struct KindOf<Type> { static constexpr int Value = Number; };
+KIND(Hello, 1)
+KIND(Heartbeat, 2)
+KIND(Renew, 3)
+KIND(Grant, 4)
+KIND(RedirectLeader, 5)
+KIND(Replicate, 6)
+KIND(JournalBegin, 7)
+KIND(JournalEnd, 8)
+KIND(JournalAnswer, 9)
+KIND(Forward, 10)
+KIND(ForwardAccept, 11)
+KIND(ForwardDecline, 12)
+KIND(ForwardChunk, 13)
+KIND(ForwardEnd, 14)
+KIND(ForwardCancel, 15)
+KIND(ForwardCredit, 16)
+KIND(Placed, 17)
+#undef KIND
+
+/// Largest valid number of an enumeration on the wire.
+constexpr unsigned maxNumber(NodeRole) { return unsigned(NodeRole::Keeper); }
+constexpr unsigned maxNumber(CallOutcome) {
+  return unsigned(CallOutcome::Unknown);
+}
+constexpr unsigned maxNumber(JournalStatus) {
+  return unsigned(JournalStatus::Unavailable);
+}
+constexpr unsigned maxNumber(Priority) { return unsigned(Priority::Batch); }
+constexpr unsigned maxNumber(StreamEnd) {
+  return unsigned(StreamEnd::Cancelled);
+}
+constexpr unsigned maxNumber(RetryReason) {
+  return unsigned(RetryReason::StreamContinued);
+}
+
+// One function per struct names its fields with their keys on the wire; the
+// writer and the reader both use it. "k" is the kind and is never a field.
+// V is FieldWriter or FieldReader, M the struct, const for the writer.
+template <typename M, typename T>
+using IfMessage = std::enable_if_t<std::is_same_v<std::remove_const_t<M>, T>>;
+
+template <typename V, typename M, IfMessage<M, Hello> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+  Visit("p", Data.m_Protocol);
+  Visit("r", Data.m_Role);
+}
+
+template <typename V, typename M, IfMessage<M, Heartbeat> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("t", Data.m_SentAt);
+}
+
+template <typename V, typename M, IfMessage<M, Member> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+  Visit("u", Data.m_PeerUrl);
+  Visit("z", Data.m_Zone);
+  Visit("l", Data.m_Leaving);
+}
+
+template <typename V, typename M, IfMessage<M, PoolLoad> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("p", Data.m_Pool);
+  Visit("r", Data.m_Running);
+}
+
+template <typename V, typename M, IfMessage<M, TargetLoad> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("t", Data.m_Target);
+  Visit("r", Data.m_Running);
+}
+
+template <typename V, typename M, IfMessage<M, AccountDemand> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("a", Data.m_Account);
+  Visit("r", Data.m_Running);
+  Visit("w", Data.m_Waiting);
+}
+
+template <typename V, typename M, IfMessage<M, AccountShare> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("a", Data.m_Account);
+  Visit("l", Data.m_Limit);
+}
+
+template <typename V, typename M, IfMessage<M, PoolTotal> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("p", Data.m_Pool);
+  Visit("r", Data.m_Running);
+  Visit("a", Data.m_Age);
+}
+
+template <typename V, typename M, IfMessage<M, SectionContent> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Name);
+  Visit("v", Data.m_Version);
+  Visit("j", Data.m_Json);
+}
+
+template <typename V, typename M, IfMessage<M, Renew> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+  Visit("s", Data.m_Sequence);
+  Visit("u", Data.m_PeerUrl);
+  Visit("z", Data.m_Zone);
+  Visit("e", Data.m_AckedEpoch);
+  Visit("v", Data.m_AckedVersion);
+  Visit("l", Data.m_Leaving);
+  Visit("p", Data.m_Pools);
+  Visit("t", Data.m_Targets);
+  Visit("a", Data.m_Accounts);
+}
+
+template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("s", Data.m_Sequence);
+  Visit("d", Data.m_Duration);
+  Visit("e", Data.m_Epoch);
+  Visit("f", Data.m_SafeEpoch);
+  Visit("m", Data.m_Members);
+  Visit("v", Data.m_Version);
+  Visit("c", Data.m_Sections);
+  Visit("p", Data.m_Totals);
+  Visit("r", Data.m_Residual);
+  Visit("a", Data.m_Shares);
+}
+
+template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("l", Data.m_Leader);
+  Visit("u", Data.m_PeerUrl);
+}
+
+template <typename V, typename M, IfMessage<M, Replicate> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("d", rawBytes(Data.m_Payload));
+}
+
+template <typename V, typename M, IfMessage<M, JournalBegin> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("a", Data.m_Account);
+  Visit("y", Data.m_Key);
+  Visit("h", Data.m_BodyHash);
+  Visit("t", Data.m_IssuedAt);
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+}
+
+template <typename V, typename M, IfMessage<M, CallAnswer> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("s", Data.m_HttpStatus);
+  Visit("c", Data.m_ContentType);
+  Visit("b", rawBytes(Data.m_Body));
+}
+
+template <typename V, typename M, IfMessage<M, JournalEnd> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("a", Data.m_Account);
+  Visit("y", Data.m_Key);
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+  Visit("o", Data.m_Outcome);
+  Visit("r", Data.m_Answer);
+}
+
+template <typename V, typename M, IfMessage<M, JournalAnswer> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("s", Data.m_Status);
+  Visit("r", Data.m_Answer);
+}
+
+template <typename V, typename M, IfMessage<M, Forward> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("a", Data.m_Account);
+  Visit("c", Data.m_Chat);
+  Visit("p", Data.m_Pool);
+  Visit("t", Data.m_Target);
+  Visit("i", Data.m_IgnoreRedirect);
+  Visit("y", Data.m_AnyTarget);
+  Visit("r", Data.m_Priority);
+  Visit("l", Data.m_TimeLeft);
+  Visit("o", Data.m_PromptTokens);
+  Visit("s", Data.m_Stream);
+  Visit("m", Data.m_Method);
+  Visit("u", Data.m_Path);
+  Visit("e", Data.m_ContentType);
+  Visit("b", rawBytes(Data.m_Body));
+  Visit("f", Data.m_ResumeOffset);
+  Visit("x", rawBytes(Data.m_ResumeText));
+}
+
+template <typename V, typename M, IfMessage<M, ForwardAccept> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("t", Data.m_Target);
+  Visit("w", Data.m_Why);
+}
+
+template <typename V, typename M, IfMessage<M, ForwardDecline> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("r", Data.m_Reason);
+  Visit("h", Data.m_Holder);
+}
+
+template <typename V, typename M, IfMessage<M, ForwardChunk> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("o", Data.m_Offset);
+  Visit("c", Data.m_Count);
+  Visit("d", rawBytes(Data.m_Data));
+}
+
+template <typename V, typename M, IfMessage<M, ForwardEnd> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("e", Data.m_End);
+  Visit("s", Data.m_HttpStatus);
+  Visit("c", Data.m_ContentType);
+  Visit("v", Data.m_Events);
+  Visit("d", Data.m_Detail);
+}
+
+template <typename V, typename M, IfMessage<M, ForwardCancel> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+}
+
+template <typename V, typename M, IfMessage<M, ForwardCredit> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("q", Data.m_Request);
+  Visit("n", Data.m_Attempt);
+  Visit("b", Data.m_Bytes);
+}
+
+template <typename V, typename M, IfMessage<M, Placed> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("c", Data.m_Chat);
+  Visit("p", Data.m_Pool);
+  Visit("h", Data.m_Home);
+  Visit("t", Data.m_Target);
+}
+
+} // namespace vanillaferry::internal
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -9,7 +9,8 @@
 
 namespace vanillaferry {
 
-/// What the peer task reports to the task that owns the process's state.
+/// What the peer task reports to the task that owns the process's state. Up
+/// carries the other end's Hello as its message.
 struct PeerEvent {
   enum class Kind { Up, Down, Message };
   Kind m_Kind = Kind::Message;
@@ -29,6 +30,11 @@
   /// A link without any frame for this long is closed and dialled again.
   Millis m_SilenceLimit{3000};
   Bytes m_MaxFrame{8 * 1024 * 1024};
+  /// A link with more bytes waiting to be sent is dropped and dialled again.
+  Bytes m_MaxBuffered{32 * 1024 * 1024};
+  /// Bounds of the exponential pause between dials, before jitter.
+  Millis m_RedialMin{100};
+  Millis m_RedialMax{2000};
 };
 
 /// Counters of the peer task, readable from any thread.
@@ -69,6 +75,10 @@
 
   PeerCounters counters() const;
 
+  /// The port listened on, also when the options leave its choice to the
+  /// system; 0 without a listen address.
+  std::uint16_t listenPort() const;
+
 private:
   struct Impl;
   explicit PeerTask(std::unique_ptr<Impl> State);
--- /dev/null
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -0,0 +1,378 @@
+#include "connection/message_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace vanillaferry;
+
+namespace {
+
+template <typename T> T roundTrip(const T &Sent) {
+  Result<std::vector<PeerMessage>> Decoded = decodeFrame(encodeMessage(Sent));
+  if (!Decoded)
+    BOOST_FAIL(Decoded.error().m_Text);
+  BOOST_REQUIRE_EQUAL(Decoded.value().size(), 1U);
+  BOOST_REQUIRE(std::holds_alternative<T>(Decoded.value().front()));
+  return std::get<T>(Decoded.value().front());
+}
+
+#define SAME(Field) BOOST_TEST(Sent.Field == Got.Field, #Field)
+
+Member someMember() {
+  return {NodeId("n1"), Incarnation(~0ULL), "ws://127.0.0.1:1", ZoneId("z"),
+          true};
+}
+
+std::string allBytes() {
+  std::string Bytes;
+  for (int Value = 0; Value < 256; ++Value)
+    Bytes.push_back(static_cast<char>(Value));
+  return Bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MessageCodec)
+
+// Guards against a field that one end sets and the other end never sees.
+BOOST_AUTO_TEST_CASE(HelloAndHeartbeatKeepEveryField) {
+  {
+    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper};
+    Hello Got = roundTrip(Sent);
+    SAME(m_Node);
+    SAME(m_Incarnation);
+    SAME(m_Protocol);
+    BOOST_TEST((Got.m_Role == NodeRole::Keeper));
+  }
+  {
+    Heartbeat Sent{Millis(-5)};
+    Heartbeat Got = roundTrip(Sent);
+    SAME(m_SentAt);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RenewKeepsEveryField) {
+  Renew Sent{NodeId("n"),
+             Incarnation(1ULL << 63),
+             9,
+             "ws://127.0.0.2:5",
+             ZoneId("Topsia"),
+             Epoch(4),
+             DocumentVersion(5),
+             true,
+             {{PoolId("p"), 3}, {PoolId("q"), 0}},
+             {{TargetId("t"), 4}},
+             {{AccountId("a"), 5, 6}}};
+  Renew Got = roundTrip(Sent);
+  SAME(m_Node);
+  SAME(m_Incarnation);
+  SAME(m_Sequence);
+  SAME(m_PeerUrl);
+  SAME(m_Zone);
+  SAME(m_AckedEpoch);
+  SAME(m_AckedVersion);
+  SAME(m_Leaving);
+  BOOST_REQUIRE_EQUAL(Got.m_Pools.size(), 2U);
+  SAME(m_Pools[0].m_Pool);
+  SAME(m_Pools[0].m_Running);
+  SAME(m_Pools[1].m_Pool);
+  SAME(m_Pools[1].m_Running);
+  SAME(m_Targets.at(0).m_Target);
+  SAME(m_Targets.at(0).m_Running);
+  SAME(m_Accounts.at(0).m_Account);
+  SAME(m_Accounts.at(0).m_Running);
+  SAME(m_Accounts.at(0).m_Waiting);
+}
+
+BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
+  Grant Sent{8,
+             Millis(3000),
+             Epoch(2),
+             Epoch(1),
+             {someMember()},
+             DocumentVersion(77),
+             {{SectionName("zones"), SectionVersion(3), "{\"zones\":[]}"}},
+             {{PoolId("p"), 12, Millis(40)}},
+             {{TargetId("t"), 1}},
+             {{AccountId("a"), 10}}};
+  Grant Got = roundTrip(Sent);
+  SAME(m_Sequence);
+  SAME(m_Duration);
+  SAME(m_Epoch);
+  SAME(m_SafeEpoch);
+  SAME(m_Version);
+  SAME(m_Members.at(0).m_Node);
+  SAME(m_Members.at(0).m_Incarnation);
+  SAME(m_Members.at(0).m_PeerUrl);
+  SAME(m_Members.at(0).m_Zone);
+  SAME(m_Members.at(0).m_Leaving);
+  SAME(m_Sections.at(0).m_Name);
+  SAME(m_Sections.at(0).m_Version);
+  SAME(m_Sections.at(0).m_Json);
+  SAME(m_Totals.at(0).m_Pool);
+  SAME(m_Totals.at(0).m_Running);
+  SAME(m_Totals.at(0).m_Age);
+  SAME(m_Residual.at(0).m_Target);
+  SAME(m_Residual.at(0).m_Running);
+  SAME(m_Shares.at(0).m_Account);
+  SAME(m_Shares.at(0).m_Limit);
+}
+
+BOOST_AUTO_TEST_CASE(KeeperMessagesKeepEveryField) {
+  {
+    RedirectLeader Sent{KeeperId("k2"), "ws://127.0.0.1:9"};
+    RedirectLeader Got = roundTrip(Sent);
+    SAME(m_Leader);
+    SAME(m_PeerUrl);
+  }
+  {
+    Replicate Sent;
+    Sent.m_Payload = allBytes();
+    Replicate Got = roundTrip(Sent);
+    SAME(m_Payload);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(JournalMessagesKeepEveryField) {
+  {
+    JournalBegin Sent{RequestId("r"), AccountId("a"), IdempotencyKey("k"),
+                      "hash",         UnixMillis(99), NodeId("n"),
+                      Incarnation(11)};
+    JournalBegin Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Account);
+    SAME(m_Key);
+    SAME(m_BodyHash);
+    SAME(m_IssuedAt);
+    SAME(m_Node);
+    SAME(m_Incarnation);
+  }
+  {
+    JournalEnd Sent{RequestId("r"),
+                    AccountId("a"),
+                    IdempotencyKey("k"),
+                    NodeId("n"),
+                    Incarnation(11),
+                    CallOutcome::NotRun,
+                    {201, "application/json", allBytes()}};
+    JournalEnd Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Account);
+    SAME(m_Key);
+    SAME(m_Node);
+    SAME(m_Incarnation);
+    BOOST_TEST((Got.m_Outcome == CallOutcome::NotRun));
+    SAME(m_Answer.m_HttpStatus);
+    SAME(m_Answer.m_ContentType);
+    SAME(m_Answer.m_Body);
+  }
+  {
+    JournalAnswer Sent{
+        RequestId("r"), JournalStatus::Recorded, {200, "text/plain", "ok"}};
+    JournalAnswer Got = roundTrip(Sent);
+    SAME(m_Request);
+    BOOST_TEST((Got.m_Status == JournalStatus::Recorded));
+    SAME(m_Answer.m_HttpStatus);
+    SAME(m_Answer.m_ContentType);
+    SAME(m_Answer.m_Body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ForwardKeepsEveryField) {
+  Forward Sent{RequestId("r"),
+               Attempt(2),
+               AccountId("a"),
+               ChatId("c"),
+               PoolId("p"),
+               TargetId("t"),
+               true,
+               true,
+               Priority::Batch,
+               Millis(1500),
+               Tokens(900),
+               true,
+               "POST",
+               "/v1/chat/completions",
+               "application/json",
+               allBytes(),
+               17,
+               allBytes()};
+  Forward Got = roundTrip(Sent);
+  SAME(m_Request);
+  SAME(m_Attempt);
+  SAME(m_Account);
+  SAME(m_Chat);
+  SAME(m_Pool);
+  SAME(m_Target);
+  SAME(m_IgnoreRedirect);
+  SAME(m_AnyTarget);
+  BOOST_TEST((Got.m_Priority == Priority::Batch));
+  SAME(m_TimeLeft);
+  SAME(m_PromptTokens);
+  SAME(m_Stream);
+  SAME(m_Method);
+  SAME(m_Path);
+  SAME(m_ContentType);
+  SAME(m_Body);
+  SAME(m_ResumeOffset);
+  SAME(m_ResumeText);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToForwardKeepEveryField) {
+  {
+    ForwardAccept Sent{RequestId("r"), Attempt(1), TargetId("t"), "home"};
+    ForwardAccept Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+    SAME(m_Target);
+    SAME(m_Why);
+  }
+  for (RetryReason Reason : allRetryReasons()) {
+    ForwardDecline Sent{RequestId("r"), Attempt(1), Reason, TargetId("h")};
+    ForwardDecline Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+    BOOST_TEST((Got.m_Reason == Reason));
+    SAME(m_Holder);
+  }
+  {
+    ForwardChunk Sent{RequestId("r"), Attempt(1), 5, 3, allBytes()};
+    ForwardChunk Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+    SAME(m_Offset);
+    SAME(m_Count);
+    SAME(m_Data);
+  }
+  {
+    ForwardEnd Sent{RequestId("r"),
+                    Attempt(1),
+                    StreamEnd::Cancelled,
+                    200,
+                    "text/event-stream",
+                    12,
+                    "detail"};
+    ForwardEnd Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+    BOOST_TEST((Got.m_End == StreamEnd::Cancelled));
+    SAME(m_HttpStatus);
+    SAME(m_ContentType);
+    SAME(m_Events);
+    SAME(m_Detail);
+  }
+  {
+    ForwardCancel Sent{RequestId("r"), Attempt(4)};
+    ForwardCancel Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+  }
+  {
+    ForwardCredit Sent{RequestId("r"), Attempt(4), Bytes(65536)};
+    ForwardCredit Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Attempt);
+    SAME(m_Bytes);
+  }
+  {
+    Placed Sent{ChatId("c"), PoolId("p"), TargetId("h"), TargetId("t")};
+    Placed Got = roundTrip(Sent);
+    SAME(m_Chat);
+    SAME(m_Pool);
+    SAME(m_Home);
+    SAME(m_Target);
+  }
+}
+
+// Guards against a batch that loses or reorders messages.
+BOOST_AUTO_TEST_CASE(AFrameOfSeveralMessagesKeepsTheirOrder) {
+  for (std::size_t Count : {std::size_t(2), std::size_t(23), std::size_t(24),
+                            MaxMessagesPerFrame}) {
+    std::string Frame;
+    appendFrameHead(Frame, Count);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Frame += encodeMessage(Heartbeat{Millis(static_cast<int>(Index))});
+    Result<std::vector<PeerMessage>> Decoded = decodeFrame(Frame);
+    BOOST_REQUIRE(Decoded.has_value());
+    BOOST_REQUIRE_EQUAL(Decoded.value().size(), Count);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      BOOST_TEST(std::get<Heartbeat>(Decoded.value()[Index]).m_SentAt.m_Value ==
+                 static_cast<std::int64_t>(Index));
+  }
+}
+
+// Guards against a crash, an exception or a hang on bytes of a broken or
+// hostile peer.
+BOOST_AUTO_TEST_CASE(RandomBytesAreAnErrorValue) {
+  BOOST_TEST(rc::check("random bytes", [](const std::string &Bytes) {
+    Result<std::vector<PeerMessage>> Decoded = decodeFrame(Bytes);
+    RC_ASSERT((!Decoded.has_value() || !Decoded.value().empty()));
+  }));
+}
+
+// Guards against a reader that trusts lengths and types inside a valid frame.
+BOOST_AUTO_TEST_CASE(DamagedFramesAreAnErrorValueOrAMessage) {
+  Renew Whole;
+  Whole.m_Node = NodeId("node");
+  Whole.m_Pools = {{PoolId("p"), 3}, {PoolId("q"), 300}};
+  Whole.m_Targets = {{TargetId("t"), 70000}};
+  const std::string Frame = encodeMessage(Whole);
+  BOOST_TEST(rc::check("damaged frames", [&Frame] {
+    std::string Damaged = Frame;
+    std::size_t Changes = *rc::gen::inRange<std::size_t>(1, 4);
+    for (std::size_t Index = 0; Index < Changes; ++Index)
+      Damaged[*rc::gen::inRange<std::size_t>(0, Damaged.size())] =
+          *rc::gen::arbitrary<char>();
+    Damaged.resize(*rc::gen::inRange<std::size_t>(1, Damaged.size() + 1));
+    Result<std::vector<PeerMessage>> Decoded = decodeFrame(Damaged);
+    RC_ASSERT((!Decoded.has_value() || !Decoded.value().empty()));
+  }));
+}
+
+// Guards against the recursive CBOR reader exhausting the stack.
+BOOST_AUTO_TEST_CASE(DeeplyNestedFramesAreRefused) {
+  BOOST_TEST(!decodeFrame(std::string(4 * 1024 * 1024, '\x81')).has_value());
+  BOOST_TEST(!decodeFrame(std::string(4 * 1024 * 1024, '\x9f')).has_value());
+  std::string Maps;
+  for (int Index = 0; Index < 1000000; ++Index)
+    Maps += "\xa1\x61k";
+  BOOST_TEST(!decodeFrame(Maps).has_value());
+}
+
+// Guards against an allocation by a claimed length.
+BOOST_AUTO_TEST_CASE(ClaimedLengthsBeyondTheFrameAreRefused) {
+  const char Huge[] = {'\x9b', '\x7f', '\xff', '\xff', '\xff',
+                       '\xff', '\xff', '\xff', '\xff'};
+  BOOST_TEST(!decodeFrame(std::string(Huge, sizeof Huge)).has_value());
+  std::string Text(Huge, sizeof Huge);
+  for (char Major : {'\x5b', '\x7b', '\xbb'}) {
+    Text[0] = Major;
+    BOOST_TEST(!decodeFrame(Text).has_value());
+  }
+}
+
+// Guards against a newer peer's unknown kind being taken for another.
+BOOST_AUTO_TEST_CASE(UnknownKindsAndWrongTypesNameTheFault) {
+  // {"k": 200}
+  Result<std::vector<PeerMessage>> Unknown = decodeFrame("\xa1\x61k\x18\xc8");
+  BOOST_REQUIRE(!Unknown.has_value());
+  BOOST_TEST(Unknown.error().m_Text == "unknown kind 200");
+  // {"k": 2, "t": "x"}
+  Result<std::vector<PeerMessage>> Wrong =
+      decodeFrame("\xa2\x61k\x02\x61t\x61x");
+  BOOST_REQUIRE(!Wrong.has_value());
+  BOOST_TEST(Wrong.error().m_Text ==
+             "kind 2, field t: expected a whole number");
+}
+
+// Guards against callers' bytes being counted as control traffic.
+BOOST_AUTO_TEST_CASE(OnlyForwardedRequestsAndAnswersAreNoControlTraffic) {
+  BOOST_TEST(!isControlMessage(Forward()));
+  BOOST_TEST(!isControlMessage(ForwardChunk()));
+  BOOST_TEST(!isControlMessage(ForwardEnd()));
+  BOOST_TEST(isControlMessage(ForwardAccept()));
+  BOOST_TEST(isControlMessage(Renew()));
+  BOOST_TEST(isControlMessage(JournalEnd()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
