Add emulated engines, services, platform and a load generator

Cause: the fleet needs something to serve before its own parts exist. Change: vanillaferry-standin with engine, service, platform and load. Answers follow from the messages alone, so the load generator checks every token.

--- /dev/null
+++ b/src/standin/engine.cpp
@@ -0,0 +1,273 @@
+#include "engine.hpp"
+
+#include "engine_state.hpp"
+#include "http_server.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace vanillaferry::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t TickMs = 2;
+constexpr std::uint32_t BytesPerToken = 4;
+constexpr std::size_t MaxCacheEventsPerAnswer = 1000;
+
+std::uint32_t promptTokens(const json &Messages) {
+  std::size_t Length = 0;
+  for (const json &Message : Messages)
+    Length += Message.value("content", std::string()).size();
+  return static_cast<std::uint32_t>(1 + Length / BytesPerToken);
+}
+
+json refusal(const char *Text) {
+  return {{"error", {{"message", Text}, {"not_run", true}}}};
+}
+
+bool isCold(const EngineState &Engine) {
+  return Engine.m_Options.m_ColdLimit != 0 &&
+         Engine.m_CompletedSinceCold < Engine.m_Options.m_WarmAfter;
+}
+
+std::shared_ptr<Generation> startGeneration(EngineState &Engine,
+                                            const json &Body,
+                                            const std::string &RequestId) {
+  std::shared_ptr<Generation> Work = std::make_shared<Generation>();
+  Work->m_RequestId = RequestId;
+  Work->m_Answer = expectedAnswer(Body);
+  Work->m_Stream = Body.value("stream", false);
+  std::string Continued = Body.value("continue_text", std::string());
+  Work->m_FirstIndex =
+      std::min(countTokens(Continued), Work->m_Answer.m_Tokens);
+  if (Work->m_FirstIndex != 0)
+    ++Engine.m_Stats.m_Continued;
+  std::vector<std::uint64_t> Hashes = prefixHashes(Body.at("messages"));
+  Work->m_PromptTokens = promptTokens(Body.at("messages"));
+  Work->m_CachedTokens =
+      std::min(Engine.m_Cache.lookup(Hashes), Work->m_PromptTokens);
+  json WithAnswer = Body.at("messages");
+  WithAnswer.push_back(
+      {{"role", "assistant"}, {"content", answerText(Work->m_Answer)}});
+  Work->m_PrefixToStore = prefixHashes(WithAnswer).back();
+  Work->m_StartUs = g_get_monotonic_time();
+  Work->m_FirstTokenUs = Engine.m_Options.m_FirstTokenMs * gint64(1000) +
+                         gint64(Engine.m_Options.m_PrefillUsPerToken) *
+                             (Work->m_PromptTokens - Work->m_CachedTokens);
+  Engine.m_Stats.m_PromptTokens += Work->m_PromptTokens;
+  Engine.m_Stats.m_CachedTokens += Work->m_CachedTokens;
+  ++Engine.m_Runs[RequestId];
+  Engine.m_Generations[RequestId] = Work;
+  return Work;
+}
+
+void resumeChat(EngineState &Engine, SoupServerMessage *Message,
+                const std::string &RequestId, const std::string &Offset) {
+  auto Found = Engine.m_Generations.find(RequestId);
+  if (Found == Engine.m_Generations.end() || Engine.m_Faults.m_NoResume) {
+    answerJson(Message, 404, refusal("no such stream"));
+    return;
+  }
+  ++Engine.m_Stats.m_Resumed;
+  attachReader(Engine, *Found->second, Message,
+               static_cast<std::uint32_t>(std::stoul(Offset)));
+}
+
+void handleChat(EngineState &Engine, SoupServerMessage *Message) {
+  json Body = json::parse(requestBody(Message), nullptr, false);
+  std::string RequestId = requestHeader(Message, "X-Request-Id");
+  if (Body.is_discarded() || !Body.contains("messages") || RequestId.empty()) {
+    answerJson(Message, 400, refusal("needs messages and X-Request-Id"));
+    return;
+  }
+  std::string Offset = requestHeader(Message, "X-Resume-Offset");
+  if (!Offset.empty()) {
+    resumeChat(Engine, Message, RequestId, Offset);
+    return;
+  }
+  ++Engine.m_Stats.m_Arrivals;
+  Engine.m_Stats.m_LastArrivalMs = g_get_real_time() / 1000;
+  if (Engine.m_Faults.m_Refuse) {
+    answerJson(Message, 503, refusal("engine refuses work"));
+    return;
+  }
+  if (isCold(Engine) && runningCount(Engine) >= Engine.m_Options.m_ColdLimit) {
+    ++Engine.m_Stats.m_ColdOverloads;
+    restartEngine(Engine);
+    dropConnection(Message);
+    return;
+  }
+  std::shared_ptr<Generation> Work = startGeneration(Engine, Body, RequestId);
+  Work->m_Priority = requestHeader(Message, "X-Priority");
+  attachReader(Engine, *Work, Message, 0);
+  Engine.m_Stats.m_MaxRunning =
+      std::max(Engine.m_Stats.m_MaxRunning, runningCount(Engine));
+}
+
+void handleCancel(EngineState &Engine, SoupServerMessage *Message) {
+  json Body = json::parse(requestBody(Message), nullptr, false);
+  std::string RequestId =
+      Body.is_object() ? Body.value("request_id", std::string()) : "";
+  auto Found = Engine.m_Generations.find(RequestId);
+  bool Known = Found != Engine.m_Generations.end();
+  if (Known) {
+    detachReader(*Found->second);
+    Found->second->m_Cancelled = true;
+  }
+  answerJson(Message, Known ? 200 : 404, {{"cancelled", Known}});
+}
+
+void handleLoad(EngineState &Engine, SoupServerMessage *Message) {
+  gint64 Wanted =
+      g_get_monotonic_time() - gint64(Engine.m_Options.m_ReportLagMs) * 1000;
+  std::uint32_t Running = runningCount(Engine);
+  if (Engine.m_Options.m_ReportLagMs != 0)
+    for (const LoadSample &Sample : Engine.m_Samples)
+      if (Sample.m_AtUs <= Wanted)
+        Running = Sample.m_Running;
+  answerJson(Message, 200,
+             {{"instance", Engine.m_Instance},
+              {"running", Running},
+              {"kv_used", Engine.m_Cache.events().size()}});
+}
+
+void handleCacheEvents(EngineState &Engine, SoupServerMessage *Message) {
+  std::string After = queryValue(Message, "after");
+  std::uint64_t Sequence = After.empty() ? 0 : std::stoull(After);
+  json List = json::array();
+  std::uint64_t Next = Sequence;
+  for (const CacheEvent &Event : Engine.m_Cache.events()) {
+    if (Event.m_Sequence <= Sequence)
+      continue;
+    if (List.size() >= MaxCacheEventsPerAnswer)
+      break;
+    List.push_back({{"seq", Event.m_Sequence},
+                    {"kind", Event.m_Stored ? "store" : "evict"},
+                    {"prefix", Event.m_Prefix},
+                    {"tokens", Event.m_Tokens}});
+    Next = Event.m_Sequence;
+  }
+  answerJson(
+      Message, 200,
+      {{"instance", Engine.m_Instance}, {"events", List}, {"next", Next}});
+}
+
+void handleOrder(EngineState &Engine, SoupServerMessage *Message) {
+  json Body = json::parse(requestBody(Message), nullptr, false);
+  if (!Body.is_object()) {
+    answerJson(Message, 400, refusal("not JSON"));
+    return;
+  }
+  std::uint64_t Token = Body.value("fencing_token", std::uint64_t(0));
+  if (Engine.m_Options.m_ChecksFencing && Token < Engine.m_FencingToken) {
+    answerJson(Message, 409, refusal("old fencing token"));
+    return;
+  }
+  Engine.m_FencingToken = std::max(Engine.m_FencingToken, Token);
+  Engine.m_Orders.push_back(Body.dump());
+  answerJson(Message, 200, {{"done", true}});
+}
+
+void handleFault(EngineState &Engine, SoupServerMessage *Message) {
+  json Body = json::parse(requestBody(Message), nullptr, false);
+  if (!Body.is_object()) {
+    answerJson(Message, 400, refusal("not JSON"));
+    return;
+  }
+  EngineFaults &Faults = Engine.m_Faults;
+  Faults.m_CloseAfter = Body.value("close_after", 0u);
+  Faults.m_SilentAfter = Body.value("silent_after", 0u);
+  Faults.m_Times = Body.value("times", 0u);
+  Faults.m_NoResume = Body.value("no_resume", false);
+  Faults.m_Refuse = Body.value("refuse", false);
+  if (Body.value("restart", false))
+    restartEngine(Engine);
+  if (Body.contains("report_lag_ms"))
+    Engine.m_Options.m_ReportLagMs = Body["report_lag_ms"].get<std::uint32_t>();
+  answerJson(Message, 200, {{"ok", true}});
+}
+
+void handleStats(EngineState &Engine, SoupServerMessage *Message) {
+  const EngineStats &Stats = Engine.m_Stats;
+  json Body = {{"name", Engine.m_Options.m_Name},
+               {"instance", Engine.m_Instance},
+               {"arrivals", Stats.m_Arrivals},
+               {"completed", Stats.m_Completed},
+               {"cancelled", Stats.m_Cancelled},
+               {"resumed", Stats.m_Resumed},
+               {"continued", Stats.m_Continued},
+               {"cold_overloads", Stats.m_ColdOverloads},
+               {"prompt_tokens", Stats.m_PromptTokens},
+               {"cached_tokens", Stats.m_CachedTokens},
+               {"running", runningCount(Engine)},
+               {"max_running", Stats.m_MaxRunning},
+               {"last_arrival_unix_ms", Stats.m_LastArrivalMs},
+               {"orders", Engine.m_Orders},
+               {"runs", Engine.m_Runs}};
+  answerJson(Message, 200, Body);
+}
+
+void handleKv(EngineState &Engine, SoupServerMessage *Message, bool Import) {
+  json Body = json::parse(requestBody(Message), nullptr, false);
+  if (!Body.is_object() || !Body.contains("messages")) {
+    answerJson(Message, 400, refusal("needs messages"));
+    return;
+  }
+  std::uint64_t Prefix = prefixHashes(Body["messages"]).back();
+  std::uint32_t Tokens = promptTokens(Body["messages"]);
+  if (Import)
+    Engine.m_Cache.store(Prefix, Tokens);
+  bool Known = Engine.m_Cache.contains(Prefix);
+  answerJson(Message, Known ? 200 : 404, {{"prefix", Prefix}, {"held", Known}});
+}
+
+void handleRequest(EngineState &Engine, SoupServerMessage *Message,
+                   const std::string &Path) {
+  if (Path == "/v1/chat/completions")
+    handleChat(Engine, Message);
+  else if (Path == "/v1/cancel")
+    handleCancel(Engine, Message);
+  else if (Path == "/load")
+    handleLoad(Engine, Message);
+  else if (Path == "/cache/events")
+    handleCacheEvents(Engine, Message);
+  else if (Path == "/orders")
+    handleOrder(Engine, Message);
+  else if (Path == "/kv/export" || Path == "/kv/import")
+    handleKv(Engine, Message, Path == "/kv/import");
+  else if (Path == "/fault")
+    handleFault(Engine, Message);
+  else if (Path == "/stats")
+    handleStats(Engine, Message);
+  else
+    answerJson(Message, 404, refusal("no such path"));
+}
+
+gboolean onTick(gpointer Data) {
+  EngineState &Engine = *static_cast<EngineState *>(Data);
+  advanceGenerations(Engine);
+  gint64 Now = g_get_monotonic_time();
+  Engine.m_Samples.push_back({Now, runningCount(Engine)});
+  gint64 Kept = gint64(Engine.m_Options.m_ReportLagMs) * 1000 + 1000000;
+  while (Engine.m_Samples.front().m_AtUs < Now - Kept)
+    Engine.m_Samples.pop_front();
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace
+
+int runEngine(const EngineOptions &Options) {
+  EngineState Engine;
+  Engine.m_Options = Options;
+  Engine.m_Cache = PrefixLru(Options.m_CacheTokens);
+  Engine.m_Instance = std::to_string(g_get_real_time());
+  g_timeout_add(TickMs, &onTick, &Engine);
+  return serve(Options.m_Port,
+               [&Engine](SoupServerMessage *Message, const std::string &Path) {
+                 handleRequest(Engine, Message, Path);
+               });
+}
+
+} // namespace vanillaferry::standin
--- /dev/null
+++ b/src/standin/engine_state.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "answer.hpp"
+#include "engine.hpp"
+#include "prefix_lru.hpp"
+
+#include <deque>
+#include <libsoup/soup.h>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace vanillaferry::standin {
+
+struct EngineState;
+
+/// One generation; outlives the connections that read it.
+struct Generation : std::enable_shared_from_this<Generation> {
+  std::string m_RequestId;
+  std::string m_Priority;
+  ExpectedAnswer m_Answer;
+  std::uint32_t m_FirstIndex = 0;
+  std::uint32_t m_PromptTokens = 0;
+  std::uint32_t m_CachedTokens = 0;
+  std::uint64_t m_PrefixToStore = 0;
+  gint64 m_StartUs = 0;
+  gint64 m_FirstTokenUs = 0;
+  bool m_Stream = true;
+  bool m_Finished = false;
+  bool m_Cancelled = false;
+  /// Reader, held by reference while connected.
+  SoupServerMessage *m_Reader = nullptr;
+  std::uint32_t m_NextEvent = 0;
+  bool m_Silent = false;
+  gint64 m_DetachedUs = 0;
+  gulong m_FinishedHandler = 0;
+};
+
+/// Faults that tests switch on through POST /fault.
+struct EngineFaults {
+  /// Close the connection after this many events, once for each request; 0
+  /// for never.
+  std::uint32_t m_CloseAfter = 0;
+  /// Stop sending after this many events without closing.
+  std::uint32_t m_SilentAfter = 0;
+  /// Apply the two above to this many requests.
+  std::uint32_t m_Times = 0;
+  /// Forget detached generations, so that a resume fails.
+  bool m_NoResume = false;
+  /// Answer 503 to every new request, before running it.
+  bool m_Refuse = false;
+};
+
+struct EngineStats {
+  std::uint64_t m_Arrivals = 0;
+  std::uint64_t m_Completed = 0;
+  std::uint64_t m_Cancelled = 0;
+  std::uint64_t m_Resumed = 0;
+  std::uint64_t m_Continued = 0;
+  std::uint64_t m_ColdOverloads = 0;
+  std::uint64_t m_PromptTokens = 0;
+  std::uint64_t m_CachedTokens = 0;
+  std::uint32_t m_MaxRunning = 0;
+  gint64 m_LastArrivalMs = 0;
+};
+
+struct LoadSample {
+  gint64 m_AtUs = 0;
+  std::uint32_t m_Running = 0;
+};
+
+struct EngineState {
+  EngineOptions m_Options;
+  std::string m_Instance;
+  std::map<std::string, std::shared_ptr<Generation>> m_Generations;
+  PrefixLru m_Cache{0};
+  EngineFaults m_Faults;
+  EngineStats m_Stats;
+  std::uint32_t m_CompletedSinceCold = 0;
+  std::uint64_t m_FencingToken = 0;
+  std::deque<std::string> m_Orders;
+  std::deque<LoadSample> m_Samples;
+  /// Runs of each request id since the start.
+  std::map<std::string, std::uint32_t> m_Runs;
+};
+
+std::uint32_t runningCount(const EngineState &Engine);
+/// Drops all work and the cache, as a restart does.
+void restartEngine(EngineState &Engine);
+/// Sends every event that is due; called by a timer.
+void advanceGenerations(EngineState &Engine);
+/// Attaches a connection that reads events from this offset on.
+void attachReader(EngineState &Engine, Generation &Work,
+                  SoupServerMessage *Message, std::uint32_t Offset);
+void detachReader(Generation &Work);
+
+} // namespace vanillaferry::standin
--- /dev/null
+++ b/src/standin/load.cpp
@@ -0,0 +1,384 @@
+#include "load.hpp"
+
+#include "answer.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <libsoup/soup.h>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace vanillaferry::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int MaxConnections = 2000;
+
+struct Chat {
+  std::string m_Id;
+  json m_Messages = json::array();
+  std::uint32_t m_Turn = 0;
+  bool m_Busy = false;
+};
+
+struct LoadResult {
+  std::uint64_t m_Sent = 0;
+  std::uint64_t m_Whole = 0;
+  std::uint64_t m_Lost = 0;
+  std::uint64_t m_Wrong = 0;
+  std::uint64_t m_ExplicitErrors = 0;
+  std::map<std::string, std::uint64_t> m_Refused;
+  std::uint64_t m_PromptTokens = 0;
+  std::uint64_t m_CachedTokens = 0;
+  std::vector<double> m_FirstEventMs;
+  std::map<std::string, std::uint64_t> m_ByPlacement;
+};
+
+struct Load {
+  LoadOptions m_Options;
+  SoupSession *m_Session = nullptr;
+  GMainLoop *m_Loop = nullptr;
+  std::mt19937_64 m_Random;
+  std::vector<Chat> m_Chats;
+  LoadResult m_Result;
+  std::uint64_t m_Running = 0;
+  std::uint64_t m_NextRequest = 0;
+  gint64 m_StartUs = 0;
+  bool m_Ended = false;
+  std::ofstream m_History;
+};
+
+/// One request; keeps itself alive through the callbacks of its stream.
+struct Call {
+  Load *m_Load = nullptr;
+  std::size_t m_Chat = 0;
+  std::string m_RequestId;
+  std::string m_Body;
+  std::string m_Priority;
+  ExpectedAnswer m_Expected;
+  SoupMessage *m_Message = nullptr;
+  GInputStream *m_Stream = nullptr;
+  std::string m_Received;
+  std::vector<char> m_Buffer = std::vector<char>(16384);
+  gint64 m_SentUs = 0;
+  gint64 m_FirstUs = 0;
+  std::uint32_t m_Try = 0;
+};
+
+using CallPtr = std::shared_ptr<Call>;
+
+void sendCall(const CallPtr &Self);
+
+struct ParsedStream {
+  std::string m_Text;
+  bool m_Done = false;
+  bool m_Error = false;
+  std::uint64_t m_PromptTokens = 0;
+  std::uint64_t m_CachedTokens = 0;
+};
+
+ParsedStream parseStream(const std::string &Received) {
+  ParsedStream Parsed;
+  std::size_t At = 0;
+  while (At < Received.size()) {
+    std::size_t End = Received.find("\n\n", At);
+    if (End == std::string::npos)
+      break;
+    std::string Event = Received.substr(At, End - At);
+    At = End + 2;
+    std::size_t Data = Event.find("data: ");
+    if (Data == std::string::npos)
+      continue;
+    std::string Text = Event.substr(Data + 6);
+    if (Text == "[DONE]") {
+      Parsed.m_Done = true;
+      continue;
+    }
+    json Value = json::parse(Text, nullptr, false);
+    if (Value.is_discarded() || Value.contains("error")) {
+      Parsed.m_Error = true;
+      continue;
+    }
+    if (Value.contains("usage") && Value["usage"].is_object()) {
+      Parsed.m_PromptTokens = Value["usage"].value("prompt_tokens", 0u);
+      Parsed.m_CachedTokens =
+          Value["usage"]["prompt_tokens_details"].value("cached_tokens", 0u);
+    }
+    for (const json &Choice : Value["choices"])
+      Parsed.m_Text += Choice["delta"].value("content", std::string());
+  }
+  return Parsed;
+}
+
+void writeHistory(const Call &Ended, const std::string &Outcome) {
+  std::ofstream &Out = Ended.m_Load->m_History;
+  if (!Out.is_open())
+    return;
+  Out << json({{"kind", "answer"},
+               {"request", Ended.m_RequestId},
+               {"chat", Ended.m_Load->m_Chats[Ended.m_Chat].m_Id},
+               {"outcome", Outcome},
+               {"start_ms", Ended.m_SentUs / 1000},
+               {"end_ms", g_get_monotonic_time() / 1000}})
+      << "\n";
+}
+
+void endCall(const CallPtr &Self, const std::string &Outcome, bool Whole) {
+  Load &L = *Self->m_Load;
+  Chat &C = L.m_Chats[Self->m_Chat];
+  writeHistory(*Self, Outcome);
+  C.m_Busy = false;
+  --L.m_Running;
+  if (Whole) {
+    C.m_Messages.push_back(
+        {{"role", "assistant"}, {"content", answerText(Self->m_Expected)}});
+    ++C.m_Turn;
+  }
+  if (!Whole || C.m_Turn >= L.m_Options.m_Turns) {
+    C.m_Messages = json::array();
+    C.m_Turn = 0;
+    C.m_Id = "chat-" + std::to_string(L.m_Random());
+  }
+  if (L.m_Ended && L.m_Running == 0)
+    g_main_loop_quit(L.m_Loop);
+}
+
+std::string refusalOf(const std::string &Body) {
+  json Value = json::parse(Body, nullptr, false);
+  if (!Value.is_object() || !Value.contains("error"))
+    return "";
+  return Value["error"].value("name", std::string("unnamed"));
+}
+
+void checkAnswer(const CallPtr &Self) {
+  Load &L = *Self->m_Load;
+  LoadResult &R = L.m_Result;
+  if (soup_message_get_status(Self->m_Message) != SOUP_STATUS_OK) {
+    std::string Name = refusalOf(Self->m_Received);
+    if (Self->m_Try < L.m_Options.m_Retries) {
+      ++Self->m_Try;
+      sendCall(Self);
+      return;
+    }
+    ++R.m_Refused[Name.empty() ? "unnamed" : Name];
+    endCall(Self, "refused:" + Name, false);
+    return;
+  }
+  ParsedStream Parsed = parseStream(Self->m_Received);
+  std::string Expected = answerText(Self->m_Expected);
+  if (Parsed.m_Done && Parsed.m_Text == Expected) {
+    ++R.m_Whole;
+    R.m_PromptTokens += Parsed.m_PromptTokens;
+    R.m_CachedTokens += Parsed.m_CachedTokens;
+    R.m_FirstEventMs.push_back(
+        static_cast<double>(Self->m_FirstUs - Self->m_SentUs) / 1000);
+    const char *Placement = soup_message_headers_get_one(
+        soup_message_get_response_headers(Self->m_Message), "X-Placement");
+    ++R.m_ByPlacement[Placement ? Placement : "none"];
+    endCall(Self, "whole", true);
+    return;
+  }
+  bool Prefix = Expected.compare(0, Parsed.m_Text.size(), Parsed.m_Text) == 0;
+  if (!Prefix)
+    ++R.m_Wrong;
+  else if (Parsed.m_Error)
+    ++R.m_ExplicitErrors;
+  else
+    ++R.m_Lost;
+  endCall(Self,
+          !Prefix          ? "wrong"
+          : Parsed.m_Error ? "error_event"
+                           : "lost",
+          false);
+}
+
+void releaseCall(const CallPtr &Self) {
+  g_clear_object(&Self->m_Stream);
+  g_clear_object(&Self->m_Message);
+}
+
+void failCall(const CallPtr &Self) {
+  ++Self->m_Load->m_Result.m_Lost;
+  endCall(Self, "lost", false);
+}
+
+void readMore(const CallPtr &Self);
+
+void onRead(GObject *Source, GAsyncResult *Result, gpointer Data) {
+  std::unique_ptr<CallPtr> Held(static_cast<CallPtr *>(Data));
+  CallPtr Self = *Held;
+  GError *Fault = nullptr;
+  gssize Count =
+      g_input_stream_read_finish(G_INPUT_STREAM(Source), Result, &Fault);
+  if (Count > 0) {
+    if (Self->m_FirstUs == 0)
+      Self->m_FirstUs = g_get_monotonic_time();
+    Self->m_Received.append(Self->m_Buffer.data(),
+                            static_cast<std::size_t>(Count));
+    readMore(Self);
+    return;
+  }
+  g_clear_error(&Fault);
+  checkAnswer(Self);
+  if (Self->m_Stream == G_INPUT_STREAM(Source))
+    releaseCall(Self);
+}
+
+void readMore(const CallPtr &Self) {
+  g_input_stream_read_async(Self->m_Stream, Self->m_Buffer.data(),
+                            Self->m_Buffer.size(), G_PRIORITY_DEFAULT, nullptr,
+                            &onRead, new CallPtr(Self));
+}
+
+void onSent(GObject *Source, GAsyncResult *Result, gpointer Data) {
+  std::unique_ptr<CallPtr> Held(static_cast<CallPtr *>(Data));
+  CallPtr Self = *Held;
+  GError *Fault = nullptr;
+  Self->m_Stream =
+      soup_session_send_finish(SOUP_SESSION(Source), Result, &Fault);
+  if (!Self->m_Stream) {
+    g_clear_error(&Fault);
+    if (Self->m_Try < Self->m_Load->m_Options.m_Retries) {
+      ++Self->m_Try;
+      sendCall(Self);
+      return;
+    }
+    failCall(Self);
+    releaseCall(Self);
+    return;
+  }
+  readMore(Self);
+}
+
+void sendCall(const CallPtr &Self) {
+  Load &L = *Self->m_Load;
+  releaseCall(Self);
+  Self->m_Received.clear();
+  const std::string &Router =
+      L.m_Options.m_Routers[L.m_NextRequest++ % L.m_Options.m_Routers.size()];
+  Self->m_Message =
+      soup_message_new("POST", (Router + "/v1/chat/completions").c_str());
+  SoupMessageHeaders *Headers =
+      soup_message_get_request_headers(Self->m_Message);
+  soup_message_headers_append(Headers, "Authorization",
+                              ("Bearer " + L.m_Options.m_ApiKey).c_str());
+  soup_message_headers_append(Headers, "X-Chat-Id",
+                              L.m_Chats[Self->m_Chat].m_Id.c_str());
+  soup_message_headers_append(Headers, "X-Request-Id",
+                              Self->m_RequestId.c_str());
+  soup_message_headers_append(Headers, "X-Priority", Self->m_Priority.c_str());
+  GBytes *Body = g_bytes_new(Self->m_Body.data(), Self->m_Body.size());
+  soup_message_set_request_body_from_bytes(Self->m_Message, "application/json",
+                                           Body);
+  g_bytes_unref(Body);
+  soup_session_send_async(L.m_Session, Self->m_Message, G_PRIORITY_DEFAULT,
+                          nullptr, &onSent, new CallPtr(Self));
+}
+
+void startCall(Load &L) {
+  std::size_t Index = L.m_Random() % L.m_Chats.size();
+  for (std::size_t I = 0; I < L.m_Chats.size() && L.m_Chats[Index].m_Busy; ++I)
+    Index = (Index + 1) % L.m_Chats.size();
+  Chat &C = L.m_Chats[Index];
+  if (C.m_Busy)
+    return;
+  C.m_Busy = true;
+  C.m_Messages.push_back(
+      {{"role", "user"},
+       {"content", "question " + std::to_string(L.m_Random()) + " of " +
+                       C.m_Id + std::string(400, 'x')}});
+  json Body = {{"model", L.m_Options.m_Model},
+               {"messages", C.m_Messages},
+               {"stream", true},
+               {"max_tokens", L.m_Options.m_MaxTokens}};
+  CallPtr Self = std::make_shared<Call>();
+  Self->m_Load = &L;
+  Self->m_Chat = Index;
+  Self->m_RequestId = "load-" + std::to_string(L.m_Random());
+  Self->m_Body = Body.dump();
+  std::bernoulli_distribution IsBatch(L.m_Options.m_BatchShare);
+  Self->m_Priority = IsBatch(L.m_Random) ? "batch" : "latency";
+  Self->m_Expected = expectedAnswer(Body);
+  Self->m_SentUs = g_get_monotonic_time();
+  ++L.m_Result.m_Sent;
+  ++L.m_Running;
+  sendCall(Self);
+}
+
+gboolean onStartTimer(gpointer Data) {
+  Load &L = *static_cast<Load *>(Data);
+  double Elapsed =
+      static_cast<double>(g_get_monotonic_time() - L.m_StartUs) / 1e6;
+  if (Elapsed >= L.m_Options.m_Seconds) {
+    L.m_Ended = true;
+    if (L.m_Running == 0)
+      g_main_loop_quit(L.m_Loop);
+    return G_SOURCE_REMOVE;
+  }
+  double Due = Elapsed * L.m_Options.m_RequestsPerSecond;
+  while (static_cast<double>(L.m_Result.m_Sent) < Due) {
+    std::uint64_t Before = L.m_Result.m_Sent;
+    startCall(L);
+    if (L.m_Result.m_Sent == Before)
+      break;
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+double quantile(std::vector<double> Values, double Share) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  return Values[static_cast<std::size_t>(
+      static_cast<double>(Values.size() - 1) * Share)];
+}
+
+void printResult(const Load &L) {
+  const LoadResult &R = L.m_Result;
+  json Out = {{"sent", R.m_Sent},
+              {"whole", R.m_Whole},
+              {"lost", R.m_Lost},
+              {"wrong", R.m_Wrong},
+              {"explicit_errors", R.m_ExplicitErrors},
+              {"refused", R.m_Refused},
+              {"cache_reuse", R.m_PromptTokens == 0
+                                  ? 0.0
+                                  : static_cast<double>(R.m_CachedTokens) /
+                                        static_cast<double>(R.m_PromptTokens)},
+              {"first_event_ms_p50", quantile(R.m_FirstEventMs, 0.5)},
+              {"first_event_ms_p95", quantile(R.m_FirstEventMs, 0.95)},
+              {"placements", R.m_ByPlacement.size()}};
+  std::cout << Out.dump() << "\n";
+}
+
+} // namespace
+
+int runLoad(const LoadOptions &Options) {
+  Load L;
+  L.m_Options = Options;
+  L.m_Random.seed(Options.m_Seed);
+  for (std::uint32_t I = 0; I < Options.m_Chats; ++I) {
+    L.m_Chats.emplace_back();
+    L.m_Chats.back().m_Id = "chat-" + std::to_string(L.m_Random());
+  }
+  if (!Options.m_History.empty())
+    L.m_History.open(Options.m_History);
+  L.m_Session = soup_session_new_with_options(
+      "max-conns", MaxConnections, "max-conns-per-host", MaxConnections,
+      "timeout", 0u, nullptr);
+  L.m_Loop = g_main_loop_new(nullptr, FALSE);
+  L.m_StartUs = g_get_monotonic_time();
+  g_timeout_add(1, &onStartTimer, &L);
+  g_main_loop_run(L.m_Loop);
+  printResult(L);
+  g_object_unref(L.m_Session);
+  g_main_loop_unref(L.m_Loop);
+  return L.m_Result.m_Lost + L.m_Result.m_Wrong == 0 ? 0 : 1;
+}
+
+} // namespace vanillaferry::standin
