Add the interfaces of the routing decisions

Cause: the router daemon is written against these headers at the same time. Ruled out: a function object for owner lookup; the owners are computed once per pool view and epoch instead. Only compiled so far.

--- /dev/null
+++ b/include/vanillaferry/process/prefix_cache.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillaferry {
+
+/// Memory that one remembered chat costs, for capacity planning: list node,
+/// hash node, bucket and allocator overhead (docs/placement.md).
+constexpr Bytes PrefixEntryBytes{128};
+
+/// What the owner believes that one target's prefix cache holds: a least
+/// recently used list bounded by the cache's size in tokens. Chats are kept by
+/// their hash; a collision only costs a wrong guess.
+struct PrefixTable {
+  struct Entry {
+    std::uint64_t m_Chat = 0;
+    Tokens m_Tokens;
+  };
+  Tokens m_Capacity;
+  Tokens m_Used;
+  /// Most recently used first.
+  std::list<Entry> m_Recent;
+  std::unordered_map<std::uint64_t, std::list<Entry>::iterator> m_ByChat;
+  /// Number of the last cache event taken.
+  std::uint64_t m_LastEvent = 0;
+
+  PrefixTable() = default;
+  PrefixTable(PrefixTable &&) = default;
+  PrefixTable &operator=(PrefixTable &&) = default;
+  PrefixTable(const PrefixTable &) = delete;
+  PrefixTable &operator=(const PrefixTable &) = delete;
+};
+
+enum class CacheEventKind : std::uint8_t { Stored, Evicted, Cleared };
+
+/// One event of a target's cache; numbers rise by one, so a jump is a gap.
+struct CacheEvent {
+  std::uint64_t m_Number = 0;
+  CacheEventKind m_Kind = CacheEventKind::Stored;
+  std::uint64_t m_Chat = 0;
+  Tokens m_Tokens;
+};
+
+/// Tokens of the chat's prefix that the target holds, by belief; 0 when none.
+Tokens heldTokens(const PrefixTable &Table, std::uint64_t Chat);
+
+/// Notes that the chat ran or runs at the target with this many tokens; the
+/// oldest chats beyond the capacity are dropped.
+void rememberChat(PrefixTable &Table, std::uint64_t Chat, Tokens Size);
+
+void forgetChat(PrefixTable &Table, std::uint64_t Chat);
+
+/// Empties the table, after a restart of the target.
+void clearPrefixes(PrefixTable &Table);
+
+/// Takes cache events in order. Returns false when there was a gap: what was
+/// missed is unknown, and the table stays as the router's own estimate. Late
+/// events (numbers already taken) are ignored.
+bool takeCacheEvents(PrefixTable &Table, const std::vector<CacheEvent> &Events);
+
+/// The table's chats, most recently used first, for export from a leaving
+/// target.
+std::vector<std::uint64_t> rememberedChats(const PrefixTable &Table,
+                                           std::size_t Limit);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/process/target_state.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/units.hpp"
+#include "vanillaferry/version/pool.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace vanillaferry {
+
+struct LoadBoundOptions {
+  /// Assumed fall of the other owners' load per second of age, until the
+  /// pool's own completion rate is known.
+  double m_DeclinePerSecond = 0.1;
+  /// The measured completion rate is multiplied by this.
+  double m_DeclineSafety = 1.5;
+  /// A router renews early when a pool's count fell by more than this share.
+  double m_ReportFall = 0.02;
+  /// Smallest time between two early renewals.
+  Millis m_ReportSpacing{100};
+};
+
+/// Lower bound of a pool's mean load as one owner knows it.
+struct PoolMean {
+  LoadBoundOptions m_Options;
+  /// Running requests at the other owners, and when that was true at the
+  /// earliest.
+  std::uint32_t m_Others = 0;
+  Millis m_OthersAt;
+  /// Own count in the last renewal sent.
+  std::uint32_t m_Reported = 0;
+  Millis m_ReportedAt;
+  /// Completions per second and running request, smoothed.
+  double m_CompletionRate = 0;
+  Millis m_RateAt;
+  std::uint32_t m_RateCompletions = 0;
+};
+
+/// Takes a pool total from a grant; OwnReported is this node's count in the
+/// renewal that the grant answers. SentAt is when that renewal was sent.
+void takePoolTotal(PoolMean &Mean, const PoolTotal &Total,
+                   std::uint32_t OwnReported, Millis SentAt);
+
+/// Notes completed requests, from which the rate of decline is estimated.
+void noteCompletion(PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
+
+/// Notes a renewal that carries this count.
+void noteReported(PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
+
+/// True when a renewal should be sent early because the count fell.
+bool earlyReportDue(const PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
+
+/// Lower bound of the pool's running requests, without the one to be admitted.
+double poolFloor(const PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
+
+/// Running requests that a target may reach now: ceil(B * M) + A, with M the
+/// lower bound of the mean including the request to be admitted. Long requests
+/// get the inner margin. At least 1.
+std::uint32_t boundLimit(const PoolSettings &Settings, const PoolMean &Mean,
+                         std::uint32_t OwnRunning, std::size_t Targets,
+                         Priority Kind, Millis Now);
+
+struct WarmthOptions {
+  /// A first-token time above this multiple of the pool's median is a sign of
+  /// a cold target, and no evidence for a higher limit.
+  double m_SlowMultiple = 4.0;
+  /// That many slow first tokens in a row make a warm target cold.
+  std::uint32_t m_SlowInRow = 3;
+  /// A reported load below this share of the owner's own count, when that is
+  /// at least m_DropMinimum, shows that the target lost its requests.
+  double m_DropShare = 0.25;
+  std::uint32_t m_DropMinimum = 4;
+  /// Each restart adds one penalty, which halves in this time.
+  Millis m_PenaltyHalfLife{30000};
+  /// Above this the target gets no work until the penalty has decayed.
+  double m_PenaltyLimit = 2.5;
+};
+
+/// The owner's exact knowledge of one target.
+struct TargetState {
+  TargetId m_Id;
+  std::uint32_t m_MaxConcurrent = 16;
+  std::uint32_t m_ColdLimit = 2;
+  WarmthOptions m_Options;
+  /// Own running requests.
+  std::uint32_t m_Running = 0;
+  /// Requests of former owners that may still run.
+  std::uint32_t m_Residual = 0;
+  /// Present limit of the ramp; m_MaxConcurrent or more when warm.
+  std::uint32_t m_RampLimit = 0;
+  /// Completions in time at the present limit.
+  std::uint32_t m_Evidence = 0;
+  std::uint32_t m_SlowRun = 0;
+  /// Restart identity from the last load report; empty before the first.
+  std::string m_Instance;
+  /// Number of the present cold period; completions of requests that were
+  /// dispatched in an earlier one are no evidence.
+  std::uint32_t m_ColdPeriod = 0;
+  double m_Penalty = 0;
+  Millis m_PenaltyAt;
+};
+
+/// A target's own load report: GET /load.
+struct LoadReport {
+  std::string m_Instance;
+  std::uint32_t m_Running = 0;
+  /// When the owner read it.
+  Millis m_ReadAt;
+  /// The owner's own count when the target made the report, as far as known.
+  std::uint32_t m_OwnRunningThen = 0;
+};
+
+/// Starts the state of a newly owned target: cold, unless residual requests
+/// show how many it handles at present.
+TargetState makeTargetState(const TargetSettings &Settings,
+                            std::uint32_t Residual);
+
+/// Own and residual running requests.
+std::uint32_t targetLoad(const TargetState &State);
+
+bool isCold(const TargetState &State);
+
+/// True while the flap penalty keeps work away.
+bool isDamped(const TargetState &State, Millis Now);
+
+/// True when one more request may run: within the pool's bound limit, the
+/// stated concurrency and the cold ramp, and not damped.
+bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now);
+
+/// Counts a request; returns the cold period to hand back in endRequest.
+std::uint32_t startRequest(TargetState &State);
+
+/// Ends a request. FirstToken is empty when there was none; PoolMedian is the
+/// pool's median first-token time (0 while unknown). Returns true when the
+/// target was found cold.
+bool endRequest(TargetState &State, std::uint32_t ColdPeriod, bool Complete,
+                std::optional<Millis> FirstToken, Millis PoolMedian,
+                Millis Now);
+
+/// Takes a load report; returns true when it shows that the target restarted
+/// or lost its cache, so that its prefix table must be cleared.
+bool takeLoadReport(TargetState &State, const LoadReport &Report, Millis Now);
+
+/// Starts the cold ramp (again).
+void markCold(TargetState &State, Millis Now);
+
+/// Replaces the residual count from a grant.
+void setResidual(TargetState &State, std::uint32_t Residual);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/request/account_limit.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/reason.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace vanillaferry {
+
+/// Limits of one client account over the whole fleet.
+struct AccountSettings {
+  AccountId m_Id;
+  std::uint32_t m_MaxConcurrent = 1;
+  double m_RequestsPerSecond = 1;
+  std::uint32_t m_Weight = 1;
+  bool m_Enabled = true;
+};
+
+/// One router's part of an account's limits.
+struct AccountState {
+  AccountSettings m_Settings;
+  /// This router's part of the concurrency limit.
+  std::uint32_t m_Share = 1;
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+  /// Requests that the token bucket holds.
+  double m_Bucket = 0;
+  Millis m_BucketAt;
+};
+
+struct AccountTable {
+  std::map<AccountId, AccountState> m_Accounts;
+  /// Live routers, between which limits without demand reports are split.
+  std::uint32_t m_Routers = 1;
+};
+
+/// Takes the accounts of a new document version; running counts are kept.
+void setAccounts(AccountTable &Table, const std::vector<AccountSettings> &All,
+                 std::uint32_t Routers, Millis Now);
+
+/// Takes the shares of a grant. Accounts without one keep an equal part of
+/// their limit, at least 1.
+void takeShares(AccountTable &Table, const std::vector<AccountShare> &Shares);
+
+/// Whether a request may start now: None, AccountDisabled, AccountRate or
+/// AccountConcurrency (then it may wait in the queue). UnknownApiKey for an
+/// unknown account.
+RefusalReason checkAccount(AccountTable &Table, const AccountId &Account,
+                           Millis Now);
+
+/// Takes one request from the account's rate at arrival; false when spent.
+bool takeRate(AccountTable &Table, const AccountId &Account, Millis Now);
+
+void startForAccount(AccountTable &Table, const AccountId &Account);
+void endForAccount(AccountTable &Table, const AccountId &Account);
+
+/// Running and waiting counts for a renewal.
+std::vector<AccountDemand> accountDemand(const AccountTable &Table);
+
+/// Demand of one account at one router.
+struct ShareDemand {
+  NodeId m_Node;
+  std::uint32_t m_Wanted = 0;
+};
+
+/// Splits a fleet-wide limit between routers by max-min fairness in proportion
+/// to demand; what nobody wants is spread equally. The parts never sum to more
+/// than the limit, so a router may get 0.
+std::map<NodeId, std::uint32_t> divideLimit(std::uint32_t Limit,
+                                            std::vector<ShareDemand> Demands);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/request/placement.hpp
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/ownership.hpp"
+#include "vanillaferry/process/prefix_cache.hpp"
+#include "vanillaferry/process/target_state.hpp"
+#include "vanillaferry/process/units.hpp"
+#include "vanillaferry/version/pool.hpp"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillaferry {
+
+/// XXH3 of a chat id, used in rankings and prefix tables.
+std::uint64_t hashChat(const ChatId &Chat);
+
+/// A pool view together with the owner of each of its targets.
+struct RoutedPool {
+  PoolView m_View;
+  /// By index of the view's targets; empty ids without members.
+  std::vector<NodeId> m_Owners;
+};
+
+/// Adds the owners at one membership epoch.
+RoutedPool makeRoutedPool(PoolView View, const Membership &Members);
+
+/// Indexes of the first Count targets for a chat by rendezvous hashing, best
+/// first (Thaler and Ravishankar 1998).
+std::vector<std::uint32_t> rankTargets(const PoolView &View, std::uint64_t Chat,
+                                       std::size_t Count);
+
+struct WalkOptions {
+  /// Ranked targets that are asked one by one: the home and the next ranks.
+  std::uint32_t m_Ranks = 3;
+  /// Owners asked for any of their targets after that.
+  std::uint32_t m_AnyOwners = 6;
+};
+
+/// What the entry router does next for one request.
+struct WalkStep {
+  /// False: every candidate declined; wait and begin a new walk.
+  bool m_Ask = false;
+  NodeId m_Owner;
+  TargetId m_Target;
+  bool m_IgnoreRedirect = false;
+  bool m_AnyTarget = false;
+};
+
+/// The entry router's walk over the owners for one request.
+struct Walk {
+  WalkOptions m_Options;
+  std::uint64_t m_Chat = 0;
+  TargetId m_Home;
+  std::vector<TargetId> m_Ranked;
+  std::size_t m_NextRank = 0;
+  std::uint32_t m_AnyAsked = 0;
+  /// A holder named by the home, to be asked next.
+  TargetId m_Hint;
+  bool m_HintUsed = false;
+  std::vector<TargetId> m_Tried;
+  /// Owners that declined for all of their targets.
+  std::vector<NodeId> m_FullOwners;
+};
+
+Walk beginWalk(const RoutedPool &Pool, const ChatId &Chat,
+               WalkOptions Options = WalkOptions());
+
+/// The next owner to ask: the home, a holder that it names, the home again
+/// without its redirect, ranks 2 and 3, then other owners for any target.
+WalkStep nextStep(Walk &State, const RoutedPool &Pool);
+
+/// Takes the answer of the owner asked last.
+void takeDecline(Walk &State, const WalkStep &Asked,
+                 const TargetId &Holder = TargetId());
+
+/// Memory that one redirect costs: list node, hash node, bucket and allocator
+/// overhead.
+constexpr Bytes RedirectEntryBytes{128};
+
+/// Where the chats that overflowed from their home ran last; bounded, the
+/// least recently used entry goes first. Target ids are interned.
+struct RedirectTable {
+  struct Entry {
+    std::uint64_t m_Chat = 0;
+    std::uint32_t m_Target = 0;
+  };
+  std::size_t m_Capacity = 100000;
+  std::vector<TargetId> m_Targets;
+  std::list<Entry> m_Recent;
+  std::unordered_map<std::uint64_t, std::list<Entry>::iterator> m_ByChat;
+
+  RedirectTable() = default;
+  RedirectTable(RedirectTable &&) = default;
+  RedirectTable &operator=(RedirectTable &&) = default;
+  RedirectTable(const RedirectTable &) = delete;
+  RedirectTable &operator=(const RedirectTable &) = delete;
+};
+
+/// Notes at the home where a chat ran; a chat that ran at its home needs no
+/// entry.
+void notePlaced(RedirectTable &Table, std::uint64_t Chat, const TargetId &Home,
+                const TargetId &RanAt);
+
+/// Target where the chat ran last; empty when unknown.
+TargetId redirectOf(const RedirectTable &Table, std::uint64_t Chat);
+
+/// Drops all redirects to a target that restarted or left.
+void dropRedirects(RedirectTable &Table, const TargetId &Target);
+
+/// One owned target with the knowledge of its cache.
+struct OwnedTarget {
+  TargetState m_State;
+  PrefixTable m_Prefixes;
+  /// Set by the caller: in service and mayDispatch holds.
+  bool m_Dispatchable = false;
+};
+
+/// Everything one owner knows of one pool.
+struct OwnerPool {
+  PoolSettings m_Settings;
+  /// Targets of the pool in service, over all owners.
+  std::size_t m_PoolTargets = 0;
+  PoolMean m_Mean;
+  std::map<TargetId, OwnedTarget> m_Targets;
+  RedirectTable m_Redirects;
+};
+
+/// Running requests of the pool at this owner, with residual ones.
+std::uint32_t ownerLoad(const OwnerPool &Pool);
+
+struct PlacementRequest {
+  std::uint64_t m_Chat = 0;
+  /// The target asked for.
+  TargetId m_Target;
+  bool m_IgnoreRedirect = false;
+  bool m_AnyTarget = false;
+  Priority m_Priority = Priority::Latency;
+};
+
+enum class PlacementWhy : std::uint8_t {
+  /// The target holds the chat's prefix.
+  Holder,
+  /// First by rank, and no holder is known.
+  Ranked,
+  /// The least loaded target of the owner.
+  LeastLoaded,
+  /// Not placed: no target of this owner admits.
+  Declined,
+  /// Not placed: another owner's target holds the prefix.
+  HeldElsewhere,
+  /// Not placed: the node does not own the target or may not dispatch yet.
+  NotOwner,
+};
+
+struct PlacementDecision {
+  bool m_Admitted = false;
+  /// Where to dispatch, when admitted.
+  TargetId m_Target;
+  PlacementWhy m_Why = PlacementWhy::Declined;
+  /// With HeldElsewhere: the target to ask.
+  TargetId m_Holder;
+};
+
+/// Short text for X-Placement and counters.
+const char *placementWhyName(PlacementWhy Why);
+
+/// Decides at the owner whether and where a request runs. Changes nothing; the
+/// caller then calls startAt.
+PlacementDecision decidePlacement(const OwnerPool &Pool,
+                                  const PlacementRequest &Request, Millis Now);
+
+/// Counts an admitted request and notes the chat in the target's prefix table;
+/// returns the cold period for endAt.
+std::uint32_t startAt(OwnerPool &Pool, const TargetId &Target,
+                      std::uint64_t Chat, Tokens PromptTokens);
+
+/// What the owner knows of a request that ended at one of its targets.
+struct EndedRequest {
+  TargetId m_Target;
+  std::uint64_t m_Chat = 0;
+  std::uint32_t m_ColdPeriod = 0;
+  bool m_Complete = true;
+  std::optional<Millis> m_FirstToken;
+  /// Pool's median first-token time; 0 while unknown.
+  Millis m_PoolMedian;
+  /// Prompt and answer, which the cache now holds.
+  Tokens m_Tokens;
+};
+
+/// Ends a request; a target found cold loses its prefixes and redirects.
+void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now);
+
+/// Takes a load report of one target; a restart clears what is known of it.
+void takeReportAt(OwnerPool &Pool, const TargetId &Target,
+                  const LoadReport &Report, Millis Now);
+
+} // namespace vanillaferry
