Add keeper identities and their claims

Ruled out: asking only whether another keeper has a log, which does not hold while the others are down or still starting.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -22,6 +22,8 @@
   Incarnation m_Incarnation;
   std::uint32_t m_Protocol = 1;
   NodeRole m_Role = NodeRole::Router;
+  /// Where a keeper serves operators, for redirects; empty for routers.
+  std::string m_HttpUrl;
 };
 
 struct Heartbeat {
@@ -118,6 +120,25 @@
   std::string m_PeerUrl;
 };
 
+/// A keeper that forms the first keeper set asks another member of it to note
+/// the disk that holds its identity.
+struct IdentityClaim {
+  KeeperId m_Keeper;
+  /// Random number of the disk, drawn when the data folder was initialized.
+  std::uint64_t m_Disk = 0;
+  /// Hash of the initial keeper set in the settings.
+  std::uint64_t m_InitialSet = 0;
+};
+
+/// Answer to IdentityClaim. A member accepts one disk for each identity, for
+/// ever, and notes it on its own disk before it answers.
+struct IdentityVerdict {
+  bool m_Accepted = false;
+  /// The disk of the answering keeper.
+  std::uint64_t m_Disk = 0;
+  std::string m_Why;
+};
+
 /// Replication message between keepers, encoded by the replication codec.
 struct Replicate {
   std::string m_Payload;
@@ -287,6 +308,7 @@
     std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
                  JournalBegin, JournalEnd, JournalAnswer, Forward,
                  ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
-                 ForwardCancel, ForwardCredit, Placed>;
+                 ForwardCancel, ForwardCredit, Placed, IdentityClaim,
+                 IdentityVerdict>;
 
 } // namespace vanillaferry
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -33,6 +33,8 @@
 KIND(ForwardCancel, 15)
 KIND(ForwardCredit, 16)
 KIND(Placed, 17)
+KIND(IdentityClaim, 18)
+KIND(IdentityVerdict, 19)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -63,6 +65,7 @@
   Visit("i", Data.m_Incarnation);
   Visit("p", Data.m_Protocol);
   Visit("r", Data.m_Role);
+  Visit("h", Data.m_HttpUrl);
 }
 
 template <typename V, typename M, IfMessage<M, Heartbeat> * = nullptr>
@@ -153,6 +156,20 @@
   Visit("u", Data.m_PeerUrl);
 }
 
+template <typename V, typename M, IfMessage<M, IdentityClaim> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Keeper);
+  Visit("d", Data.m_Disk);
+  Visit("s", Data.m_InitialSet);
+}
+
+template <typename V, typename M, IfMessage<M, IdentityVerdict> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("a", Data.m_Accepted);
+  Visit("d", Data.m_Disk);
+  Visit("w", Data.m_Why);
+}
+
 template <typename V, typename M, IfMessage<M, Replicate> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("d", rawBytes(Data.m_Payload));
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -226,7 +226,7 @@
   Link.m_Open = true;
   Link.m_LastReceived = monotonicNow();
   append(Link, Hello{m_Options.m_Self, m_Options.m_Incarnation, ProtocolVersion,
-                     m_Options.m_Role});
+                     m_Options.m_Role, m_Options.m_HttpUrl});
   flush(Link);
 }
 
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -24,6 +24,8 @@
   NodeId m_Self;
   Incarnation m_Incarnation;
   NodeRole m_Role = NodeRole::Router;
+  /// Told to the other ends; empty for routers.
+  std::string m_HttpUrl;
   std::string m_ListenAddress;
   std::uint16_t m_ListenPort = 0;
   Millis m_HeartbeatInterval{1000};
--- /dev/null
+++ b/src/daemon/process/keeper_identity.cpp
@@ -0,0 +1,209 @@
+#include "process/keeper_identity.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+namespace vanillaferry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char *FileName = "/identity.json";
+constexpr const char *TemporaryName = "/identity.json.new";
+
+const std::map<std::string, IdentityState> &stateNames() {
+  static const std::map<std::string, IdentityState> Names = {
+      {"forming", IdentityState::Forming},
+      {"formed", IdentityState::Formed},
+      {"fresh", IdentityState::Fresh},
+      {"lost", IdentityState::Lost}};
+  return Names;
+}
+
+std::string nameOf(IdentityState State) {
+  for (const std::pair<const std::string, IdentityState> &Row : stateNames())
+    if (Row.second == State)
+      return Row.first;
+  return std::string();
+}
+
+Error ioError(const std::string &What, const std::string &Path) {
+  return makeError(ErrorCode::Io,
+                   "cannot " + What + " " + Path + ": " + strerror(errno));
+}
+
+/// Writes and syncs a whole file.
+Status writeFile(const std::string &Path, const std::string &Text) {
+  int File =
+      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (File < 0)
+    return ioError("open", Path);
+  ssize_t Written = ::write(File, Text.data(), Text.size());
+  bool Whole = Written == static_cast<ssize_t>(Text.size());
+  if (!Whole || ::fsync(File) != 0) {
+    Error Failed = ioError("write", Path);
+    ::close(File);
+    return Failed;
+  }
+  ::close(File);
+  return boost::outcome_v2::success();
+}
+
+Status syncFolder(const std::string &Path) {
+  int Folder = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Folder < 0)
+    return ioError("open", Path);
+  int Failed = ::fsync(Folder);
+  ::close(Folder);
+  if (Failed != 0)
+    return ioError("sync", Path);
+  return boost::outcome_v2::success();
+}
+
+std::string hexOf(std::uint64_t Number) {
+  char Text[17];
+  snprintf(Text, sizeof Text, "%016llx",
+           static_cast<unsigned long long>(Number));
+  return Text;
+}
+
+std::uint64_t numberOf(const std::string &Hex) {
+  return std::strtoull(Hex.c_str(), nullptr, 16);
+}
+
+} // namespace
+
+std::uint64_t hashInitialSet(const std::vector<InitialKeeper> &Keepers) {
+  std::vector<std::string> Rows;
+  for (const InitialKeeper &Keeper : Keepers)
+    Rows.push_back(Keeper.m_Keeper.m_Value + " " + Keeper.m_PeerUrl + "\n");
+  std::sort(Rows.begin(), Rows.end());
+  std::string Text;
+  for (const std::string &Row : Rows)
+    Text += Row;
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+Result<std::optional<KeeperIdentity>> loadIdentity(const std::string &Folder) {
+  std::ifstream File(Folder + FileName);
+  if (!File) {
+    if (errno == ENOENT)
+      return std::optional<KeeperIdentity>();
+    return ioError("open", Folder + FileName);
+  }
+  try {
+    json Value = json::parse(File);
+    KeeperIdentity Identity;
+    Identity.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
+    Identity.m_Disk = numberOf(Value.at("disk").get<std::string>());
+    Identity.m_State = stateNames().at(Value.at("state").get<std::string>());
+    Identity.m_InitialSet =
+        numberOf(Value.at("initial_set").get<std::string>());
+    for (const json::iterator::value_type &Claim : Value.at("claims"))
+      Identity.m_Claims[KeeperId(Claim.at("keeper").get<std::string>())] =
+          numberOf(Claim.at("disk").get<std::string>());
+    return std::optional<KeeperIdentity>(Identity);
+  } catch (const std::exception &E) {
+    return makeError(ErrorCode::Corrupt, Folder + FileName + ": " + E.what());
+  }
+}
+
+Status saveIdentity(const std::string &Folder, const KeeperIdentity &Identity) {
+  json Claims = json::array();
+  for (const std::pair<const KeeperId, std::uint64_t> &Claim :
+       Identity.m_Claims)
+    Claims.push_back(
+        {{"keeper", Claim.first.m_Value}, {"disk", hexOf(Claim.second)}});
+  json Value = {{"keeper", Identity.m_Keeper.m_Value},
+                {"disk", hexOf(Identity.m_Disk)},
+                {"state", nameOf(Identity.m_State)},
+                {"initial_set", hexOf(Identity.m_InitialSet)},
+                {"claims", Claims}};
+  Status Written = writeFile(Folder + TemporaryName, Value.dump(2) + "\n");
+  if (!Written)
+    return Written;
+  if (::rename((Folder + TemporaryName).c_str(), (Folder + FileName).c_str()) !=
+      0)
+    return ioError("rename", Folder + TemporaryName);
+  return syncFolder(Folder);
+}
+
+Result<KeeperIdentity> createIdentity(const KeeperSettings &Settings,
+                                      bool Initialize, std::uint64_t Random) {
+  KeeperIdentity Identity;
+  Identity.m_Disk = Random;
+  Identity.m_InitialSet = hashInitialSet(Settings.m_InitialKeepers);
+  if (!Initialize) {
+    Identity.m_Keeper = KeeperId(Settings.m_Keeper.m_Value + "-" +
+                                 hexOf(Random).substr(0, 8));
+    return Identity;
+  }
+  bool Listed = std::any_of(Settings.m_InitialKeepers.begin(),
+                            Settings.m_InitialKeepers.end(),
+                            [&Settings](const InitialKeeper &Keeper) {
+                              return Keeper.m_Keeper == Settings.m_Keeper;
+                            });
+  if (!Listed)
+    return makeError(ErrorCode::InvalidSettings,
+                     "--initialize: keeper " + Settings.m_Keeper.m_Value +
+                         " is not in initial_keepers");
+  Identity.m_Keeper = Settings.m_Keeper;
+  Identity.m_State = IdentityState::Forming;
+  Identity.m_Claims[Identity.m_Keeper] = Identity.m_Disk;
+  return Identity;
+}
+
+IdentityVerdict judgeClaim(KeeperIdentity &Own, const IdentityClaim &Claim,
+                           bool &Changed) {
+  Changed = false;
+  IdentityVerdict Verdict;
+  Verdict.m_Disk = Own.m_Disk;
+  std::map<KeeperId, std::uint64_t>::const_iterator Known =
+      Own.m_Claims.find(Claim.m_Keeper);
+  if (Known != Own.m_Claims.end()) {
+    Verdict.m_Accepted = Known->second == Claim.m_Disk;
+    if (!Verdict.m_Accepted)
+      Verdict.m_Why = "identity " + Claim.m_Keeper.m_Value +
+                      " belongs to another disk; a keeper whose disk was lost "
+                      "joins with a new identity (start without --initialize)";
+    return Verdict;
+  }
+  // A formed keeper knows the disks of all members of the initial set.
+  if (Own.m_State != IdentityState::Forming) {
+    Verdict.m_Why = "the keeper set is formed without " +
+                    Claim.m_Keeper.m_Value + "; start without --initialize";
+    return Verdict;
+  }
+  if (Own.m_InitialSet != Claim.m_InitialSet) {
+    Verdict.m_Why = "initial_keepers differ between the settings of " +
+                    Own.m_Keeper.m_Value + " and " + Claim.m_Keeper.m_Value;
+    return Verdict;
+  }
+  Own.m_Claims[Claim.m_Keeper] = Claim.m_Disk;
+  Changed = true;
+  Verdict.m_Accepted = true;
+  return Verdict;
+}
+
+bool noteAcceptance(KeeperIdentity &Own, std::set<KeeperId> &Accepted,
+                    const KeeperId &From, const IdentityVerdict &Verdict,
+                    const std::vector<InitialKeeper> &Keepers) {
+  if (Own.m_Claims.emplace(From, Verdict.m_Disk).first->second ==
+      Verdict.m_Disk)
+    Accepted.insert(From);
+  return std::all_of(Keepers.begin(), Keepers.end(),
+                     [&](const InitialKeeper &Keeper) {
+                       return Keeper.m_Keeper == Own.m_Keeper ||
+                              Accepted.count(Keeper.m_Keeper) != 0;
+                     });
+}
+
+} // namespace vanillaferry
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -37,11 +37,13 @@
 // Guards against a field that one end sets and the other end never sees.
 BOOST_AUTO_TEST_CASE(HelloAndHeartbeatKeepEveryField) {
   {
-    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper};
+    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper,
+               "http://127.0.0.1:2"};
     Hello Got = roundTrip(Sent);
     SAME(m_Node);
     SAME(m_Incarnation);
     SAME(m_Protocol);
+    SAME(m_HttpUrl);
     BOOST_TEST((Got.m_Role == NodeRole::Keeper));
   }
   {
@@ -125,6 +127,20 @@
     SAME(m_Leader);
     SAME(m_PeerUrl);
   }
+  {
+    IdentityClaim Sent{KeeperId("k2"), ~0ULL, 5};
+    IdentityClaim Got = roundTrip(Sent);
+    SAME(m_Keeper);
+    SAME(m_Disk);
+    SAME(m_InitialSet);
+  }
+  {
+    IdentityVerdict Sent{true, 7, "why"};
+    IdentityVerdict Got = roundTrip(Sent);
+    SAME(m_Accepted);
+    SAME(m_Disk);
+    SAME(m_Why);
+  }
   {
     Replicate Sent;
     Sent.m_Payload = allBytes();
--- a/tests/daemon/PeerTask.tests.cpp
+++ b/tests/daemon/PeerTask.tests.cpp
@@ -158,7 +158,7 @@
 
 // Guards against a link that is open but dead holding up a process for ever.
 BOOST_AUTO_TEST_CASE(ALinkThatGoesSilentIsReplaced) {
-  Hello Greeting{NodeId("dead"), Incarnation(1), 1, NodeRole::Router};
+  Hello Greeting{NodeId("dead"), Incarnation(1), 1, NodeRole::Router, ""};
   SilentServer Server({encodeMessage(Greeting)});
   EventList Events;
   PeerOptions Options = optionsOf("self", NodeRole::Router);
@@ -209,7 +209,7 @@
 
 // Guards against a malformed frame ending the link or the process.
 BOOST_AUTO_TEST_CASE(AMalformedFrameIsCountedAndIgnored) {
-  Hello Greeting{NodeId("odd"), Incarnation(1), 1, NodeRole::Router};
+  Hello Greeting{NodeId("odd"), Incarnation(1), 1, NodeRole::Router, ""};
   SilentServer Server({encodeMessage(Greeting), "no cbor",
                        encodeMessage(ForwardCancel{RequestId("r"), {}})});
   EventList Events;
@@ -222,7 +222,7 @@
 
 // Guards against messages reaching the daemon from a link of unknown origin.
 BOOST_AUTO_TEST_CASE(ALinkWithoutAValidHelloIsDropped) {
-  Hello Newer{NodeId("odd"), Incarnation(1), 99, NodeRole::Router};
+  Hello Newer{NodeId("odd"), Incarnation(1), 99, NodeRole::Router, ""};
   SilentServer Server(
       {encodeMessage(Newer), encodeMessage(ForwardCancel{RequestId("r"), {}})});
   EventList Events;
