--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -80,6 +80,11 @@
   /// logs part.
   LogIndex m_Match;
   std::uint64_t m_Sequence = 0;
+  /// Append, Confirm, InstallSnapshot: what the receiver acknowledged to this
+  /// leader in this term. A receiver whose log is shorter has lost data.
+  LogIndex m_Acked;
+  /// Answers: the sender's disk lost data or was re-created; it must not count.
+  bool m_Regressed = false;
   std::optional<Snapshot> m_Snapshot;
 };
 
@@ -91,6 +96,13 @@
   Bytes m_MaxBytesPerMessage{1024 * 1024};
   /// A learner that is this close to the leader's log may be made a voter.
   std::uint64_t m_LearnerLag = 16;
+  /// Entries sent to one keeper beyond what it has acknowledged.
+  std::uint64_t m_MaxUnacknowledged = 4096;
+  /// Entries kept in memory behind a snapshot, so that a keeper that is
+  /// slightly behind needs no snapshot.
+  std::uint64_t m_RetainedEntries = 1024;
+  /// A snapshot without an answer is sent again after this time.
+  Millis m_SnapshotResend{5000};
 };
 
 enum class ReplicaRole : std::uint8_t { Follower, Candidate, Leader, Learner };
@@ -101,8 +113,13 @@
   LogIndex m_Match;
   Millis m_LastAnswer;
   std::uint64_t m_ConfirmedSequence = 0;
+  /// When the newest message that it answered was sent; empty before the first
+  /// answer.
+  std::optional<Millis> m_ConfirmedAt;
   bool m_SnapshotPending = false;
-  std::uint32_t m_InFlight = 0;
+  Millis m_SnapshotSentAt;
+  /// Its disk lost data that it had acknowledged; it counts in no quorum.
+  bool m_Regressed = false;
 };
 
 /// A read that waits until the leader confirmed its leadership.
@@ -112,6 +129,14 @@
   LogIndex m_Commit;
 };
 
+/// A write that was handed to the disk and is not yet reported as synced.
+struct PendingSync {
+  LogIndex m_Index;
+  Term m_Term;
+  /// Lower than m_Index when a truncation followed the write.
+  LogIndex m_Valid;
+};
+
 /// Everything one keeper knows; changed only by the functions below.
 struct Replica {
   KeeperId m_Self;
@@ -121,8 +146,13 @@
   KeeperId m_Leader;
   KeeperSet m_Set;
   LogIndex m_SetIndex;
-  /// Entries after the snapshot.
+  /// False for an identity whose disk was re-created or lost data.
+  bool m_VotingAllowed = true;
+  /// Entries after m_BaseIndex.
   std::deque<LogEntry> m_Log;
+  LogIndex m_BaseIndex;
+  Term m_BaseTerm;
+  /// Position of the newest snapshot; at least m_BaseIndex.
   LogIndex m_SnapshotIndex;
   Term m_SnapshotTerm;
   /// The newest snapshot, kept for members that are too far behind.
@@ -133,6 +163,14 @@
   LogIndex m_Applied;
   /// Last index known to be synced on the own disk.
   LogIndex m_Synced;
+  std::deque<PendingSync> m_PendingSyncs;
+  /// Follower: last index known to equal the log of this term's leader.
+  LogIndex m_LeaderMatch;
+  /// Follower: newest sequence received from this term's leader.
+  std::uint64_t m_LeaderSequence = 0;
+  /// Leader: index of the first entry of its term, and when it was elected.
+  LogIndex m_TermStart;
+  Millis m_LedSince;
   std::map<KeeperId, PeerProgress> m_Peers;
   std::set<KeeperId> m_Votes;
   bool m_PreVoting = false;
@@ -140,18 +178,24 @@
   Millis m_NextHeartbeat;
   Millis m_LastLeaderContact;
   std::uint64_t m_ConfirmSequence = 0;
+  /// Leader: when the first message with each sequence was sent.
+  std::map<std::uint64_t, Millis> m_SequenceSentAt;
   std::deque<PendingRead> m_Reads;
   std::mt19937_64 m_Random;
 };
 
 /// What the caller must do, in this order: persist, then send, then apply.
-/// Messages in m_SendAfterSync may leave only once everything in this result
-/// that must be persisted is synced; m_Send may leave at once.
+/// Messages in m_SendAfterSync may leave only once everything that must be
+/// persisted in this result and in all earlier ones is synced; m_Send may leave
+/// at once. Results are persisted in the order in which they were returned.
+/// After the sync of m_Append or m_InstallSnapshot the caller reports the last
+/// index by synced(), in every role.
 struct ReplicaActions {
   std::optional<HardState> m_PersistHard;
   /// Remove entries from this index on before appending m_Append.
   std::optional<LogIndex> m_TruncateFrom;
   std::vector<LogEntry> m_Append;
+  /// Replaces the state machine, the stored snapshot and the whole stored log.
   std::optional<Snapshot> m_InstallSnapshot;
   std::vector<ReplicaMessage> m_Send;
   std::vector<ReplicaMessage> m_SendAfterSync;
@@ -161,6 +205,14 @@
   std::vector<std::uint64_t> m_FailedReads;
   bool m_BecameLeader = false;
   bool m_LostLeadership = false;
+  /// Leader: keepers whose disk lost data that they had acknowledged; each is
+  /// reported once and counts in no quorum until it is removed and joins anew.
+  std::vector<KeeperId> m_RegressedKeepers;
+  /// The own disk holds less than this keeper acknowledged. It must mark its
+  /// identity as re-created and stop.
+  bool m_DiskRegressed = false;
+  /// Names a broken invariant; the keeper must stop and serve nothing.
+  std::optional<std::string> m_BrokenInvariant;
 };
 
 /// What the disk holds at start.
@@ -170,6 +222,9 @@
   std::vector<LogEntry> m_Entries;
   /// Used when there is neither a snapshot nor a set in the log.
   KeeperSet m_InitialSet;
+  /// False when the disk was re-created under an identity that had one before:
+  /// such a keeper neither votes nor stands for election.
+  bool m_VotingAllowed = true;
 };
 
 enum class ProposeError : std::uint8_t {
@@ -182,6 +237,8 @@
   /// The identity was removed before and is never taken back.
   IdentityRemoved,
   NoSuchKeeper,
+  /// Removing the only voter would leave no quorum.
+  LastVoter,
 };
 
 /// Starts a replica from what its disk holds.
@@ -199,8 +256,10 @@
                      std::vector<LogIndex> &Indexes, ReplicaActions &Actions,
                      Millis Now);
 
-/// Reports that everything up to this index is synced on the own disk; ignored
-/// when the entry at that index has another term by now.
+/// Reports, in every role, that everything up to this index is synced on the
+/// own disk; the index and term are those of the last entry of a result's
+/// m_Append (or of its snapshot). Reports come in the order of the results;
+/// only the last of several needs to be made. Others are ignored.
 ReplicaActions synced(Replica &State, LogIndex Index, Term EntryTerm,
                       Millis Now);
 
@@ -219,15 +278,19 @@
 ProposeError removeKeeper(Replica &State, const KeeperId &Keeper,
                           ReplicaActions &Actions, Millis Now);
 
-/// Drops entries up to the applied index in favour of this snapshot.
+/// A snapshot at the applied index around this state machine content.
+Snapshot takeSnapshot(const Replica &State, std::string Data);
+
+/// Drops entries covered by this snapshot, but for m_RetainedEntries.
 void compact(Replica &State, Snapshot Taken);
 
 /// Index of the last entry, including those in the snapshot.
 LogIndex lastIndex(const Replica &State);
 
-/// True when a quorum has answered the leader within the election minimum, so
-/// that no other leader can have been elected (leader lease; Ongaro 2014,
-/// section 6.4.1).
+/// True when a quorum has answered a message that the leader sent within nine
+/// tenths of the election minimum, so that no other leader can have been
+/// elected (leader lease; Ongaro 2014, section 6.4.1), and an entry of the
+/// leader's own term is committed.
 bool holdsQuorumLease(const Replica &State, Millis Now);
 
 /// Learners that have caught up and may be promoted.
--- /dev/null
+++ b/src/core/process/internal/replica.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "vanillaferry/process/replication.hpp"
+
+#include <cstddef>
+#include <functional>
+
+namespace vanillaferry::internal {
+
+// Log.
+std::optional<Term> termAt(const Replica &State, LogIndex Index);
+Term lastTerm(const Replica &State);
+const LogEntry *entryAt(const Replica &State, LogIndex Index);
+void appendEntry(Replica &State, ReplicaActions &Actions, LogEntry Entry);
+/// Notes that the entries of this result wait for their sync.
+void expectSync(Replica &State, const ReplicaActions &Actions);
+void truncateFrom(Replica &State, ReplicaActions &Actions, LogIndex From);
+void advanceCommitTo(Replica &State, ReplicaActions &Actions, LogIndex Index);
+
+// Keeper set.
+bool isVoter(const KeeperSet &Set, const KeeperId &Keeper);
+bool isLearner(const KeeperSet &Set, const KeeperId &Keeper);
+bool isRemoved(const KeeperSet &Set, const KeeperId &Keeper);
+std::size_t quorumSize(const KeeperSet &Set);
+KeeperSet setAt(const Replica &State, LogIndex Index);
+/// Follows the newest set in the log with role and peer records.
+void useNewestSet(Replica &State);
+/// Largest value that a quorum of voters has reached. Regressed keepers count
+/// as Lowest.
+std::int64_t
+quorumValue(const Replica &State, std::int64_t Own, std::int64_t Lowest,
+            const std::function<std::int64_t(const PeerProgress &)> &ValueOf);
+
+// Roles.
+void resetElectionDeadline(Replica &State, Millis Now);
+void persistHard(Replica &State, ReplicaActions &Actions);
+void becomeFollower(Replica &State, ReplicaActions &Actions, Term NewTerm,
+                    const KeeperId &Leader, Millis Now);
+void startPreVote(Replica &State, ReplicaActions &Actions, Millis Now);
+void receivePreVote(Replica &State, ReplicaActions &Actions,
+                    const ReplicaMessage &Message, Millis Now);
+void receiveVote(Replica &State, ReplicaActions &Actions,
+                 const ReplicaMessage &Message, Millis Now);
+void receiveVoteAnswer(Replica &State, ReplicaActions &Actions,
+                       const ReplicaMessage &Message, Millis Now);
+
+// Leader.
+void startLeading(Replica &State, ReplicaActions &Actions, Millis Now);
+/// Steps down when no quorum has answered for the election maximum.
+void checkQuorumContact(Replica &State, ReplicaActions &Actions, Millis Now);
+void sendEntries(Replica &State, ReplicaActions &Actions, Millis Now);
+void sendHeartbeats(Replica &State, ReplicaActions &Actions, Millis Now);
+void sendConfirms(Replica &State, ReplicaActions &Actions, Millis Now);
+void receiveAnswer(Replica &State, ReplicaActions &Actions,
+                   const ReplicaMessage &Message, Millis Now);
+void commitByQuorum(Replica &State, ReplicaActions &Actions, Millis Now);
+void completeReads(Replica &State, ReplicaActions &Actions, Millis Now);
+
+// Follower.
+void receiveFromLeader(Replica &State, ReplicaActions &Actions,
+                       ReplicaMessage &Message, Millis Now);
+ReplicaMessage appendAnswer(const Replica &State);
+
+/// A message of this keeper with its term.
+ReplicaMessage makeMessage(const Replica &State, ReplicaMessage::Kind Kind,
+                           const KeeperId &To);
+
+} // namespace vanillaferry::internal
--- /dev/null
+++ b/src/core/process/replication_election.cpp
@@ -0,0 +1,171 @@
+#include "process/internal/replica.hpp"
+
+namespace vanillaferry::internal {
+
+namespace {
+
+bool isUpToDate(const Replica &State, const ReplicaMessage &Message) {
+  Term OwnTerm = lastTerm(State);
+  if (Message.m_PreviousTerm != OwnTerm)
+    return Message.m_PreviousTerm > OwnTerm;
+  return Message.m_PreviousIndex >= lastIndex(State);
+}
+
+/// True while this keeper's answer may be part of a living leader's lease.
+bool seesLiveLeader(const Replica &State, Millis Now) {
+  if (State.m_Role == ReplicaRole::Leader)
+    return holdsQuorumLease(State, Now);
+  return Now < State.m_LastLeaderContact + State.m_Options.m_ElectionMin;
+}
+
+void requestVotes(Replica &State, std::vector<ReplicaMessage> &Out,
+                  ReplicaMessage::Kind Kind, Term ForTerm) {
+  for (const KeeperAddress &Voter : State.m_Set.m_Voters) {
+    if (Voter.m_Keeper == State.m_Self)
+      continue;
+    ReplicaMessage Message = makeMessage(State, Kind, Voter.m_Keeper);
+    Message.m_Term = ForTerm;
+    Message.m_PreviousIndex = lastIndex(State);
+    Message.m_PreviousTerm = lastTerm(State);
+    Out.push_back(std::move(Message));
+  }
+}
+
+bool hasVoteQuorum(const Replica &State) {
+  std::size_t Count = 0;
+  for (const KeeperId &Keeper : State.m_Votes)
+    Count += isVoter(State.m_Set, Keeper) ? 1 : 0;
+  return Count >= quorumSize(State.m_Set);
+}
+
+void startVote(Replica &State, ReplicaActions &Actions, Millis Now) {
+  State.m_PreVoting = false;
+  State.m_Hard.m_Term = Term(State.m_Hard.m_Term.m_Value + 1);
+  State.m_Hard.m_VotedFor = State.m_Self;
+  State.m_LeaderMatch = LogIndex(0);
+  State.m_LeaderSequence = 0;
+  persistHard(State, Actions);
+  State.m_Votes = {State.m_Self};
+  resetElectionDeadline(State, Now);
+  if (hasVoteQuorum(State)) {
+    startLeading(State, Actions, Now);
+    return;
+  }
+  // The own vote must be synced before another keeper can complete a quorum.
+  requestVotes(State, Actions.m_SendAfterSync, ReplicaMessage::Kind::Vote,
+               State.m_Hard.m_Term);
+}
+
+} // namespace
+
+void resetElectionDeadline(Replica &State, Millis Now) {
+  std::uniform_int_distribution<std::int64_t> Spread(
+      State.m_Options.m_ElectionMin.m_Value,
+      State.m_Options.m_ElectionMax.m_Value);
+  State.m_ElectionDeadline = Now + Millis(Spread(State.m_Random));
+}
+
+void persistHard(Replica &State, ReplicaActions &Actions) {
+  Actions.m_PersistHard = State.m_Hard;
+}
+
+void becomeFollower(Replica &State, ReplicaActions &Actions, Term NewTerm,
+                    const KeeperId &Leader, Millis Now) {
+  if (NewTerm > State.m_Hard.m_Term) {
+    State.m_Hard.m_Term = NewTerm;
+    State.m_Hard.m_VotedFor = KeeperId();
+    State.m_LeaderMatch = LogIndex(0);
+    State.m_LeaderSequence = 0;
+    persistHard(State, Actions);
+  }
+  if (State.m_Role == ReplicaRole::Leader) {
+    Actions.m_LostLeadership = true;
+    for (const PendingRead &Read : State.m_Reads)
+      Actions.m_FailedReads.push_back(Read.m_Token);
+    State.m_Reads.clear();
+    State.m_Peers.clear();
+    State.m_SequenceSentAt.clear();
+    resetElectionDeadline(State, Now);
+  }
+  State.m_PreVoting = false;
+  State.m_Votes.clear();
+  State.m_Leader = Leader;
+  State.m_Role = isVoter(State.m_Set, State.m_Self) ? ReplicaRole::Follower
+                                                    : ReplicaRole::Learner;
+}
+
+void startPreVote(Replica &State, ReplicaActions &Actions, Millis Now) {
+  State.m_Role = ReplicaRole::Candidate;
+  State.m_PreVoting = true;
+  State.m_Leader = KeeperId();
+  State.m_Votes = {State.m_Self};
+  resetElectionDeadline(State, Now);
+  if (hasVoteQuorum(State)) {
+    startVote(State, Actions, Now);
+    return;
+  }
+  requestVotes(State, Actions.m_Send, ReplicaMessage::Kind::PreVote,
+               Term(State.m_Hard.m_Term.m_Value + 1));
+}
+
+void receivePreVote(Replica &State, ReplicaActions &Actions,
+                    const ReplicaMessage &Message, Millis Now) {
+  if (isRemoved(State.m_Set, Message.m_From))
+    return;
+  ReplicaMessage Answer =
+      makeMessage(State, ReplicaMessage::Kind::PreVoteAnswer, Message.m_From);
+  Answer.m_Granted = State.m_VotingAllowed && !seesLiveLeader(State, Now) &&
+                     Message.m_Term > State.m_Hard.m_Term &&
+                     isUpToDate(State, Message);
+  if (Answer.m_Granted)
+    Answer.m_Term = Message.m_Term;
+  Actions.m_Send.push_back(std::move(Answer));
+}
+
+void receiveVote(Replica &State, ReplicaActions &Actions,
+                 const ReplicaMessage &Message, Millis Now) {
+  if (isRemoved(State.m_Set, Message.m_From) || seesLiveLeader(State, Now))
+    return;
+  if (Message.m_Term > State.m_Hard.m_Term)
+    becomeFollower(State, Actions, Message.m_Term, KeeperId(), Now);
+  bool Free = State.m_Hard.m_VotedFor.empty() ||
+              State.m_Hard.m_VotedFor == Message.m_From;
+  bool Granted = State.m_VotingAllowed &&
+                 Message.m_Term == State.m_Hard.m_Term && Free &&
+                 State.m_Leader.empty() && isUpToDate(State, Message);
+  ReplicaMessage Answer =
+      makeMessage(State, ReplicaMessage::Kind::VoteAnswer, Message.m_From);
+  Answer.m_Granted = Granted;
+  if (Granted) {
+    State.m_Hard.m_VotedFor = Message.m_From;
+    resetElectionDeadline(State, Now);
+    // Also for a repeated request, whose first answer may still wait for the
+    // sync.
+    persistHard(State, Actions);
+  }
+  Actions.m_SendAfterSync.push_back(std::move(Answer));
+}
+
+void receiveVoteAnswer(Replica &State, ReplicaActions &Actions,
+                       const ReplicaMessage &Message, Millis Now) {
+  bool PreVote = Message.m_Kind == ReplicaMessage::Kind::PreVoteAnswer;
+  if (!Message.m_Granted) {
+    if (Message.m_Term > State.m_Hard.m_Term)
+      becomeFollower(State, Actions, Message.m_Term, KeeperId(), Now);
+    return;
+  }
+  Term Expected =
+      PreVote ? Term(State.m_Hard.m_Term.m_Value + 1) : State.m_Hard.m_Term;
+  if (State.m_Role != ReplicaRole::Candidate || State.m_PreVoting != PreVote ||
+      Message.m_Term != Expected)
+    return;
+  State.m_Votes.insert(Message.m_From);
+  if (!hasVoteQuorum(State))
+    return;
+  if (PreVote)
+    startVote(State, Actions, Now);
+  else
+    startLeading(State, Actions, Now);
+}
+
+} // namespace vanillaferry::internal
--- /dev/null
+++ b/src/core/process/replication_follower.cpp
@@ -0,0 +1,189 @@
+#include "process/internal/replica.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillaferry::internal {
+
+namespace {
+
+void sendAnswer(ReplicaActions &Actions, ReplicaMessage Answer) {
+  // A new term must be synced before anything is answered in it.
+  if (Actions.m_PersistHard)
+    Actions.m_SendAfterSync.push_back(std::move(Answer));
+  else
+    Actions.m_Send.push_back(std::move(Answer));
+}
+
+void sendConfirmAnswer(const Replica &State, ReplicaActions &Actions,
+                       const ReplicaMessage &Message) {
+  ReplicaMessage Answer =
+      makeMessage(State, ReplicaMessage::Kind::ConfirmAnswer, Message.m_From);
+  Answer.m_Granted = Message.m_Term == State.m_Hard.m_Term;
+  Answer.m_Sequence = Message.m_Sequence;
+  Answer.m_Regressed = !State.m_VotingAllowed;
+  sendAnswer(Actions, std::move(Answer));
+}
+
+/// Entries follow each other from PreviousIndex on, in terms up to the
+/// sender's, and keeper sets can be read.
+bool isWellFormed(const ReplicaMessage &Message) {
+  std::uint64_t Index = Message.m_PreviousIndex.m_Value;
+  Term Least = Message.m_PreviousTerm;
+  for (const LogEntry &Entry : Message.m_Entries) {
+    if (Entry.m_Index.m_Value != ++Index || Entry.m_Term < Least ||
+        Entry.m_Term > Message.m_Term)
+      return false;
+    if (Entry.m_Kind == EntryKind::KeeperSet && !decodeKeeperSet(Entry.m_Data))
+      return false;
+    Least = Entry.m_Term;
+  }
+  return true;
+}
+
+/// Last index that can still equal the leader's log: the one before the term
+/// that the leader does not have at PreviousIndex.
+LogIndex findHint(const Replica &State, const ReplicaMessage &Message) {
+  LogIndex Last = lastIndex(State);
+  if (Message.m_PreviousIndex > Last)
+    return Last;
+  std::optional<Term> Conflicting = termAt(State, Message.m_PreviousIndex);
+  LogIndex Hint = Message.m_PreviousIndex;
+  while (Hint > State.m_Commit && termAt(State, Hint) == Conflicting)
+    Hint = LogIndex(Hint.m_Value - 1);
+  return Hint;
+}
+
+void storeEntries(Replica &State, ReplicaActions &Actions,
+                  ReplicaMessage &Message) {
+  for (LogEntry &Entry : Message.m_Entries) {
+    // Everything up to the base is committed and therefore equal.
+    if (Entry.m_Index <= State.m_BaseIndex)
+      continue;
+    std::optional<Term> Own = termAt(State, Entry.m_Index);
+    if (Own && *Own == Entry.m_Term)
+      continue;
+    if (Own) {
+      if (Entry.m_Index <= State.m_Commit) {
+        Actions.m_BrokenInvariant =
+            "the leader's log conflicts with the committed entry " +
+            std::to_string(Entry.m_Index.m_Value);
+        return;
+      }
+      truncateFrom(State, Actions, Entry.m_Index);
+    }
+    appendEntry(State, Actions, std::move(Entry));
+  }
+}
+
+void receiveAppend(Replica &State, ReplicaActions &Actions,
+                   ReplicaMessage &Message) {
+  if (!isWellFormed(Message))
+    return;
+  LogIndex Previous = Message.m_PreviousIndex;
+  bool Matches =
+      Previous < State.m_BaseIndex ||
+      termAt(State, Previous) == std::optional<Term>(Message.m_PreviousTerm);
+  if (!Matches) {
+    ReplicaMessage Answer = appendAnswer(State);
+    Answer.m_Granted = false;
+    Answer.m_Match = findHint(State, Message);
+    sendAnswer(Actions, std::move(Answer));
+    return;
+  }
+  std::uint64_t Matched = Previous.m_Value + Message.m_Entries.size();
+  storeEntries(State, Actions, Message);
+  if (Actions.m_BrokenInvariant)
+    return;
+  State.m_LeaderMatch = std::max(State.m_LeaderMatch, LogIndex(Matched));
+  advanceCommitTo(State, Actions,
+                  std::min(Message.m_Commit, State.m_LeaderMatch));
+  // New entries are answered once they are synced.
+  if (Actions.m_Append.empty())
+    sendAnswer(Actions, appendAnswer(State));
+}
+
+void install(Replica &State, ReplicaActions &Actions, Snapshot Taken) {
+  LogIndex Kept = std::min(State.m_Synced, State.m_Commit);
+  State.m_Synced = Kept;
+  for (PendingSync &Pending : State.m_PendingSyncs)
+    Pending.m_Valid = std::min(Pending.m_Valid, Kept);
+  State.m_Log.clear();
+  State.m_BaseIndex = State.m_SnapshotIndex = Taken.m_LastIndex;
+  State.m_BaseTerm = State.m_SnapshotTerm = Taken.m_LastTerm;
+  State.m_Commit = State.m_Applied = Taken.m_LastIndex;
+  State.m_SetHistory.clear();
+  State.m_SetHistory[Taken.m_LastIndex] = Taken.m_Set;
+  useNewestSet(State);
+  State.m_LeaderMatch = std::max(State.m_LeaderMatch, Taken.m_LastIndex);
+  Actions.m_InstallSnapshot = Taken;
+  State.m_Snapshot = std::move(Taken);
+}
+
+void receiveSnapshot(Replica &State, ReplicaActions &Actions,
+                     ReplicaMessage &Message) {
+  if (!Message.m_Snapshot)
+    return;
+  Snapshot &Taken = *Message.m_Snapshot;
+  if (Taken.m_LastIndex > State.m_Commit &&
+      termAt(State, Taken.m_LastIndex) !=
+          std::optional<Term>(Taken.m_LastTerm)) {
+    install(State, Actions, std::move(Taken));
+    return;
+  }
+  // The own log already has all of it; entries behind it may be acknowledged
+  // and must stay.
+  State.m_LeaderMatch = std::max(State.m_LeaderMatch, Taken.m_LastIndex);
+  advanceCommitTo(State, Actions, Taken.m_LastIndex);
+  sendAnswer(Actions, appendAnswer(State));
+}
+
+} // namespace
+
+ReplicaMessage appendAnswer(const Replica &State) {
+  ReplicaMessage Answer =
+      makeMessage(State, ReplicaMessage::Kind::AppendAnswer, State.m_Leader);
+  Answer.m_Granted = true;
+  Answer.m_Match = std::min(State.m_LeaderMatch, State.m_Synced);
+  Answer.m_Sequence = State.m_LeaderSequence;
+  Answer.m_Regressed = !State.m_VotingAllowed;
+  return Answer;
+}
+
+void receiveFromLeader(Replica &State, ReplicaActions &Actions,
+                       ReplicaMessage &Message, Millis Now) {
+  if (Message.m_Term < State.m_Hard.m_Term) {
+    // Tells a leader of an older term to step down.
+    sendConfirmAnswer(State, Actions, Message);
+    return;
+  }
+  if (Message.m_Term == State.m_Hard.m_Term &&
+      State.m_Role == ReplicaRole::Leader) {
+    Actions.m_BrokenInvariant =
+        "two keepers lead term " + std::to_string(Message.m_Term.m_Value) +
+        ": " + State.m_Self.m_Value + " and " + Message.m_From.m_Value;
+    return;
+  }
+  if (Message.m_Term > State.m_Hard.m_Term ||
+      State.m_Role == ReplicaRole::Candidate ||
+      State.m_Leader != Message.m_From)
+    becomeFollower(State, Actions, Message.m_Term, Message.m_From, Now);
+  State.m_LastLeaderContact = Now;
+  resetElectionDeadline(State, Now);
+  State.m_LeaderSequence = std::max(State.m_LeaderSequence, Message.m_Sequence);
+  if (Message.m_Acked > lastIndex(State)) {
+    // The leader holds an acknowledgement for entries that are gone.
+    State.m_VotingAllowed = false;
+    Actions.m_DiskRegressed = true;
+    sendConfirmAnswer(State, Actions, Message);
+    return;
+  }
+  if (Message.m_Kind == ReplicaMessage::Kind::Append)
+    receiveAppend(State, Actions, Message);
+  else if (Message.m_Kind == ReplicaMessage::Kind::InstallSnapshot)
+    receiveSnapshot(State, Actions, Message);
+  else
+    sendConfirmAnswer(State, Actions, Message);
+}
+
+} // namespace vanillaferry::internal
