--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -54,6 +54,8 @@
   AccountId m_Account;
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
+  /// Share held under the present lease, for a new leader; 0 without a lease.
+  std::uint32_t m_Share = 0;
 };
 
 /// The part of an account's fleet-wide concurrency limit given to one router.
@@ -86,6 +88,8 @@
   ZoneId m_Zone;
   Epoch m_AckedEpoch;
   DocumentVersion m_AckedVersion;
+  /// Sequence of the newest grant taken; 0 when none was.
+  std::uint64_t m_AckedGrant = 0;
   /// Set by graceful shutdown: the node gives its targets away.
   bool m_Leaving = false;
   std::vector<PoolLoad> m_Pools;
@@ -109,6 +113,8 @@
   std::vector<PoolTotal> m_Totals;
   /// Requests of other (ended or former) owners at targets of this node.
   std::vector<TargetLoad> m_Residual;
+  /// All shares of this node, in place of the former ones; an account that is
+  /// not listed has none until the node reports demand for it.
   std::vector<AccountShare> m_Shares;
 };
 
@@ -125,6 +131,8 @@
 
 /// Registers a non-idempotent call before its first byte leaves.
 struct JournalBegin {
+  /// Unique in the fleet: drawn by the router, never the caller's own id. A
+  /// begin with the same id, node and incarnation counts as a resend.
   RequestId m_Request;
   AccountId m_Account;
   IdempotencyKey m_Key;
@@ -133,6 +141,8 @@
   UnixMillis m_IssuedAt;
   NodeId m_Node;
   Incarnation m_Incarnation;
+  /// Set by the leader when it proposes the begin: its wall clock.
+  UnixMillis m_ProposedAt = UnixMillis();
 };
 
 enum class CallOutcome : std::uint8_t { Answered, NotRun, Unknown };
--- a/include/vanillaferry/process/lease_table.hpp
+++ b/include/vanillaferry/process/lease_table.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/account_shares.hpp"
+#include "vanillaferry/process/ownership.hpp"
 #include "vanillaferry/process/state_machine.hpp"
 
 #include <map>
@@ -15,11 +17,16 @@
   std::int64_t m_DriftPerMille = 10;
   /// Load reports older than this count as no load.
   Millis m_ReportMaxAge{5000};
+  /// How long requests of an ended router count at its former targets.
+  Millis m_ResidualMaxAge{60000};
 };
 
 /// The leader's record of one router's lease; memory only.
 struct NodeLease {
+  NodeId m_Node;
   Incarnation m_Incarnation;
+  /// Sequence of the newest renewal; 0 for the time that a new leader waits.
+  std::uint64_t m_Sequence = 0;
   Millis m_Ends;
   Epoch m_AckedEpoch;
   DocumentVersion m_AckedVersion;
@@ -27,15 +34,39 @@
   Millis m_ReportedAt;
   std::vector<PoolLoad> m_Pools;
   std::vector<TargetLoad> m_Targets;
-  std::vector<AccountDemand> m_Accounts;
+  /// The part of m_Targets that other nodes own at m_ForeignAt.
+  std::vector<TargetLoad> m_Foreign;
+  Epoch m_ForeignAt;
+};
+
+/// Owners of reported targets at one epoch, so that each is ranked once.
+struct OwnerCache {
+  Membership m_Members;
+  std::map<TargetId, std::optional<NodeId>> m_Owners;
+};
+
+/// Pool totals of one moment; with many leases they serve for a short while.
+struct TotalsCache {
+  std::vector<PoolTotal> m_Totals;
+  std::optional<Millis> m_At;
 };
 
 /// All node leases at the leader. A new leader starts an empty table and gives
-/// every member a full lease time before it counts it as ended.
+/// every member a full lease time before it counts it as ended. Leases of the
+/// former leader may belong to nodes that are members no more, so nothing is
+/// reported safe or in force before that time has passed.
 struct LeaseTable {
   LeaseOptions m_Options;
   Millis m_LedSince;
   std::map<NodeId, NodeLease> m_Leases;
+  /// Leases of replaced incarnations, until they and their reports are old.
+  std::vector<NodeLease> m_Former;
+  /// When each node that has no lease yet was proposed as a member.
+  std::map<NodeId, Millis> m_Joining;
+  ShareTable m_Shares;
+  SectionVersion m_AccountsVersion;
+  OwnerCache m_Owners;
+  TotalsCache m_Totals;
 };
 
 /// What the leader does with a Renew.
@@ -49,8 +80,9 @@
 LeaseTable makeLeaseTable(LeaseOptions Options, const StateMachine &State,
                           Millis Now);
 
-/// Handles a renewal. The caller must hold the quorum lease. A renewal of an
-/// older incarnation than the member's gets no grant.
+/// Handles a renewal. The caller must hold the quorum lease and must have
+/// applied an entry of its own term, so that the grant carries every edit
+/// accepted before. A renewal of a replaced incarnation gets nothing.
 RenewDecision renewLease(LeaseTable &Table, const StateMachine &State,
                          const Renew &Request, Millis Now);
 
--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -18,8 +18,12 @@
   Millis m_Ends;
   Epoch m_Epoch;
   Epoch m_SafeEpoch;
+  /// Epoch of the grant that began the present unbroken lease.
+  Epoch m_HeldSince;
   DocumentVersion m_Version;
   std::uint64_t m_NextSequence = 1;
+  /// Sequence of the newest grant taken, for Renew::m_AckedGrant.
+  std::uint64_t m_TakenSequence = 0;
   /// Send times of renewals without an answer.
   std::map<std::uint64_t, Millis> m_Sent;
   Millis m_NextRenewal;
@@ -29,12 +33,21 @@
 std::uint64_t renewalSent(RouterLease &Lease, Millis Now);
 
 /// Takes a grant; returns false when its sequence is unknown or older than one
-/// already taken, in which case nothing changes.
+/// already taken, or its epoch or version is below the one held, in which case
+/// nothing changes. The caller takes over members, sections and shares before
+/// its next dispatch.
 bool takeGrant(RouterLease &Lease, const Grant &Granted, Millis Now);
 
 /// True while new work may be taken. Checked again directly before a dispatch.
 bool leaseHolds(const RouterLease &Lease, Millis Now);
 
+/// The check directly before a dispatch: the lease holds, the node owns the
+/// target under the members of the newest grant, and every former owner has
+/// stopped. A node whose lease was interrupted counts as a new owner, since
+/// others may have owned its targets meanwhile.
+bool mayDispatchNow(const RouterLease &Lease, const OwnedTargets &Owned,
+                    const TargetId &Target, Millis Now);
+
 /// True when a renewal is due.
 bool renewalDue(const RouterLease &Lease, Millis Now);
 
--- a/include/vanillaferry/process/ownership.hpp
+++ b/include/vanillaferry/process/ownership.hpp
@@ -22,6 +22,8 @@
 /// Epoch since which the node has owned a target, kept across memberships.
 struct OwnedTargets {
   NodeId m_Node;
+  /// Epoch of the members that m_Since was computed with.
+  Epoch m_Epoch;
   std::map<TargetId, Epoch> m_Since;
 };
 
@@ -29,7 +31,8 @@
 void updateOwned(OwnedTargets &Owned, const Membership &Members,
                  const std::vector<TargetId> &Targets);
 
-/// True when the node owns the target and every former owner has stopped.
+/// True when the node owns the target and every former owner has stopped. Use
+/// mayDispatchNow(), which also checks the lease.
 bool mayDispatch(const OwnedTargets &Owned, const TargetId &Target,
                  Epoch SafeEpoch);
 
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -5,13 +5,15 @@
 #include "vanillaferry/request/journal.hpp"
 #include "vanillaferry/version/document.hpp"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <variant>
 
 namespace vanillaferry {
 
-/// Adds a router to the membership or replaces its incarnation or address.
+/// Adds a router to the membership or replaces its incarnation or address. An
+/// incarnation that another one has replaced never returns.
 struct AddMember {
   Member m_Member;
 };
@@ -57,18 +59,40 @@
 using CommandAnswer =
     std::variant<NoAnswer, EditAnswer, JournalAnswer, EngineOrder>;
 
+/// Incarnations of a node that joined, oldest first; incarnations are random,
+/// so only this order tells a restarted process from a late message of the old
+/// one.
+struct JoinedIncarnations {
+  std::deque<Incarnation> m_Joined;
+  UnixMillis m_ChangedAt;
+};
+/// Incarnations remembered for each node.
+constexpr std::size_t JoinedIncarnationLimit = 16;
+/// How long the incarnations of a removed node are remembered; a message
+/// cannot be under way for that long.
+constexpr Millis JoinedIncarnationRetention{24LL * 3600 * 1000};
+/// Finished engine orders that are kept for the status page.
+constexpr std::size_t FinishedOrderLimit = 1000;
+
 /// Everything the replicated log decides. Equal logs give equal states.
 struct StateMachine {
   LogIndex m_Applied;
   Document m_Document;
   Epoch m_Epoch;
   std::map<NodeId, Member> m_Members;
+  std::map<NodeId, JoinedIncarnations> m_Joined;
   Journal m_Journal;
   std::map<std::string, EngineOrder> m_Orders;
   UnixMillis m_Clock;
 };
 
-/// Applies the command at this index.
+/// True when an AddMember of this incarnation would be ignored because another
+/// one replaced it.
+bool isReplaced(const StateMachine &State, const NodeId &Node,
+                Incarnation Which);
+
+/// Applies the command at this index. A begin of an incarnation that is no
+/// member is answered Unavailable: nobody would mark its end.
 CommandAnswer applyCommand(StateMachine &State, LogIndex Index,
                            const Command &Input);
 
--- a/include/vanillaferry/request/journal.hpp
+++ b/include/vanillaferry/request/journal.hpp
@@ -18,7 +18,19 @@
 /// Keys issued further in the future are refused.
 constexpr Millis KeyMaxSkew{5LL * 60 * 1000};
 
-enum class CallState : std::uint8_t { Running, Ended, Unknown };
+/// Content type of a recorded answer whose body was above MaxJournaledBody and
+/// is not kept; the HTTP status is the target's.
+constexpr const char *BodyNotKeptType =
+    "application/vnd.vanillaferry.body-not-kept";
+
+enum class CallState : std::uint8_t {
+  Running,
+  Ended,
+  Unknown,
+  /// The call of m_Request did not run and never will; another request may
+  /// begin with the key.
+  Released,
+};
 
 /// What the journal knows of one non-idempotent call.
 struct JournalEntry {
@@ -38,16 +50,18 @@
   std::map<JournalKey, JournalEntry> m_Entries;
 };
 
-/// Registers a call; Granted is given at most once for a key. A begin that is
-/// repeated with the same request id, node and incarnation gets the same
-/// answer, because the first answer may have been lost.
+/// Registers a call; Granted is given to at most one request for a key. A begin
+/// that is repeated with the same request id, node and incarnation gets the
+/// same answer, because the first answer may have been lost. Now is the newest
+/// time known: the replicated clock or the time of the proposal.
 JournalAnswer beginCall(Journal &Calls, const JournalBegin &Begin,
                         UnixMillis Now);
 
-/// Records an outcome. NotRun removes the entry, so that the key may be used
-/// again; an outcome from another incarnation than the one that began is
-/// ignored.
-JournalAnswer endCall(Journal &Calls, const JournalEnd &End);
+/// Records an outcome. NotRun releases the key for another request; the
+/// released request itself is never granted afterwards, also when its begin
+/// arrives later than its end. An outcome from another request or incarnation
+/// than the one that began is ignored.
+JournalAnswer endCall(Journal &Calls, const JournalEnd &End, UnixMillis Now);
 
 /// Marks the running calls of an ended incarnation as unknown.
 void abandonCalls(Journal &Calls, const NodeId &Node, Incarnation Ended);
--- a/include/vanillaferry/version/document.hpp
+++ b/include/vanillaferry/version/document.hpp
@@ -16,6 +16,9 @@
 constexpr Millis EditAnswerRetention{24LL * 3600 * 1000};
 /// Versions of a section that the history keeps.
 constexpr std::size_t SectionHistoryLimit = 64;
+/// Bytes of past content that a section's history keeps; the newest revision
+/// stays in any case. Bounds the snapshot when a section is megabytes long.
+constexpr Bytes SectionHistoryBytes{8 * 1024 * 1024};
 
 /// Replaces a section's content if it still has the expected version.
 struct EditSection {
@@ -63,7 +66,8 @@
   std::deque<SectionRevision> m_History;
 };
 
-/// The first answer to an edit id, kept for resends.
+/// The first answer to an edit id, kept for resends. The content of a conflict
+/// is not kept; a resend gets it from the history, or the current content.
 struct KeptEditAnswer {
   EditAnswer m_Answer;
   std::string m_Fingerprint;
--- /dev/null
+++ b/src/core/process/lease_table.cpp
@@ -0,0 +1,229 @@
+#include "vanillaferry/process/lease_table.hpp"
+
+#include "process/lease_reports.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+/// True once every lease of the former leader has ended.
+bool formerLeasesEnded(const LeaseTable &Table, Millis Now) {
+  return Table.m_LedSince + Table.m_Options.m_LeaseTime <= Now;
+}
+
+bool isLive(const NodeLease &Lease, Millis Now) { return Now < Lease.m_Ends; }
+
+/// Calls Visit with every live lease, also those of replaced incarnations and
+/// of nodes that are members no more.
+template <typename Visitor>
+void visitLive(const LeaseTable &Table, Millis Now, const Visitor &Visit) {
+  for (const std::pair<const NodeId, NodeLease> &Row : Table.m_Leases)
+    if (isLive(Row.second, Now))
+      Visit(Row.second);
+  for (const NodeLease &Lease : Table.m_Former)
+    if (isLive(Lease, Now))
+      Visit(Lease);
+}
+
+/// Drops leases and reports that no longer matter.
+void pruneFormer(LeaseTable &Table, const StateMachine &State, Millis Now) {
+  std::map<NodeId, NodeLease>::iterator Row = Table.m_Leases.begin();
+  while (Row != Table.m_Leases.end()) {
+    // The report of a removed node still counts as residual load.
+    if (State.m_Members.count(Row->first) == 0 && !isLive(Row->second, Now)) {
+      Table.m_Former.push_back(std::move(Row->second));
+      Row = Table.m_Leases.erase(Row);
+    } else {
+      ++Row;
+    }
+  }
+  Millis Keep = Table.m_Options.m_ResidualMaxAge;
+  Table.m_Former.erase(std::remove_if(Table.m_Former.begin(),
+                                      Table.m_Former.end(),
+                                      [&](const NodeLease &Lease) {
+                                        return !isLive(Lease, Now) &&
+                                               Lease.m_ReportedAt + Keep < Now;
+                                      }),
+                       Table.m_Former.end());
+}
+
+const Member *findMember(const StateMachine &State, const NodeId &Node) {
+  std::map<NodeId, Member>::const_iterator Found = State.m_Members.find(Node);
+  return Found == State.m_Members.end() ? nullptr : &Found->second;
+}
+
+Member memberOf(const Renew &Request) {
+  return {Request.m_Node, Request.m_Incarnation, Request.m_PeerUrl,
+          Request.m_Zone, Request.m_Leaving};
+}
+
+/// The membership change that a renewal asks for, if any.
+std::optional<Command> changeFor(const Member *Known, const Renew &Request) {
+  if (!Known || Known->m_Incarnation != Request.m_Incarnation) {
+    if (Request.m_Leaving)
+      return std::nullopt;
+    return AddMember{memberOf(Request)};
+  }
+  bool Same = Known->m_PeerUrl == Request.m_PeerUrl &&
+              Known->m_Zone == Request.m_Zone &&
+              (Known->m_Leaving || !Request.m_Leaving);
+  if (Same)
+    return std::nullopt;
+  return AddMember{memberOf(Request)};
+}
+
+/// The record of the renewing incarnation; the record of another incarnation
+/// is kept until its lease has ended.
+NodeLease &openLease(LeaseTable &Table, const Renew &Request, bool &IsNew) {
+  std::map<NodeId, NodeLease>::iterator Found =
+      Table.m_Leases.find(Request.m_Node);
+  if (Found != Table.m_Leases.end() &&
+      Found->second.m_Incarnation != Request.m_Incarnation) {
+    Table.m_Former.push_back(std::move(Found->second));
+    Table.m_Leases.erase(Found);
+    Found = Table.m_Leases.end();
+  }
+  IsNew = Found == Table.m_Leases.end();
+  NodeLease &Lease = Table.m_Leases[Request.m_Node];
+  Lease.m_Node = Request.m_Node;
+  Lease.m_Incarnation = Request.m_Incarnation;
+  return Lease;
+}
+
+/// Notes what the renewal acknowledges. A node whose lease is known to have
+/// ended acts only on the grant that it gets now, with the present members and
+/// sections.
+void noteAcknowledged(NodeLease &Lease, const StateMachine &State,
+                      const Renew &Request, bool WasEnded) {
+  Epoch Acked = std::min(Request.m_AckedEpoch, State.m_Epoch);
+  DocumentVersion Version =
+      std::min(Request.m_AckedVersion, State.m_Document.m_Version);
+  if (WasEnded) {
+    Acked = State.m_Epoch;
+    Version = State.m_Document.m_Version;
+  }
+  // A renewal that was overtaken by a later one takes nothing back.
+  Lease.m_AckedEpoch = std::max(Lease.m_AckedEpoch, Acked);
+  Lease.m_AckedVersion = std::max(Lease.m_AckedVersion, Version);
+}
+
+Grant makeGrant(LeaseTable &Table, const StateMachine &State,
+                const Renew &Request, Millis Now) {
+  Grant Granted;
+  Granted.m_Sequence = Request.m_Sequence;
+  Granted.m_Duration = Table.m_Options.m_LeaseTime;
+  Granted.m_Epoch = State.m_Epoch;
+  Granted.m_SafeEpoch = safeEpoch(Table, State, Now);
+  if (Request.m_AckedEpoch < State.m_Epoch)
+    for (const std::pair<const NodeId, Member> &Row : State.m_Members)
+      Granted.m_Members.push_back(Row.second);
+  Granted.m_Version = State.m_Document.m_Version;
+  Granted.m_Sections =
+      changedSections(State.m_Document, Request.m_AckedVersion);
+  Granted.m_Totals = poolTotals(Table, Now);
+  Granted.m_Residual =
+      residualLoads(Table, State, Request.m_Node, Request.m_Incarnation, Now);
+  Granted.m_Shares =
+      giveShares(Table.m_Shares, Request, Now + Table.m_Options.m_LeaseTime,
+                 !formerLeasesEnded(Table, Now), Now);
+  return Granted;
+}
+
+} // namespace
+
+LeaseTable makeLeaseTable(LeaseOptions Options, const StateMachine &State,
+                          Millis Now) {
+  LeaseTable Table;
+  Table.m_Options = Options;
+  Table.m_LedSince = Now;
+  for (const std::pair<const NodeId, Member> &Row : State.m_Members) {
+    NodeLease Lease;
+    Lease.m_Node = Row.first;
+    Lease.m_Incarnation = Row.second.m_Incarnation;
+    Lease.m_Ends = Now + Options.m_LeaseTime;
+    Lease.m_Leaving = Row.second.m_Leaving;
+    Table.m_Leases.emplace(Row.first, Lease);
+  }
+  return Table;
+}
+
+RenewDecision renewLease(LeaseTable &Table, const StateMachine &State,
+                         const Renew &Request, Millis Now) {
+  RenewDecision Decision;
+  if (isReplaced(State, Request.m_Node, Request.m_Incarnation))
+    return Decision;
+  const Member *Known = findMember(State, Request.m_Node);
+  std::optional<Command> Change = changeFor(Known, Request);
+  if (Change)
+    Decision.m_Propose.push_back(*Change);
+  if (!Known || Known->m_Incarnation != Request.m_Incarnation) {
+    if (Change)
+      Table.m_Joining[Request.m_Node] = Now;
+    return Decision;
+  }
+  Table.m_Joining.erase(Request.m_Node);
+  pruneFormer(Table, State, Now);
+  bool IsNew = false;
+  NodeLease &Lease = openLease(Table, Request, IsNew);
+  bool WasEnded = IsNew ? formerLeasesEnded(Table, Now) : !isLive(Lease, Now);
+  noteAcknowledged(Lease, State, Request, WasEnded);
+  Lease.m_Ends = Now + Table.m_Options.m_LeaseTime;
+  Lease.m_Leaving = Lease.m_Leaving || Request.m_Leaving;
+  refreshAccountLimits(Table, State);
+  if (Request.m_Sequence > Lease.m_Sequence) {
+    Lease.m_Sequence = Request.m_Sequence;
+    takeReport(Table, Lease, State, Request, Now);
+    noteDemand(Table.m_Shares, Request, WasEnded);
+  }
+  Decision.m_Grant = makeGrant(Table, State, Request, Now);
+  return Decision;
+}
+
+std::vector<Command> endedLeases(const LeaseTable &Table,
+                                 const StateMachine &State, Millis Now) {
+  std::vector<Command> Ended;
+  if (!formerLeasesEnded(Table, Now))
+    return Ended;
+  for (const std::pair<const NodeId, Member> &Row : State.m_Members) {
+    std::map<NodeId, NodeLease>::const_iterator Lease =
+        Table.m_Leases.find(Row.first);
+    bool Known = Lease != Table.m_Leases.end() &&
+                 Lease->second.m_Incarnation == Row.second.m_Incarnation;
+    if (Known && isLive(Lease->second, Now))
+      continue;
+    // A member that has just joined gets the time to renew once more.
+    std::map<NodeId, Millis>::const_iterator Joining =
+        Table.m_Joining.find(Row.first);
+    if (Joining != Table.m_Joining.end() &&
+        Now < Joining->second + Table.m_Options.m_LeaseTime)
+      continue;
+    Ended.push_back(RemoveMember{Row.first, Row.second.m_Incarnation});
+  }
+  return Ended;
+}
+
+bool inForceEverywhere(const LeaseTable &Table, const StateMachine &State,
+                       DocumentVersion Version, Millis Now) {
+  if (State.m_Document.m_Version < Version || !formerLeasesEnded(Table, Now))
+    return false;
+  bool InForce = true;
+  visitLive(Table, Now, [&](const NodeLease &Lease) {
+    InForce = InForce && Version <= Lease.m_AckedVersion;
+  });
+  return InForce;
+}
+
+Epoch safeEpoch(const LeaseTable &Table, const StateMachine &State,
+                Millis Now) {
+  if (!formerLeasesEnded(Table, Now))
+    return Epoch(0);
+  Epoch Lowest = State.m_Epoch;
+  visitLive(Table, Now, [&](const NodeLease &Lease) {
+    Lowest = std::min(Lowest, Lease.m_AckedEpoch);
+  });
+  return Lowest;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/process/node_lease.cpp
@@ -0,0 +1,68 @@
+#include "vanillaferry/process/node_lease.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr std::int64_t PerMille = 1000;
+
+/// The part of a lease that a clock which is slow by the drift bound may use;
+/// rounded down, so that the router's view never ends later.
+Millis usableDuration(Millis Granted, std::int64_t DriftPerMille) {
+  return Millis(Granted.m_Value * (PerMille - DriftPerMille) / PerMille);
+}
+
+} // namespace
+
+std::uint64_t renewalSent(RouterLease &Lease, Millis Now) {
+  std::uint64_t Sequence = Lease.m_NextSequence++;
+  Lease.m_Sent[Sequence] = Now;
+  Lease.m_NextRenewal = Now + Lease.m_RenewInterval;
+  // An answer to a renewal sent a lease time ago grants nothing any more.
+  while (!Lease.m_Sent.empty() &&
+         Lease.m_Sent.begin()->second + Lease.m_Options.m_LeaseTime < Now)
+    Lease.m_Sent.erase(Lease.m_Sent.begin());
+  return Sequence;
+}
+
+bool takeGrant(RouterLease &Lease, const Grant &Granted, Millis Now) {
+  std::map<std::uint64_t, Millis>::iterator Sent =
+      Lease.m_Sent.find(Granted.m_Sequence);
+  if (Sent == Lease.m_Sent.end() ||
+      Granted.m_Sequence <= Lease.m_TakenSequence ||
+      Granted.m_Epoch < Lease.m_Epoch || Granted.m_Version < Lease.m_Version)
+    return false;
+  if (!leaseHolds(Lease, Now))
+    Lease.m_HeldSince = Granted.m_Epoch;
+  Lease.m_Ends = Sent->second + usableDuration(Granted.m_Duration,
+                                               Lease.m_Options.m_DriftPerMille);
+  Lease.m_TakenSequence = Granted.m_Sequence;
+  Lease.m_Epoch = Granted.m_Epoch;
+  // A safe epoch stays safe; a new leader reports a lower one while it waits.
+  Lease.m_SafeEpoch = std::max(Lease.m_SafeEpoch, Granted.m_SafeEpoch);
+  Lease.m_Version = Granted.m_Version;
+  Lease.m_Sent.erase(Lease.m_Sent.begin(), std::next(Sent));
+  return true;
+}
+
+bool leaseHolds(const RouterLease &Lease, Millis Now) {
+#ifdef VANILLAFERRY_BREAK_LEASE
+  return Lease.m_TakenSequence > 0 || Now < Lease.m_Ends;
+#endif
+  return Now < Lease.m_Ends;
+}
+
+bool mayDispatchNow(const RouterLease &Lease, const OwnedTargets &Owned,
+                    const TargetId &Target, Millis Now) {
+  return leaseHolds(Lease, Now) && Owned.m_Epoch == Lease.m_Epoch &&
+         Lease.m_HeldSince <= Lease.m_SafeEpoch &&
+         mayDispatch(Owned, Target, Lease.m_SafeEpoch);
+}
+
+bool renewalDue(const RouterLease &Lease, Millis Now) {
+  return Lease.m_NextRenewal <= Now;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/process/state_codec.cpp
@@ -0,0 +1,236 @@
+#include "vanillaferry/process/state_machine.hpp"
+
+#include "process/archive.hpp"
+#include "process/cbor.hpp"
+
+namespace vanillaferry {
+
+/// Raised when a field changes its meaning; older snapshots are then refused.
+constexpr std::uint32_t StateFormat = 1;
+
+template <> struct EnumLimit<EditStatus> {
+  static constexpr EditStatus Last = EditStatus::EditIdReused;
+};
+template <> struct EnumLimit<CallState> {
+  static constexpr CallState Last = CallState::Released;
+};
+template <> struct EnumLimit<CallOutcome> {
+  static constexpr CallOutcome Last = CallOutcome::Unknown;
+};
+
+// Static and not in an anonymous namespace, so that the archives find them by
+// argument-dependent lookup.
+template <typename Archive> static void describe(Archive &A, EditSection &E) {
+  A("edit", E.m_Edit);
+  A("operator", E.m_Operator);
+  A("section", E.m_Section);
+  A("expected", E.m_Expected);
+  A("json", E.m_Json);
+  A("at", E.m_At);
+}
+
+template <typename Archive> static void describe(Archive &A, Member &M) {
+  A("node", M.m_Node);
+  A("incarnation", M.m_Incarnation);
+  A("url", M.m_PeerUrl);
+  A("zone", M.m_Zone);
+  A("leaving", M.m_Leaving);
+}
+
+template <typename Archive> static void describe(Archive &A, AddMember &M) {
+  A("member", M.m_Member);
+}
+
+template <typename Archive> static void describe(Archive &A, RemoveMember &M) {
+  A("node", M.m_Node);
+  A("incarnation", M.m_Incarnation);
+}
+
+template <typename Archive> static void describe(Archive &A, CallAnswer &C) {
+  A("status", C.m_HttpStatus);
+  A("type", C.m_ContentType);
+  A("body", C.m_Body);
+}
+
+template <typename Archive> static void describe(Archive &A, JournalBegin &B) {
+  A("request", B.m_Request);
+  A("account", B.m_Account);
+  A("key", B.m_Key);
+  A("hash", B.m_BodyHash);
+  A("issued", B.m_IssuedAt);
+  A("node", B.m_Node);
+  A("incarnation", B.m_Incarnation);
+  A("proposed", B.m_ProposedAt);
+}
+
+template <typename Archive> static void describe(Archive &A, JournalEnd &E) {
+  A("request", E.m_Request);
+  A("account", E.m_Account);
+  A("key", E.m_Key);
+  A("node", E.m_Node);
+  A("incarnation", E.m_Incarnation);
+  A("outcome", E.m_Outcome);
+  A("answer", E.m_Answer);
+}
+
+template <typename Archive> static void describe(Archive &A, EngineOrder &O) {
+  A("id", O.m_OrderId);
+  A("target", O.m_Target);
+  A("action", O.m_Action);
+  A("argument", O.m_Argument);
+  A("token", O.m_FencingToken);
+  A("done", O.m_Done);
+  A("result", O.m_Result);
+}
+
+template <typename Archive> static void describe(Archive &A, BeginOrder &B) {
+  A("order", B.m_Order);
+}
+
+template <typename Archive> static void describe(Archive &A, EndOrder &E) {
+  A("id", E.m_OrderId);
+  A("result", E.m_Result);
+}
+
+template <typename Archive> static void describe(Archive &A, AdvanceClock &C) {
+  A("now", C.m_Now);
+}
+
+template <typename Archive>
+static void describe(Archive &A, SectionRevision &R) {
+  A("version", R.m_Version);
+  A("document", R.m_Document);
+  A("operator", R.m_Operator);
+  A("at", R.m_At);
+  A("json", R.m_Json);
+}
+
+template <typename Archive> static void describe(Archive &A, Section &S) {
+  A("version", S.m_Version);
+  A("changed", S.m_Changed);
+  A("json", S.m_Json);
+  A("history", S.m_History);
+}
+
+template <typename Archive> static void describe(Archive &A, EditAnswer &E) {
+  A("status", E.m_Status);
+  A("edit", E.m_Edit);
+  A("section", E.m_Section);
+  A("version", E.m_Version);
+  A("document", E.m_Document);
+  A("current", E.m_CurrentJson);
+}
+
+template <typename Archive>
+static void describe(Archive &A, KeptEditAnswer &K) {
+  A("answer", K.m_Answer);
+  A("fingerprint", K.m_Fingerprint);
+  A("at", K.m_At);
+}
+
+template <typename Archive> static void describe(Archive &A, Document &D) {
+  A("version", D.m_Version);
+  A("sections", D.m_Sections);
+  A("answers", D.m_Answers);
+}
+
+template <typename Archive> static void describe(Archive &A, JournalEntry &E) {
+  A("state", E.m_State);
+  A("request", E.m_Request);
+  A("hash", E.m_BodyHash);
+  A("issued", E.m_IssuedAt);
+  A("node", E.m_Node);
+  A("incarnation", E.m_Incarnation);
+  A("answer", E.m_Answer);
+}
+
+template <typename Archive> static void describe(Archive &A, Journal &J) {
+  A("entries", J.m_Entries);
+}
+
+template <typename Archive>
+static void describe(Archive &A, JoinedIncarnations &J) {
+  A("joined", J.m_Joined);
+  A("changed", J.m_ChangedAt);
+}
+
+template <typename Archive> static void describe(Archive &A, StateMachine &S) {
+  A("applied", S.m_Applied);
+  A("document", S.m_Document);
+  A("epoch", S.m_Epoch);
+  A("members", S.m_Members);
+  A("incarnations", S.m_Joined);
+  A("journal", S.m_Journal);
+  A("orders", S.m_Orders);
+  A("clock", S.m_Clock);
+}
+
+namespace {
+
+/// Reads the alternative with this index, or leaves the fault set.
+template <std::size_t I>
+void readAlternative(FieldReader &Reader, std::size_t Kind, Command &Out) {
+  if constexpr (I < std::variant_size_v<Command>) {
+    if (Kind != I) {
+      readAlternative<I + 1>(Reader, Kind, Out);
+      return;
+    }
+    std::variant_alternative_t<I, Command> Typed;
+    Reader("command", Typed);
+    Out = std::move(Typed);
+  } else {
+    Reader.m_Fault = "kind " + std::to_string(Kind);
+  }
+}
+
+} // namespace
+
+std::string encodeCommand(const Command &Input) {
+  FieldWriter Writer;
+  Writer("kind", static_cast<std::uint32_t>(Input.index()));
+  std::visit([&](const auto &Typed) { Writer("command", Typed); }, Input);
+  return printCbor(Writer.m_Object);
+}
+
+Result<Command> decodeCommand(const std::string &Data) {
+  Result<nlohmann::json> Parsed = parseCbor(Data);
+  if (!Parsed)
+    return makeError(ErrorCode::Malformed, "command: " + Parsed.error().m_Text);
+  std::string Fault;
+  FieldReader Reader{Parsed.value(), Fault};
+  std::uint32_t Kind = 0;
+  Reader("kind", Kind);
+  Command Out;
+  if (Fault.empty())
+    readAlternative<0>(Reader, Kind, Out);
+  if (!Fault.empty())
+    return makeError(ErrorCode::Malformed,
+                     "command: missing or wrong " + Fault);
+  return Out;
+}
+
+std::string encodeState(const StateMachine &State) {
+  FieldWriter Writer;
+  Writer("format", StateFormat);
+  Writer("state", State);
+  return printCbor(Writer.m_Object);
+}
+
+Result<StateMachine> decodeState(const std::string &Data) {
+  Result<nlohmann::json> Parsed = parseCbor(Data);
+  if (!Parsed)
+    return makeError(ErrorCode::Malformed, "state: " + Parsed.error().m_Text);
+  std::string Fault;
+  FieldReader Reader{Parsed.value(), Fault};
+  std::uint32_t Format = 0;
+  Reader("format", Format);
+  if (Fault.empty() && Format != StateFormat)
+    Fault = "format " + std::to_string(Format);
+  StateMachine State;
+  Reader("state", State);
+  if (!Fault.empty())
+    return makeError(ErrorCode::Malformed, "state: missing or wrong " + Fault);
+  return State;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/process/state_machine.cpp
@@ -0,0 +1,182 @@
+#include "vanillaferry/process/state_machine.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+bool sameMember(const Member &A, const Member &B) {
+  return A.m_Node == B.m_Node && A.m_Incarnation == B.m_Incarnation &&
+         A.m_PeerUrl == B.m_PeerUrl && A.m_Zone == B.m_Zone &&
+         A.m_Leaving == B.m_Leaving;
+}
+
+UnixMillis later(UnixMillis A, UnixMillis B) { return A < B ? B : A; }
+
+/// Notes that an incarnation joined; returns false when it was replaced.
+bool noteJoined(StateMachine &State, const Member &Joining) {
+  if (isReplaced(State, Joining.m_Node, Joining.m_Incarnation))
+    return false;
+  JoinedIncarnations &History = State.m_Joined[Joining.m_Node];
+  if (History.m_Joined.empty() ||
+      History.m_Joined.back() != Joining.m_Incarnation) {
+    History.m_Joined.push_back(Joining.m_Incarnation);
+    if (History.m_Joined.size() > JoinedIncarnationLimit)
+      History.m_Joined.pop_front();
+  }
+  History.m_ChangedAt = State.m_Clock;
+  return true;
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const EditSection &Edit) {
+  EditSection Stamped = Edit;
+  // A leader whose clock is behind must not shorten the time for resends.
+  Stamped.m_At = later(Edit.m_At, State.m_Clock);
+  return applyEdit(State.m_Document, Index, Stamped);
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const AddMember &Input) {
+  if (!noteJoined(State, Input.m_Member))
+    return NoAnswer();
+  Member Joining = Input.m_Member;
+  std::map<NodeId, Member>::iterator Found =
+      State.m_Members.find(Joining.m_Node);
+  if (Found != State.m_Members.end()) {
+    if (Found->second.m_Incarnation == Joining.m_Incarnation)
+      // A late renewal must not bring a leaving node back.
+      Joining.m_Leaving = Joining.m_Leaving || Found->second.m_Leaving;
+    else
+      abandonCalls(State.m_Journal, Joining.m_Node,
+                   Found->second.m_Incarnation);
+    if (sameMember(Found->second, Joining))
+      return NoAnswer();
+  }
+  State.m_Members[Joining.m_Node] = Joining;
+  State.m_Epoch = Epoch(Index.m_Value);
+  return NoAnswer();
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const RemoveMember &Input) {
+  abandonCalls(State.m_Journal, Input.m_Node, Input.m_Incarnation);
+  std::map<NodeId, Member>::iterator Found = State.m_Members.find(Input.m_Node);
+  if (Found == State.m_Members.end() ||
+      Found->second.m_Incarnation != Input.m_Incarnation)
+    return NoAnswer();
+  State.m_Members.erase(Found);
+  State.m_Epoch = Epoch(Index.m_Value);
+  State.m_Joined[Input.m_Node].m_ChangedAt = State.m_Clock;
+  return NoAnswer();
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex, const JournalBegin &Begin) {
+  std::map<NodeId, Member>::const_iterator Found =
+      State.m_Members.find(Begin.m_Node);
+  if (Found == State.m_Members.end() ||
+      Found->second.m_Incarnation != Begin.m_Incarnation) {
+    JournalAnswer Answer;
+    Answer.m_Request = Begin.m_Request;
+    Answer.m_Status = JournalStatus::Unavailable;
+    return Answer;
+  }
+  return beginCall(State.m_Journal, Begin,
+                   later(State.m_Clock, Begin.m_ProposedAt));
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex, const JournalEnd &End) {
+  return endCall(State.m_Journal, End, State.m_Clock);
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const BeginOrder &Input) {
+  std::map<std::string, EngineOrder>::const_iterator Found =
+      State.m_Orders.find(Input.m_Order.m_OrderId);
+  if (Found != State.m_Orders.end())
+    return Found->second;
+  EngineOrder Order = Input.m_Order;
+  Order.m_FencingToken = Index.m_Value;
+  Order.m_Done = false;
+  Order.m_Result.clear();
+  State.m_Orders.emplace(Order.m_OrderId, Order);
+  return Order;
+}
+
+/// Drops the oldest finished orders above FinishedOrderLimit.
+void trimOrders(std::map<std::string, EngineOrder> &Orders) {
+  std::vector<std::uint64_t> Finished;
+  for (const std::pair<const std::string, EngineOrder> &Row : Orders)
+    if (Row.second.m_Done)
+      Finished.push_back(Row.second.m_FencingToken);
+  if (Finished.size() <= FinishedOrderLimit)
+    return;
+  std::sort(Finished.begin(), Finished.end());
+  std::uint64_t Oldest = Finished[Finished.size() - FinishedOrderLimit];
+  std::map<std::string, EngineOrder>::iterator Row = Orders.begin();
+  while (Row != Orders.end()) {
+    bool Drop = Row->second.m_Done && Row->second.m_FencingToken < Oldest;
+    Row = Drop ? Orders.erase(Row) : std::next(Row);
+  }
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex, const EndOrder &Input) {
+  std::map<std::string, EngineOrder>::iterator Found =
+      State.m_Orders.find(Input.m_OrderId);
+  if (Found == State.m_Orders.end())
+    return NoAnswer();
+  if (!Found->second.m_Done) {
+    Found->second.m_Done = true;
+    Found->second.m_Result = Input.m_Result;
+  }
+  EngineOrder Answer = Found->second;
+  trimOrders(State.m_Orders);
+  return Answer;
+}
+
+void forgetIncarnations(StateMachine &State) {
+  std::map<NodeId, JoinedIncarnations>::iterator Row = State.m_Joined.begin();
+  while (Row != State.m_Joined.end()) {
+    bool Old =
+        State.m_Members.count(Row->first) == 0 &&
+        Row->second.m_ChangedAt.m_Value + JoinedIncarnationRetention.m_Value <
+            State.m_Clock.m_Value;
+    Row = Old ? State.m_Joined.erase(Row) : std::next(Row);
+  }
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex, const AdvanceClock &Input) {
+  if (Input.m_Now <= State.m_Clock)
+    return NoAnswer();
+  State.m_Clock = Input.m_Now;
+  forgetCalls(State.m_Journal, State.m_Clock);
+  forgetEditAnswers(State.m_Document, State.m_Clock);
+  forgetIncarnations(State);
+  return NoAnswer();
+}
+
+} // namespace
+
+bool isReplaced(const StateMachine &State, const NodeId &Node,
+                Incarnation Which) {
+  std::map<NodeId, JoinedIncarnations>::const_iterator Found =
+      State.m_Joined.find(Node);
+  if (Found == State.m_Joined.end() || Found->second.m_Joined.empty())
+    return false;
+  const std::deque<Incarnation> &Joined = Found->second.m_Joined;
+  return Joined.back() != Which &&
+         std::find(Joined.begin(), Joined.end(), Which) != Joined.end();
+}
+
+CommandAnswer applyCommand(StateMachine &State, LogIndex Index,
+                           const Command &Input) {
+  State.m_Applied = Index;
+  return std::visit(
+      [&](const auto &Typed) -> CommandAnswer {
+        return apply(State, Index, Typed);
+      },
+      Input);
+}
+
+} // namespace vanillaferry
