--- a/src/core/process/replication_codec.cpp
+++ b/src/core/process/replication_codec.cpp
@@ -1,6 +1,6 @@
 #include "vanillaferry/process/replication_codec.hpp"
 
-#include "process/internal/cbor.hpp"
+#include "process/cbor.hpp"
 #include "process/internal/replication_json.hpp"
 
 #include <limits>
@@ -183,18 +183,21 @@
 using namespace internal;
 
 std::string encodeKeeperSet(const KeeperSet &Set) {
-  return dumpCbor(keeperSetToJson(Set));
+  return printCbor(keeperSetToJson(Set));
 }
 
 std::optional<KeeperSet> decodeKeeperSet(const std::string &Data) {
-  return keeperSetFromJson(parseCbor(Data));
+  Result<nlohmann::json> Value = parseCbor(Data);
+  if (!Value)
+    return std::nullopt;
+  return keeperSetFromJson(Value.value());
 }
 
 std::string encodeReplicaMessage(const ReplicaMessage &Message) {
   nlohmann::json Entries = nlohmann::json::array();
   for (const LogEntry &Entry : Message.m_Entries)
     Entries.push_back(entryToJson(Entry));
-  return dumpCbor(nlohmann::json::array(
+  return printCbor(nlohmann::json::array(
       {static_cast<unsigned>(Message.m_Kind), Message.m_From.m_Value,
        Message.m_To.m_Value, Message.m_Term.m_Value,
        Message.m_PreviousIndex.m_Value, Message.m_PreviousTerm.m_Value,
@@ -207,18 +210,20 @@
 
 Result<ReplicaMessage> decodeReplicaMessage(const std::string &Data) {
   ReplicaMessage Message;
-  if (!readMessage(parseCbor(Data), Message))
+  Result<nlohmann::json> Value = parseCbor(Data);
+  if (!Value || !readMessage(Value.value(), Message))
     return makeError(ErrorCode::Malformed, "not a replication message in CBOR");
   return Message;
 }
 
 std::string encodeSnapshot(const Snapshot &Taken) {
-  return dumpCbor(snapshotToJson(Taken));
+  return printCbor(snapshotToJson(Taken));
 }
 
 Result<Snapshot> decodeSnapshot(const std::string &Data) {
   Snapshot Taken;
-  if (!readSnapshot(parseCbor(Data), Taken))
+  Result<nlohmann::json> Value = parseCbor(Data);
+  if (!Value || !readSnapshot(Value.value(), Taken))
     return makeError(ErrorCode::Malformed, "not a snapshot in CBOR");
   return Taken;
 }
