--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -30,6 +30,8 @@
   /// earliest.
   std::uint32_t m_Others = 0;
   Millis m_OthersAt;
+  /// When the renewal behind m_Others was sent; older grants are ignored.
+  Millis m_GrantSentAt;
   /// Own count in the last renewal sent.
   std::uint32_t m_Reported = 0;
   Millis m_ReportedAt;
@@ -39,6 +41,19 @@
   std::uint32_t m_RateCompletions = 0;
 };
 
+/// Number of targets that the mean is divided by. Views of the pool differ for
+/// seconds, and a report may still contain requests of targets that this view
+/// has lost; so a smaller number counts only after m_Hold.
+struct TargetCount {
+  Millis m_Hold{4000};
+  std::size_t m_Now = 0;
+  std::size_t m_Divisor = 0;
+  Millis m_FellAt;
+};
+
+void setTargetCount(TargetCount &Count, std::size_t Targets, Millis Now);
+std::size_t targetDivisor(const TargetCount &Count, Millis Now);
+
 /// Takes a pool total from a grant; OwnReported is this node's count in the
 /// renewal that the grant answers. SentAt is when that renewal was sent.
 void takePoolTotal(PoolMean &Mean, const PoolTotal &Total,
@@ -96,9 +111,9 @@
   std::uint32_t m_SlowRun = 0;
   /// Restart identity from the last load report; empty before the first.
   std::string m_Instance;
-  /// Number of the present cold period; completions of requests that were
-  /// dispatched in an earlier one are no evidence.
-  std::uint32_t m_ColdPeriod = 0;
+  /// Number of the present stage of the ramp, which changes with each limit and
+  /// each cold start; requests dispatched in an earlier stage are no evidence.
+  std::uint32_t m_Stage = 0;
   double m_Penalty = 0;
   Millis m_PenaltyAt;
 };
@@ -130,21 +145,23 @@
 /// stated concurrency and the cold ramp, and not damped.
 bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now);
 
-/// Counts a request; returns the cold period to hand back in endRequest.
+/// Counts a request; returns the stage to hand back in endRequest.
 std::uint32_t startRequest(TargetState &State);
 
 /// Ends a request. FirstToken is empty when there was none; PoolMedian is the
 /// pool's median first-token time (0 while unknown). Returns true when the
 /// target was found cold.
-bool endRequest(TargetState &State, std::uint32_t ColdPeriod, bool Complete,
-                std::optional<Millis> FirstToken, Millis PoolMedian,
-                Millis Now);
+bool endRequest(TargetState &State, std::uint32_t Stage, bool Complete,
+                std::optional<Millis> FirstToken, Millis PoolMedian);
 
 /// Takes a load report; returns true when it shows that the target restarted
 /// or lost its cache, so that its prefix table must be cleared.
 bool takeLoadReport(TargetState &State, const LoadReport &Report, Millis Now);
 
-/// Starts the cold ramp (again).
+/// Starts the ramp over without a penalty, after slow first tokens.
+void restartRamp(TargetState &State);
+
+/// Starts the ramp over after a restart, with a flap penalty.
 void markCold(TargetState &State, Millis Now);
 
 /// Replaces the residual count from a grant.
--- a/include/vanillaferry/request/account_limit.hpp
+++ b/include/vanillaferry/request/account_limit.hpp
@@ -55,6 +55,10 @@
 /// Takes one request from the account's rate at arrival; false when spent.
 bool takeRate(AccountTable &Table, const AccountId &Account, Millis Now);
 
+/// True when the account may start a waiting request: below its share here.
+/// The rate was taken at arrival.
+bool mayStart(const AccountTable &Table, const AccountId &Account);
+
 void startForAccount(AccountTable &Table, const AccountId &Account);
 void endForAccount(AccountTable &Table, const AccountId &Account);
 
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -118,21 +118,25 @@
 struct OwnedTarget {
   TargetState m_State;
   PrefixTable m_Prefixes;
-  /// Set by the caller: in service and mayDispatch holds.
+  /// In service by the pool view; only then it counts for the mean.
+  bool m_InService = false;
+  /// Set by the caller: in service and mayDispatch holds. A target that went
+  /// to another owner stays, not dispatchable, until its requests have ended.
   bool m_Dispatchable = false;
 };
 
 /// Everything one owner knows of one pool.
 struct OwnerPool {
   PoolSettings m_Settings;
-  /// Targets of the pool in service, over all owners.
-  std::size_t m_PoolTargets = 0;
+  /// Targets of the pool in service, over all owners, as the mean's divisor.
+  TargetCount m_PoolTargets;
   PoolMean m_Mean;
   std::map<TargetId, OwnedTarget> m_Targets;
   RedirectTable m_Redirects;
 };
 
-/// Running requests of the pool at this owner, with residual ones.
+/// Own running requests at targets in service, as reported in renewals.
+/// Residual ones are left out, because their former owner reports them.
 std::uint32_t ownerLoad(const OwnerPool &Pool);
 
 struct PlacementRequest {
@@ -176,16 +180,19 @@
 PlacementDecision decidePlacement(const OwnerPool &Pool,
                                   const PlacementRequest &Request, Millis Now);
 
-/// Counts an admitted request and notes the chat in the target's prefix table;
-/// returns the cold period for endAt.
-std::uint32_t startAt(OwnerPool &Pool, const TargetId &Target,
-                      std::uint64_t Chat, Tokens PromptTokens);
+/// Counts an admitted request and notes the chat in the target's prefix table
+/// and, when it runs elsewhere than at the target asked for, in the redirects;
+/// returns the stage for endAt. The entry router sends Placed to the home only
+/// when another router than the home's owner admitted the request.
+std::uint32_t startAt(OwnerPool &Pool, const PlacementRequest &Request,
+                      const TargetId &Target, Tokens PromptTokens);
 
 /// What the owner knows of a request that ended at one of its targets.
 struct EndedRequest {
   TargetId m_Target;
   std::uint64_t m_Chat = 0;
-  std::uint32_t m_ColdPeriod = 0;
+  /// From startAt.
+  std::uint32_t m_Stage = 0;
   bool m_Complete = true;
   std::optional<Millis> m_FirstToken;
   /// Pool's median first-token time; 0 while unknown.
--- a/include/vanillaferry/version/pool.hpp
+++ b/include/vanillaferry/version/pool.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,7 +61,9 @@
 
 struct VmRecord {
   VmState m_State = VmState::Live;
-  Millis m_LastListed;
+  /// When a list that was read lacked the VM first. Failed reads of the list
+  /// do not count, so that an unreachable platform takes no VM away.
+  std::optional<Millis> m_MissingSince;
 };
 
 /// What a router knows of the platform's VM list.
--- /dev/null
+++ b/src/core/process/target_state.cpp
@@ -0,0 +1,210 @@
+#include "vanillaferry/process/target_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillaferry {
+
+namespace {
+
+/// Routers that live renew within this time; an older report may be of a
+/// frozen one, whose requests end without being reported.
+constexpr Millis OrdinaryReportAge{1300};
+/// Completions are averaged over windows of this length.
+constexpr Millis RateWindow{2000};
+
+double penaltyAt(const TargetState &State, Millis Now) {
+  double Halves =
+      static_cast<double>((Now - State.m_PenaltyAt).m_Value) /
+      static_cast<double>(State.m_Options.m_PenaltyHalfLife.m_Value);
+  return State.m_Penalty * std::exp2(-std::max(0.0, Halves));
+}
+
+void growRamp(TargetState &State) {
+  ++State.m_Evidence;
+  if (State.m_Evidence < State.m_RampLimit)
+    return;
+  State.m_RampLimit = std::min(State.m_RampLimit * 2, State.m_MaxConcurrent);
+  State.m_Evidence = 0;
+  ++State.m_Stage;
+}
+
+} // namespace
+
+void setTargetCount(TargetCount &Count, std::size_t Targets, Millis Now) {
+  Count.m_Divisor = std::max(targetDivisor(Count, Now), Targets);
+  if (Targets != Count.m_Now)
+    Count.m_FellAt = Now;
+  Count.m_Now = Targets;
+}
+
+std::size_t targetDivisor(const TargetCount &Count, Millis Now) {
+  if (Now - Count.m_FellAt >= Count.m_Hold)
+    return Count.m_Now;
+  return std::max(Count.m_Now, Count.m_Divisor);
+}
+
+void takePoolTotal(PoolMean &Mean, const PoolTotal &Total,
+                   std::uint32_t OwnReported, Millis SentAt) {
+  if (SentAt < Mean.m_GrantSentAt)
+    return;
+  Mean.m_GrantSentAt = SentAt;
+  Mean.m_Others =
+      Total.m_Running > OwnReported ? Total.m_Running - OwnReported : 0;
+  Millis Excess(std::max<std::int64_t>(0, Total.m_Age.m_Value -
+                                              OrdinaryReportAge.m_Value));
+  Mean.m_OthersAt = SentAt - Excess;
+}
+
+void noteCompletion(PoolMean &Mean, std::uint32_t OwnRunning, Millis Now) {
+  ++Mean.m_RateCompletions;
+  std::int64_t Elapsed = (Now - Mean.m_RateAt).m_Value;
+  if (Elapsed < RateWindow.m_Value)
+    return;
+  double Running = std::max<double>(1, OwnRunning);
+  double Rate = Mean.m_RateCompletions * 1000.0 /
+                (static_cast<double>(Elapsed) * Running);
+  Mean.m_CompletionRate = Mean.m_CompletionRate == 0
+                              ? Rate
+                              : 0.8 * Mean.m_CompletionRate + 0.2 * Rate;
+  Mean.m_RateCompletions = 0;
+  Mean.m_RateAt = Now;
+}
+
+void noteReported(PoolMean &Mean, std::uint32_t OwnRunning, Millis Now) {
+  Mean.m_Reported = OwnRunning;
+  Mean.m_ReportedAt = Now;
+}
+
+bool earlyReportDue(const PoolMean &Mean, std::uint32_t OwnRunning,
+                    Millis Now) {
+  double Threshold = Mean.m_Reported * (1 - Mean.m_Options.m_ReportFall);
+  return OwnRunning < Threshold &&
+         Now - Mean.m_ReportedAt >= Mean.m_Options.m_ReportSpacing;
+}
+
+double poolFloor(const PoolMean &Mean, std::uint32_t OwnRunning, Millis Now) {
+  const LoadBoundOptions &Options = Mean.m_Options;
+  double Decline = Mean.m_CompletionRate > 0
+                       ? Mean.m_CompletionRate * Options.m_DeclineSafety
+                       : Options.m_DeclinePerSecond;
+  double Age = static_cast<double>((Now - Mean.m_OthersAt).m_Value) / 1000.0;
+  double Kept = (1 - Options.m_ReportFall) * (1 - Decline * Age);
+  return OwnRunning + Mean.m_Others * std::clamp(Kept, 0.0, 1.0);
+}
+
+std::uint32_t boundLimit(const PoolSettings &Settings, const PoolMean &Mean,
+                         std::uint32_t OwnRunning, std::size_t Targets,
+                         Priority Kind, Millis Now) {
+  double Bound = Kind == Priority::Batch
+                     ? std::max(1.0, Settings.m_Bound - Settings.m_InnerMargin)
+                     : Settings.m_Bound;
+  double Floor = (poolFloor(Mean, OwnRunning, Now) + 1) /
+                 static_cast<double>(std::max<std::size_t>(1, Targets));
+  // The tolerance keeps 1.25 * 8 from becoming 11 by rounding.
+  return static_cast<std::uint32_t>(std::ceil(Bound * Floor - 1e-9)) +
+         Settings.m_Allowance;
+}
+
+TargetState makeTargetState(const TargetSettings &Settings,
+                            std::uint32_t Residual) {
+  TargetState State;
+  State.m_Id = Settings.m_Id;
+  State.m_MaxConcurrent = std::max<std::uint32_t>(1, Settings.m_MaxConcurrent);
+  State.m_ColdLimit =
+      std::clamp<std::uint32_t>(Settings.m_ColdLimit, 1, State.m_MaxConcurrent);
+  State.m_Residual = Residual;
+  State.m_RampLimit =
+      std::clamp(Residual, State.m_ColdLimit, State.m_MaxConcurrent);
+  return State;
+}
+
+std::uint32_t targetLoad(const TargetState &State) {
+  return State.m_Running + State.m_Residual;
+}
+
+bool isCold(const TargetState &State) {
+  return State.m_RampLimit < State.m_MaxConcurrent;
+}
+
+bool isDamped(const TargetState &State, Millis Now) {
+  return State.m_Penalty > 0 &&
+         penaltyAt(State, Now) > State.m_Options.m_PenaltyLimit;
+}
+
+bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now) {
+  std::uint32_t Limit =
+      std::min({BoundLimit, State.m_RampLimit, State.m_MaxConcurrent});
+  return targetLoad(State) < Limit && !isDamped(State, Now);
+}
+
+std::uint32_t startRequest(TargetState &State) {
+  ++State.m_Running;
+  return State.m_Stage;
+}
+
+bool endRequest(TargetState &State, std::uint32_t Stage, bool Complete,
+                std::optional<Millis> FirstToken, Millis PoolMedian) {
+  if (State.m_Running > 0)
+    --State.m_Running;
+  if (!FirstToken)
+    return false;
+  bool Slow =
+      PoolMedian.m_Value > 0 && static_cast<double>(FirstToken->m_Value) >
+                                    State.m_Options.m_SlowMultiple *
+                                        static_cast<double>(PoolMedian.m_Value);
+  if (Stage != State.m_Stage)
+    return false;
+  if (!Slow) {
+    State.m_SlowRun = 0;
+    if (Complete && isCold(State))
+      growRamp(State);
+    return false;
+  }
+  if (++State.m_SlowRun < State.m_Options.m_SlowInRow)
+    return false;
+  // A target that is slow at its lowest limit cannot be ramped down further.
+  bool Lowest = State.m_RampLimit <= State.m_ColdLimit;
+  restartRamp(State);
+  return !Lowest;
+}
+
+void restartRamp(TargetState &State) {
+  State.m_RampLimit = State.m_ColdLimit;
+  State.m_Evidence = 0;
+  State.m_SlowRun = 0;
+  ++State.m_Stage;
+}
+
+bool takeLoadReport(TargetState &State, const LoadReport &Report, Millis Now) {
+  bool Restarted =
+      !State.m_Instance.empty() && State.m_Instance != Report.m_Instance;
+  bool First = State.m_Instance.empty();
+  State.m_Instance = Report.m_Instance;
+  if (First) {
+    // After a change of owner the limit follows what the target itself says.
+    std::uint32_t Shown = std::min(Report.m_Running, State.m_RampLimit);
+    if (State.m_Residual > 0 && Shown < State.m_RampLimit && isCold(State))
+      State.m_RampLimit = std::max(State.m_ColdLimit, Shown);
+    return false;
+  }
+  bool Dropped =
+      Report.m_OwnRunningThen >= State.m_Options.m_DropMinimum &&
+      Report.m_Running < State.m_Options.m_DropShare * Report.m_OwnRunningThen;
+  if (!Restarted && !Dropped)
+    return false;
+  markCold(State, Now);
+  return true;
+}
+
+void markCold(TargetState &State, Millis Now) {
+  State.m_Penalty = penaltyAt(State, Now) + 1;
+  State.m_PenaltyAt = Now;
+  restartRamp(State);
+}
+
+void setResidual(TargetState &State, std::uint32_t Residual) {
+  State.m_Residual = Residual;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/request/account_limit.cpp
@@ -0,0 +1,167 @@
+#include "vanillaferry/request/account_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace vanillaferry {
+
+namespace {
+
+std::uint32_t equalPart(std::uint32_t Limit, std::uint32_t Routers) {
+  return std::max<std::uint32_t>(1,
+                                 Limit / std::max<std::uint32_t>(1, Routers));
+}
+
+double rateHere(const AccountTable &Table, const AccountState &Account) {
+  // The rate follows the router's part of the concurrency limit, so that it
+  // moves to the routers where the account's callers are.
+  double Part = static_cast<double>(Account.m_Share) /
+                std::max<std::uint32_t>(1, Account.m_Settings.m_MaxConcurrent);
+  double Least = 1.0 / (2.0 * std::max<std::uint32_t>(1, Table.m_Routers));
+  return Account.m_Settings.m_RequestsPerSecond * std::clamp(Part, Least, 1.0);
+}
+
+void fillBucket(const AccountTable &Table, AccountState &Account, Millis Now) {
+  double Rate = rateHere(Table, Account);
+  double Elapsed =
+      static_cast<double>((Now - Account.m_BucketAt).m_Value) / 1000.0;
+  // One second's worth may burst, and always one request.
+  Account.m_Bucket = std::min(std::max(1.0, Rate),
+                              Account.m_Bucket + Rate * std::max(0.0, Elapsed));
+  Account.m_BucketAt = Now;
+}
+
+} // namespace
+
+void setAccounts(AccountTable &Table, const std::vector<AccountSettings> &All,
+                 std::uint32_t Routers, Millis Now) {
+  Table.m_Routers = std::max<std::uint32_t>(1, Routers);
+  std::set<AccountId> Kept;
+  for (const AccountSettings &Settings : All) {
+    Kept.insert(Settings.m_Id);
+    auto It = Table.m_Accounts.find(Settings.m_Id);
+    bool New = It == Table.m_Accounts.end();
+    AccountState &State = Table.m_Accounts[Settings.m_Id];
+    bool Changed =
+        New || State.m_Settings.m_MaxConcurrent != Settings.m_MaxConcurrent;
+    State.m_Settings = Settings;
+    if (Changed)
+      State.m_Share = equalPart(Settings.m_MaxConcurrent, Routers);
+    if (New) {
+      State.m_BucketAt = Now;
+      State.m_Bucket = std::max(1.0, rateHere(Table, State));
+    }
+  }
+  for (auto It = Table.m_Accounts.begin(); It != Table.m_Accounts.end();) {
+    if (Kept.count(It->first) != 0) {
+      ++It;
+      continue;
+    }
+    // Running requests of a removed account still have to be counted down.
+    It->second.m_Settings.m_Enabled = false;
+    It = It->second.m_Running == 0 ? Table.m_Accounts.erase(It) : std::next(It);
+  }
+}
+
+void takeShares(AccountTable &Table, const std::vector<AccountShare> &Shares) {
+  std::set<AccountId> Given;
+  for (const AccountShare &Share : Shares) {
+    auto It = Table.m_Accounts.find(Share.m_Account);
+    if (It == Table.m_Accounts.end())
+      continue;
+    Given.insert(Share.m_Account);
+    It->second.m_Share = Share.m_Limit;
+  }
+  for (std::pair<const AccountId, AccountState> &Pair : Table.m_Accounts)
+    if (Given.count(Pair.first) == 0)
+      Pair.second.m_Share =
+          equalPart(Pair.second.m_Settings.m_MaxConcurrent, Table.m_Routers);
+}
+
+RefusalReason checkAccount(AccountTable &Table, const AccountId &Account,
+                           Millis Now) {
+  auto It = Table.m_Accounts.find(Account);
+  if (It == Table.m_Accounts.end())
+    return RefusalReason::UnknownApiKey;
+  AccountState &State = It->second;
+  if (!State.m_Settings.m_Enabled)
+    return RefusalReason::AccountDisabled;
+  fillBucket(Table, State, Now);
+  if (State.m_Bucket < 1)
+    return RefusalReason::AccountRate;
+  return State.m_Running < State.m_Share ? RefusalReason::None
+                                         : RefusalReason::AccountConcurrency;
+}
+
+bool takeRate(AccountTable &Table, const AccountId &Account, Millis Now) {
+  auto It = Table.m_Accounts.find(Account);
+  if (It == Table.m_Accounts.end())
+    return false;
+  fillBucket(Table, It->second, Now);
+  if (It->second.m_Bucket < 1)
+    return false;
+  It->second.m_Bucket -= 1;
+  return true;
+}
+
+bool mayStart(const AccountTable &Table, const AccountId &Account) {
+  auto It = Table.m_Accounts.find(Account);
+  return It != Table.m_Accounts.end() && It->second.m_Settings.m_Enabled &&
+         It->second.m_Running < It->second.m_Share;
+}
+
+void startForAccount(AccountTable &Table, const AccountId &Account) {
+  auto It = Table.m_Accounts.find(Account);
+  if (It != Table.m_Accounts.end())
+    ++It->second.m_Running;
+}
+
+void endForAccount(AccountTable &Table, const AccountId &Account) {
+  auto It = Table.m_Accounts.find(Account);
+  if (It != Table.m_Accounts.end() && It->second.m_Running > 0)
+    --It->second.m_Running;
+}
+
+std::vector<AccountDemand> accountDemand(const AccountTable &Table) {
+  std::vector<AccountDemand> Demand;
+  for (const std::pair<const AccountId, AccountState> &Pair : Table.m_Accounts)
+    if (Pair.second.m_Running > 0 || Pair.second.m_Waiting > 0)
+      Demand.push_back(AccountDemand{Pair.first, Pair.second.m_Running,
+                                     Pair.second.m_Waiting});
+  return Demand;
+}
+
+std::map<NodeId, std::uint32_t> divideLimit(std::uint32_t Limit,
+                                            std::vector<ShareDemand> Demands) {
+  std::map<NodeId, std::uint32_t> Parts;
+  if (Demands.empty())
+    return Parts;
+  // Smallest demand first: what it leaves over goes to the larger ones.
+  std::sort(Demands.begin(), Demands.end(),
+            [](const ShareDemand &A, const ShareDemand &B) {
+              return A.m_Wanted != B.m_Wanted ? A.m_Wanted < B.m_Wanted
+                                              : A.m_Node < B.m_Node;
+            });
+  std::uint32_t Left = Limit;
+  std::size_t Rest = Demands.size();
+  for (const ShareDemand &Demand : Demands) {
+    // Rounded up for the last ones, so that nothing is stranded.
+    std::uint32_t Fair = static_cast<std::uint32_t>(Left / Rest);
+    std::uint32_t Part = std::min(Demand.m_Wanted, Fair);
+    Parts[Demand.m_Node] = Part;
+    Left -= Part;
+    --Rest;
+  }
+  // What nobody wants lets new callers start anywhere without a round trip.
+  for (std::size_t I = 0; Left > 0; I = (I + 1) % Demands.size()) {
+    std::uint32_t Extra = std::max<std::uint32_t>(
+        1, Left / static_cast<std::uint32_t>(Demands.size()));
+    Extra = std::min(Extra, Left);
+    Parts[Demands[Demands.size() - 1 - I].m_Node] += Extra;
+    Left -= Extra;
+  }
+  return Parts;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/request/placement_owner.cpp
@@ -0,0 +1,171 @@
+#include "vanillaferry/request/placement.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+std::uint32_t internTarget(RedirectTable &Table, const TargetId &Target) {
+  auto It = std::find(Table.m_Targets.begin(), Table.m_Targets.end(), Target);
+  if (It == Table.m_Targets.end())
+    It = Table.m_Targets.insert(It, Target);
+  return static_cast<std::uint32_t>(It - Table.m_Targets.begin());
+}
+
+void forgetRedirect(RedirectTable &Table, std::uint64_t Chat) {
+  auto It = Table.m_ByChat.find(Chat);
+  if (It == Table.m_ByChat.end())
+    return;
+  Table.m_Recent.erase(It->second);
+  Table.m_ByChat.erase(It);
+}
+
+/// Best targets of one owner for one request.
+struct Candidates {
+  const OwnedTarget *m_Holder = nullptr;
+  const OwnedTarget *m_Least = nullptr;
+};
+
+bool lessLoaded(const OwnedTarget &A, const OwnedTarget *B) {
+  return !B || targetLoad(A.m_State) < targetLoad(B->m_State);
+}
+
+/// A cold target is taken only where no warm one admits, so that it is not
+/// filled to its limit in preference to warm ones with more running requests.
+bool betterLeast(const OwnedTarget &A, const OwnedTarget *B) {
+  if (B && isCold(A.m_State) != isCold(B->m_State))
+    return isCold(B->m_State);
+  return lessLoaded(A, B);
+}
+
+Candidates findCandidates(const OwnerPool &Pool,
+                          const PlacementRequest &Request, Millis Now) {
+  std::uint32_t Limit = boundLimit(
+      Pool.m_Settings, Pool.m_Mean, ownerLoad(Pool),
+      targetDivisor(Pool.m_PoolTargets, Now), Request.m_Priority, Now);
+  Candidates Best;
+  for (const std::pair<const TargetId, OwnedTarget> &Pair : Pool.m_Targets) {
+    const OwnedTarget &Target = Pair.second;
+    if (!Target.m_Dispatchable || !admits(Target.m_State, Limit, Now))
+      continue;
+    if (lessLoaded(Target, Best.m_Holder) &&
+        heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0)
+      Best.m_Holder = &Target;
+    if (betterLeast(Target, Best.m_Least))
+      Best.m_Least = &Target;
+  }
+  return Best;
+}
+
+PlacementDecision admitAt(const OwnedTarget &Target, PlacementWhy Why) {
+  PlacementDecision Decision;
+  Decision.m_Admitted = true;
+  Decision.m_Target = Target.m_State.m_Id;
+  Decision.m_Why = Why;
+  return Decision;
+}
+
+} // namespace
+
+void notePlaced(RedirectTable &Table, std::uint64_t Chat, const TargetId &Home,
+                const TargetId &RanAt) {
+  forgetRedirect(Table, Chat);
+  if (RanAt == Home)
+    return;
+  Table.m_Recent.push_front(
+      RedirectTable::Entry{Chat, internTarget(Table, RanAt)});
+  Table.m_ByChat[Chat] = Table.m_Recent.begin();
+  while (Table.m_Recent.size() > Table.m_Capacity) {
+    Table.m_ByChat.erase(Table.m_Recent.back().m_Chat);
+    Table.m_Recent.pop_back();
+  }
+}
+
+TargetId redirectOf(const RedirectTable &Table, std::uint64_t Chat) {
+  auto It = Table.m_ByChat.find(Chat);
+  return It == Table.m_ByChat.end() ? TargetId()
+                                    : Table.m_Targets[It->second->m_Target];
+}
+
+void dropRedirects(RedirectTable &Table, const TargetId &Target) {
+  for (auto It = Table.m_Recent.begin(); It != Table.m_Recent.end();) {
+    if (Table.m_Targets[It->m_Target] != Target) {
+      ++It;
+      continue;
+    }
+    Table.m_ByChat.erase(It->m_Chat);
+    It = Table.m_Recent.erase(It);
+  }
+}
+
+std::uint32_t ownerLoad(const OwnerPool &Pool) {
+  std::uint32_t Load = 0;
+  for (const std::pair<const TargetId, OwnedTarget> &Pair : Pool.m_Targets)
+    if (Pair.second.m_InService)
+      Load += Pair.second.m_State.m_Running;
+  return Load;
+}
+
+PlacementDecision decidePlacement(const OwnerPool &Pool,
+                                  const PlacementRequest &Request, Millis Now) {
+  PlacementDecision Decision;
+  auto Asked = Pool.m_Targets.find(Request.m_Target);
+  bool Owned = Asked != Pool.m_Targets.end() && Asked->second.m_Dispatchable;
+  if (!Owned && !Request.m_AnyTarget) {
+    Decision.m_Why = PlacementWhy::NotOwner;
+    return Decision;
+  }
+  Candidates Best = findCandidates(Pool, Request, Now);
+  if (Best.m_Holder)
+    return admitAt(*Best.m_Holder, PlacementWhy::Holder);
+  if (!Request.m_IgnoreRedirect) {
+    TargetId Holder = redirectOf(Pool.m_Redirects, Request.m_Chat);
+    if (!Holder.empty() && Pool.m_Targets.count(Holder) == 0) {
+      Decision.m_Why = PlacementWhy::HeldElsewhere;
+      Decision.m_Holder = Holder;
+      return Decision;
+    }
+  }
+  if (!Best.m_Least)
+    return Decision;
+  bool IsAsked = Best.m_Least->m_State.m_Id == Request.m_Target;
+  return admitAt(*Best.m_Least,
+                 IsAsked ? PlacementWhy::Ranked : PlacementWhy::LeastLoaded);
+}
+
+std::uint32_t startAt(OwnerPool &Pool, const PlacementRequest &Request,
+                      const TargetId &Target, Tokens PromptTokens) {
+  OwnedTarget &At = Pool.m_Targets[Target];
+  rememberChat(At.m_Prefixes, Request.m_Chat, PromptTokens);
+  if (!Request.m_AnyTarget)
+    notePlaced(Pool.m_Redirects, Request.m_Chat, Request.m_Target, Target);
+  return startRequest(At.m_State);
+}
+
+void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now) {
+  auto It = Pool.m_Targets.find(Ended.m_Target);
+  if (It == Pool.m_Targets.end())
+    return;
+  OwnedTarget &At = It->second;
+  noteCompletion(Pool.m_Mean, ownerLoad(Pool), Now);
+  bool TurnedCold = endRequest(At.m_State, Ended.m_Stage, Ended.m_Complete,
+                               Ended.m_FirstToken, Ended.m_PoolMedian);
+  if (TurnedCold)
+    clearPrefixes(At.m_Prefixes);
+  else if (Ended.m_Complete && Ended.m_Stage == At.m_State.m_Stage)
+    rememberChat(At.m_Prefixes, Ended.m_Chat, Ended.m_Tokens);
+}
+
+void takeReportAt(OwnerPool &Pool, const TargetId &Target,
+                  const LoadReport &Report, Millis Now) {
+  auto It = Pool.m_Targets.find(Target);
+  if (It == Pool.m_Targets.end())
+    return;
+  if (!takeLoadReport(It->second.m_State, Report, Now))
+    return;
+  clearPrefixes(It->second.m_Prefixes);
+  dropRedirects(Pool.m_Redirects, Target);
+}
+
+} // namespace vanillaferry
