--- a/src/daemon/process/keeper_identity.cpp
+++ b/src/daemon/process/keeper_formation.cpp
@@ -1,4 +1,4 @@
-#include "process/keeper_identity.hpp"
+#include "process/keeper_formation.hpp"
 
 #include <algorithm>
 #include <cerrno>
@@ -16,26 +16,26 @@
 
 using nlohmann::json;
 
-constexpr const char *FileName = "/identity.json";
-constexpr const char *TemporaryName = "/identity.json.new";
+constexpr const char *FileName = "/formation.json";
+constexpr const char *TemporaryName = "/formation.json.new";
 
-const std::map<std::string, IdentityState> &stateNames() {
-  static const std::map<std::string, IdentityState> Names = {
-      {"forming", IdentityState::Forming},
-      {"formed", IdentityState::Formed},
-      {"fresh", IdentityState::Fresh},
-      {"lost", IdentityState::Lost}};
+const std::map<std::string, FormationState> &stateNames() {
+  static const std::map<std::string, FormationState> Names = {
+      {"forming", FormationState::Forming},
+      {"formed", FormationState::Formed},
+      {"fresh", FormationState::Fresh},
+      {"lost", FormationState::Lost}};
   return Names;
 }
 
-std::string nameOf(IdentityState State) {
-  for (const std::pair<const std::string, IdentityState> &Row : stateNames())
+std::string nameOf(FormationState State) {
+  for (const std::pair<const std::string, FormationState> &Row : stateNames())
     if (Row.second == State)
       return Row.first;
   return std::string();
 }
 
-Error ioError(const std::string &What, const std::string &Path) {
+Error fileError(const std::string &What, const std::string &Path) {
   return makeError(ErrorCode::Io,
                    "cannot " + What + " " + Path + ": " + strerror(errno));
 }
@@ -45,11 +45,11 @@
   int File =
       ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (File < 0)
-    return ioError("open", Path);
+    return fileError("open", Path);
   ssize_t Written = ::write(File, Text.data(), Text.size());
   bool Whole = Written == static_cast<ssize_t>(Text.size());
   if (!Whole || ::fsync(File) != 0) {
-    Error Failed = ioError("write", Path);
+    Error Failed = fileError("write", Path);
     ::close(File);
     return Failed;
   }
@@ -57,14 +57,14 @@
   return boost::outcome_v2::success();
 }
 
-Status syncFolder(const std::string &Path) {
+Status syncNames(const std::string &Path) {
   int Folder = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (Folder < 0)
-    return ioError("open", Path);
+    return fileError("open", Path);
   int Failed = ::fsync(Folder);
   ::close(Folder);
   if (Failed != 0)
-    return ioError("sync", Path);
+    return fileError("sync", Path);
   return boost::outcome_v2::success();
 }
 
@@ -92,59 +92,57 @@
   return XXH3_64bits(Text.data(), Text.size());
 }
 
-Result<std::optional<KeeperIdentity>> loadIdentity(const std::string &Folder) {
+Result<std::optional<Formation>> loadFormation(const std::string &Folder) {
   std::ifstream File(Folder + FileName);
   if (!File) {
     if (errno == ENOENT)
-      return std::optional<KeeperIdentity>();
-    return ioError("open", Folder + FileName);
+      return std::optional<Formation>();
+    return fileError("open", Folder + FileName);
   }
   try {
     json Value = json::parse(File);
-    KeeperIdentity Identity;
-    Identity.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
-    Identity.m_Disk = numberOf(Value.at("disk").get<std::string>());
-    Identity.m_State = stateNames().at(Value.at("state").get<std::string>());
-    Identity.m_InitialSet =
-        numberOf(Value.at("initial_set").get<std::string>());
+    Formation Record;
+    Record.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
+    Record.m_Disk = numberOf(Value.at("disk").get<std::string>());
+    Record.m_State = stateNames().at(Value.at("state").get<std::string>());
+    Record.m_InitialSet = numberOf(Value.at("initial_set").get<std::string>());
     for (const json::iterator::value_type &Claim : Value.at("claims"))
-      Identity.m_Claims[KeeperId(Claim.at("keeper").get<std::string>())] =
+      Record.m_Claims[KeeperId(Claim.at("keeper").get<std::string>())] =
           numberOf(Claim.at("disk").get<std::string>());
-    return std::optional<KeeperIdentity>(Identity);
+    return std::optional<Formation>(Record);
   } catch (const std::exception &E) {
     return makeError(ErrorCode::Corrupt, Folder + FileName + ": " + E.what());
   }
 }
 
-Status saveIdentity(const std::string &Folder, const KeeperIdentity &Identity) {
+Status saveFormation(const std::string &Folder, const Formation &Record) {
   json Claims = json::array();
-  for (const std::pair<const KeeperId, std::uint64_t> &Claim :
-       Identity.m_Claims)
+  for (const std::pair<const KeeperId, std::uint64_t> &Claim : Record.m_Claims)
     Claims.push_back(
         {{"keeper", Claim.first.m_Value}, {"disk", hexOf(Claim.second)}});
-  json Value = {{"keeper", Identity.m_Keeper.m_Value},
-                {"disk", hexOf(Identity.m_Disk)},
-                {"state", nameOf(Identity.m_State)},
-                {"initial_set", hexOf(Identity.m_InitialSet)},
+  json Value = {{"keeper", Record.m_Keeper.m_Value},
+                {"disk", hexOf(Record.m_Disk)},
+                {"state", nameOf(Record.m_State)},
+                {"initial_set", hexOf(Record.m_InitialSet)},
                 {"claims", Claims}};
   Status Written = writeFile(Folder + TemporaryName, Value.dump(2) + "\n");
   if (!Written)
     return Written;
   if (::rename((Folder + TemporaryName).c_str(), (Folder + FileName).c_str()) !=
       0)
-    return ioError("rename", Folder + TemporaryName);
-  return syncFolder(Folder);
+    return fileError("rename", Folder + TemporaryName);
+  return syncNames(Folder);
 }
 
-Result<KeeperIdentity> createIdentity(const KeeperSettings &Settings,
-                                      bool Initialize, std::uint64_t Random) {
-  KeeperIdentity Identity;
-  Identity.m_Disk = Random;
-  Identity.m_InitialSet = hashInitialSet(Settings.m_InitialKeepers);
+Result<Formation> createFormation(const KeeperSettings &Settings,
+                                  bool Initialize, std::uint64_t Random) {
+  Formation Record;
+  Record.m_Disk = Random;
+  Record.m_InitialSet = hashInitialSet(Settings.m_InitialKeepers);
   if (!Initialize) {
-    Identity.m_Keeper = KeeperId(Settings.m_Keeper.m_Value + "-" +
-                                 hexOf(Random).substr(0, 8));
-    return Identity;
+    Record.m_Keeper =
+        KeeperId(Settings.m_Keeper.m_Value + "-" + hexOf(Random).substr(0, 8));
+    return Record;
   }
   bool Listed = std::any_of(Settings.m_InitialKeepers.begin(),
                             Settings.m_InitialKeepers.end(),
@@ -155,13 +153,13 @@
     return makeError(ErrorCode::InvalidSettings,
                      "--initialize: keeper " + Settings.m_Keeper.m_Value +
                          " is not in initial_keepers");
-  Identity.m_Keeper = Settings.m_Keeper;
-  Identity.m_State = IdentityState::Forming;
-  Identity.m_Claims[Identity.m_Keeper] = Identity.m_Disk;
-  return Identity;
+  Record.m_Keeper = Settings.m_Keeper;
+  Record.m_State = FormationState::Forming;
+  Record.m_Claims[Record.m_Keeper] = Record.m_Disk;
+  return Record;
 }
 
-IdentityVerdict judgeClaim(KeeperIdentity &Own, const IdentityClaim &Claim,
+IdentityVerdict judgeClaim(Formation &Own, const IdentityClaim &Claim,
                            bool &Changed) {
   Changed = false;
   IdentityVerdict Verdict;
@@ -177,7 +175,7 @@
     return Verdict;
   }
   // A formed keeper knows the disks of all members of the initial set.
-  if (Own.m_State != IdentityState::Forming) {
+  if (Own.m_State != FormationState::Forming) {
     Verdict.m_Why = "the keeper set is formed without " +
                     Claim.m_Keeper.m_Value + "; start without --initialize";
     return Verdict;
@@ -193,7 +191,7 @@
   return Verdict;
 }
 
-bool noteAcceptance(KeeperIdentity &Own, std::set<KeeperId> &Accepted,
+bool noteAcceptance(Formation &Own, std::set<KeeperId> &Accepted,
                     const KeeperId &From, const IdentityVerdict &Verdict,
                     const std::vector<InitialKeeper> &Keepers) {
   if (Own.m_Claims.emplace(From, Verdict.m_Disk).first->second ==
--- a/src/daemon/process/keeper_identity.hpp
+++ b/src/daemon/process/keeper_formation.hpp
@@ -13,7 +13,7 @@
 namespace vanillaferry {
 
 /// How far an identity may take part in the keeper set.
-enum class IdentityState : std::uint8_t {
+enum class FormationState : std::uint8_t {
   /// Member of the initial set that the other members have not all confirmed:
   /// it neither votes nor stores a log.
   Forming,
@@ -26,11 +26,11 @@
 };
 
 /// Who this keeper is, as its disk says.
-struct KeeperIdentity {
+struct Formation {
   KeeperId m_Keeper;
   /// Drawn at random when the data folder was first used.
   std::uint64_t m_Disk = 0;
-  IdentityState m_State = IdentityState::Fresh;
+  FormationState m_State = FormationState::Fresh;
   std::uint64_t m_InitialSet = 0;
   /// Disk of each member of the initial set, the first that claimed it.
   std::map<KeeperId, std::uint64_t> m_Claims;
@@ -40,25 +40,25 @@
 std::uint64_t hashInitialSet(const std::vector<InitialKeeper> &Keepers);
 
 /// Reads the identity of a data folder; empty when it has none.
-Result<std::optional<KeeperIdentity>> loadIdentity(const std::string &Folder);
+Result<std::optional<Formation>> loadFormation(const std::string &Folder);
 
 /// Replaces the identity file and syncs it and its folder.
-Status saveIdentity(const std::string &Folder, const KeeperIdentity &Identity);
+Status saveFormation(const std::string &Folder, const Formation &Record);
 
 /// The identity of an empty data folder: with Initialize the one named in the
 /// settings, else a fresh one with a random suffix.
-Result<KeeperIdentity> createIdentity(const KeeperSettings &Settings,
-                                      bool Initialize, std::uint64_t Random);
+Result<Formation> createFormation(const KeeperSettings &Settings,
+                                  bool Initialize, std::uint64_t Random);
 
 /// Decides on another keeper's claim and notes the first disk of an identity.
 /// When Changed is set, the identity must be saved before the answer leaves.
-IdentityVerdict judgeClaim(KeeperIdentity &Own, const IdentityClaim &Claim,
+IdentityVerdict judgeClaim(Formation &Own, const IdentityClaim &Claim,
                            bool &Changed);
 
 /// Notes an accepting verdict of a member in Accepted. Returns true when all
 /// other members of the initial set have accepted; the caller then saves the
 /// identity as Formed. A verdict of a disk that is not the member's is ignored.
-bool noteAcceptance(KeeperIdentity &Own, std::set<KeeperId> &Accepted,
+bool noteAcceptance(Formation &Own, std::set<KeeperId> &Accepted,
                     const KeeperId &From, const IdentityVerdict &Verdict,
                     const std::vector<InitialKeeper> &Keepers);
 
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -61,10 +61,11 @@
              ZoneId("Topsia"),
              Epoch(4),
              DocumentVersion(5),
+             88,
              true,
              {{PoolId("p"), 3}, {PoolId("q"), 0}},
              {{TargetId("t"), 4}},
-             {{AccountId("a"), 5, 6}}};
+             {{AccountId("a"), 5, 6, 7}}};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -73,6 +74,7 @@
   SAME(m_Zone);
   SAME(m_AckedEpoch);
   SAME(m_AckedVersion);
+  SAME(m_AckedGrant);
   SAME(m_Leaving);
   BOOST_REQUIRE_EQUAL(Got.m_Pools.size(), 2U);
   SAME(m_Pools[0].m_Pool);
@@ -84,6 +86,7 @@
   SAME(m_Accounts.at(0).m_Account);
   SAME(m_Accounts.at(0).m_Running);
   SAME(m_Accounts.at(0).m_Waiting);
+  SAME(m_Accounts.at(0).m_Share);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -151,15 +154,16 @@
 
 BOOST_AUTO_TEST_CASE(JournalMessagesKeepEveryField) {
   {
-    JournalBegin Sent{RequestId("r"), AccountId("a"), IdempotencyKey("k"),
-                      "hash",         UnixMillis(99), NodeId("n"),
-                      Incarnation(11)};
+    JournalBegin Sent{RequestId("r"),  AccountId("a"), IdempotencyKey("k"),
+                      "hash",          UnixMillis(99), NodeId("n"),
+                      Incarnation(11), UnixMillis(123)};
     JournalBegin Got = roundTrip(Sent);
     SAME(m_Request);
     SAME(m_Account);
     SAME(m_Key);
     SAME(m_BodyHash);
     SAME(m_IssuedAt);
+    SAME(m_ProposedAt);
     SAME(m_Node);
     SAME(m_Incarnation);
   }
