--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -39,6 +39,11 @@
     State.m_Log.push_back(std::move(Entry));
   }
   State.m_Synced = lastIndex(State);
+  // A snapshot may have become durable just before the term in which it came.
+  if (lastTerm(State) > State.m_Hard.m_Term) {
+    State.m_Hard.m_Term = lastTerm(State);
+    State.m_Hard.m_VotedFor = KeeperId();
+  }
   useNewestSet(State);
   // The keeper may have answered a leader just before it restarted, and that
   // answer is part of the leader's lease.
