Add the keeper daemon with its HTTP interface

Cause: the replicated log, state machine, leases and disk need a process. Change: 'vanillaferry keeper' runs them on the GLib main loop, persists before it sends, groups proposals of one batch of messages into one append, answers routers (Renew, JournalBegin, JournalEnd) and operators (document, status, keeper set, drain, health, metrics). An edit's answer waits until it is in force at every live lease (200) or a limit passes (202). Ruled out: calling handlers in the middle of a result of the replica; the results are queued, so that persisting and sending keep their order. Conclusion: ready for the router daemon to talk to.

--- /dev/null
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "connection/operator_http.hpp"
+#include "connection/peer_task.hpp"
+#include "process/disk_task.hpp"
+#include "process/keeper_formation.hpp"
+#include "process/mailbox.hpp"
+#include "process/metrics.hpp"
+#include "process/settings.hpp"
+#include "vanillaferry/process/lease_table.hpp"
+#include "vanillaferry/process/replication.hpp"
+#include "vanillaferry/process/state_machine.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace vanillaferry::internal {
+
+/// Called with the answer of an applied command, or without one when the
+/// keeper lost its leadership first: whether the command is ever committed is
+/// then unknown.
+using AppliedHandler = std::function<void(const CommandAnswer *)>;
+/// Called with true once a read is confirmed, with false when it cannot be.
+using ReadHandler = std::function<void(bool)>;
+
+struct ProposedCommand {
+  Command m_Command;
+  AppliedHandler m_OnApplied;
+};
+
+/// A proposed command that waits to be applied.
+struct WaitingCommand {
+  Term m_Term;
+  AppliedHandler m_OnApplied;
+};
+
+/// What is known of a connected process.
+struct ConnectedPeer {
+  NodeRole m_Role = NodeRole::Router;
+  Incarnation m_Incarnation;
+  std::string m_HttpUrl;
+  std::uint32_t m_Links = 0;
+};
+
+/// Messages that leave once the disk has synced up to a ticket.
+struct HeldMessages {
+  std::uint64_t m_Ticket = 0;
+  std::vector<ReplicaMessage> m_Messages;
+};
+
+/// A position of the own log to be reported once its ticket is synced.
+struct HeldSync {
+  std::uint64_t m_Ticket = 0;
+  LogIndex m_Index;
+  Term m_Term;
+};
+
+/// An accepted edit whose operator waits until it is in force everywhere.
+struct InForceWait {
+  DocumentVersion m_Version;
+  Millis m_AcceptedAt;
+  Millis m_Deadline;
+  /// Called with true when in force, with false at the deadline.
+  std::function<void(bool)> m_OnDone;
+};
+
+/// State of the keeper's main task; touched on the GLib main loop only.
+struct Keeper {
+  KeeperSettings m_Settings;
+  std::string m_HttpUrl;
+  Formation m_Formation;
+  std::set<KeeperId> m_AcceptedBy;
+  Millis m_NextClaim;
+  Incarnation m_Incarnation;
+  /// False while the first keeper set is being formed.
+  bool m_Running = false;
+  Replica m_Replica;
+  StateMachine m_State;
+  /// Present while this keeper leads and has confirmed it once.
+  std::optional<LeaseTable> m_Leases;
+
+  std::unique_ptr<PeerTask> m_Peers;
+  std::unique_ptr<DiskTask> m_Disk;
+  std::unique_ptr<Mailbox<PeerEvent>> m_PeerMail;
+  std::unique_ptr<Mailbox<DiskReport>> m_DiskMail;
+  std::unique_ptr<OperatorHttp> m_Http;
+  Metrics m_Metrics;
+  GMainLoop *m_Loop = nullptr;
+  int m_ExitCode = 0;
+
+  std::uint64_t m_LastTicket = 0;
+  std::uint64_t m_SyncedTicket = 0;
+  std::deque<HeldMessages> m_HeldMessages;
+  std::deque<HeldSync> m_HeldSyncs;
+  std::deque<ReplicaActions> m_ActionQueue;
+  bool m_Performing = false;
+
+  std::vector<ProposedCommand> m_Proposals;
+  bool m_ProposalsScheduled = false;
+  std::map<LogIndex, WaitingCommand> m_Applied;
+  std::uint64_t m_NextReadToken = 1;
+  std::map<std::uint64_t, ReadHandler> m_Reads;
+
+  std::map<NodeId, ConnectedPeer> m_Connected;
+  std::set<std::string> m_Dialled;
+  LogIndex m_DialledSet{~0ULL};
+  /// Newest renewal of each router while this leader cannot grant yet.
+  std::map<NodeId, Renew> m_WaitingRenewals;
+  std::set<NodeId> m_Removing;
+  std::vector<InForceWait> m_InForceWaits;
+  Millis m_NextLeaseCheck;
+  Millis m_NextClock;
+  Millis m_NextPromotion;
+  Millis m_StartedAt;
+};
+
+// keeper_replica.cpp
+/// Persists, sends and applies what the replica asks for, in this order.
+void perform(Keeper &Self, ReplicaActions Actions);
+void onDiskReport(Keeper &Self, const DiskReport &Report);
+/// Proposes at the end of the current batch of messages, so that all commands
+/// that arrive together share one append.
+void proposeCommand(Keeper &Self, Command Input, AppliedHandler OnApplied);
+/// Notes a handler for the entry that was just appended at this index.
+void awaitApplied(Keeper &Self, LogIndex Index, AppliedHandler OnApplied);
+void confirmRead(Keeper &Self, ReadHandler OnConfirmed);
+/// Stops the process with this exit code.
+void stopKeeper(Keeper &Self, int ExitCode);
+/// Keeps links to all other keepers of the newest set.
+void dialKeepers(Keeper &Self);
+
+// keeper_requests.cpp
+void onPeerEvent(Keeper &Self, PeerEvent Event);
+bool leads(const Keeper &Self);
+/// The lease table when this keeper may grant leases now, else null.
+LeaseTable *grantingTable(Keeper &Self, Millis Now);
+/// Periodic work of the leader: waiting renewals, ended leases, clock, edits
+/// that come into force.
+void leaderWork(Keeper &Self, Millis Now);
+
+// keeper_forming.cpp
+/// Folder of the write-ahead log within the data folder.
+std::string logFolder(const KeeperSettings &Settings);
+void claimIdentity(Keeper &Self, Millis Now);
+void onClaim(Keeper &Self, const NodeId &From, const IdentityClaim &Claim);
+void onVerdict(Keeper &Self, const NodeId &From,
+               const IdentityVerdict &Verdict);
+/// Opens the log and starts the replica.
+void startReplica(Keeper &Self);
+
+} // namespace vanillaferry::internal
--- /dev/null
+++ b/src/daemon/process/keeper.cpp
@@ -0,0 +1,210 @@
+#include "process/keeper.hpp"
+
+#include "process/clock.hpp"
+#include "process/command_line.hpp"
+#include "process/internal/keeper_api.hpp"
+#include "process/internal/keeper_task.hpp"
+#include "process/log.hpp"
+
+#include <CLI/CLI.hpp>
+#include <cerrno>
+#include <cstring>
+#include <glib-unix.h>
+#include <iostream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace vanillaferry {
+
+namespace internal {
+
+namespace {
+
+constexpr guint TickMillis = 20;
+/// Snapshots travel in one frame; the bound is far above the state of a fleet
+/// of the target size with a day of journaled calls.
+constexpr Bytes MaxKeeperFrame{256LL * 1024 * 1024};
+constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
+
+gboolean onTick(gpointer Data) {
+  Keeper &Self = *static_cast<Keeper *>(Data);
+  Millis Now = monotonicNow();
+  claimIdentity(Self, Now);
+  if (Self.m_Running)
+    perform(Self, tick(Self.m_Replica, Now));
+  if (leads(Self))
+    leaderWork(Self, Now);
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean onSignal(gpointer Data) {
+  Keeper &Self = *static_cast<Keeper *>(Data);
+  logEvent(Event::ShutdownRequested);
+  g_main_loop_quit(Self.m_Loop);
+  return G_SOURCE_CONTINUE;
+}
+
+/// Loads the identity or creates one; Fresh identities without a log never
+/// took part in anything and are drawn anew.
+Status readFormation(Keeper &Self, bool Initialize) {
+  const std::string &Folder = Self.m_Settings.m_DataFolder;
+  if (::mkdir(Folder.c_str(), 0700) != 0 && errno != EEXIST)
+    return makeError(ErrorCode::Io,
+                     "cannot create " + Folder + ": " + strerror(errno));
+  Result<std::optional<Formation>> Loaded = loadFormation(Folder);
+  if (!Loaded)
+    return Loaded.error();
+  std::string LogIdentity = logFolder(Self.m_Settings) + "/identity.json";
+  bool HasLog = ::access(LogIdentity.c_str(), F_OK) == 0;
+  bool Known = Loaded.value().has_value();
+  if (Known && Loaded.value()->m_State == FormationState::Formed && !HasLog)
+    return makeError(ErrorCode::Corrupt,
+                     "the log of identity " + Loaded.value()->m_Keeper.m_Value +
+                         " is missing in " + Folder +
+                         "; empty the folder and start without --initialize");
+  if (!Known && HasLog)
+    return makeError(ErrorCode::Corrupt,
+                     "the identity of the log in " + Folder + " is missing");
+  if (Known && (HasLog || Loaded.value()->m_State == FormationState::Forming)) {
+    Self.m_Formation = std::move(*Loaded.value());
+    return boost::outcome_v2::success();
+  }
+  Result<Formation> Created =
+      createFormation(Self.m_Settings, Initialize, randomSeed());
+  if (!Created)
+    return Created.error();
+  Self.m_Formation = std::move(Created.value());
+  logEvent(Event::KeeperIdentityCreated,
+           {{"keeper", Self.m_Formation.m_Keeper.m_Value},
+            {"initialize", Initialize ? "yes" : "no"}});
+  return saveFormation(Folder, Self.m_Formation);
+}
+
+Status startPeers(Keeper &Self) {
+  PeerOptions Options;
+  Options.m_Self = NodeId(Self.m_Formation.m_Keeper.m_Value);
+  Options.m_Incarnation = Self.m_Incarnation;
+  Options.m_Role = NodeRole::Keeper;
+  Options.m_HttpUrl = Self.m_HttpUrl;
+  Options.m_ListenAddress = Self.m_Settings.m_Peer.m_Address;
+  Options.m_ListenPort = Self.m_Settings.m_Peer.m_Port;
+  Options.m_MaxFrame = MaxKeeperFrame;
+  Options.m_MaxBuffered = MaxKeeperBuffered;
+  Mailbox<PeerEvent> *Mail = Self.m_PeerMail.get();
+  Result<std::unique_ptr<PeerTask>> Started = PeerTask::start(
+      Options, [Mail](PeerEvent Event) { Mail->post(std::move(Event)); });
+  if (!Started)
+    return Started.error();
+  Self.m_Peers = std::move(Started.value());
+  if (Self.m_Formation.m_State == FormationState::Forming)
+    for (const InitialKeeper &Member : Self.m_Formation.m_Members)
+      if (Member.m_Keeper != Self.m_Formation.m_Keeper) {
+        Self.m_Peers->connect(Member.m_PeerUrl);
+        Self.m_Dialled.insert(Member.m_PeerUrl);
+      }
+  return boost::outcome_v2::success();
+}
+
+/// Starts all tasks; the exit code says what failed.
+int startKeeper(Keeper &Self, bool Initialize) {
+  Status Read = readFormation(Self, Initialize);
+  if (!Read) {
+    bool Settings = Read.error().m_Code == ErrorCode::InvalidSettings;
+    logEvent(Event::KeeperCannotStart, {{"why", Read.error().m_Text}});
+    return Settings ? ExitInvalidInput : ExitFatal;
+  }
+  if (Self.m_Formation.m_State != FormationState::Forming &&
+      Self.m_Formation.m_Keeper.m_Value.rfind(Self.m_Settings.m_Keeper.m_Value,
+                                              0) != 0) {
+    logEvent(Event::KeeperCannotStart,
+             {{"why", "the data folder belongs to keeper " +
+                          Self.m_Formation.m_Keeper.m_Value}});
+    return ExitInvalidInput;
+  }
+  Status Listening = startPeers(Self);
+  if (Listening)
+    Listening = startApi(Self);
+  if (!Listening) {
+    logEvent(Event::ListenFailed, {{"why", Listening.error().m_Text}});
+    return ExitFailed;
+  }
+  if (Self.m_Formation.m_State != FormationState::Forming)
+    startReplica(Self);
+  return Self.m_ExitCode;
+}
+
+} // namespace
+
+} // namespace internal
+
+int runKeeper(const KeeperSettings &Settings, bool Initialize) {
+  using internal::Keeper;
+  std::unique_ptr<Keeper> Self = std::make_unique<Keeper>();
+  Keeper *Raw = Self.get();
+  Self->m_Settings = Settings;
+  Self->m_HttpUrl = "http://" + Settings.m_Http.m_Address + ":" +
+                    std::to_string(Settings.m_Http.m_Port);
+  Self->m_Incarnation = Incarnation(randomSeed());
+  Self->m_StartedAt = monotonicNow();
+  Self->m_Loop = g_main_loop_new(nullptr, FALSE);
+  Self->m_PeerMail =
+      std::make_unique<Mailbox<PeerEvent>>(nullptr, [Raw](PeerEvent Event) {
+        internal::onPeerEvent(*Raw, std::move(Event));
+      });
+  Self->m_DiskMail =
+      std::make_unique<Mailbox<DiskReport>>(nullptr, [Raw](DiskReport Report) {
+        internal::onDiskReport(*Raw, Report);
+      });
+  int Code = internal::startKeeper(*Self, Initialize);
+  if (Code == ExitOk) {
+    logEvent(Event::ProcessStarted,
+             {{"role", "keeper"},
+              {"keeper", Self->m_Formation.m_Keeper.m_Value},
+              {"version", VANILLAFERRY_VERSION}});
+    guint Tick = g_timeout_add(internal::TickMillis, &internal::onTick, Raw);
+    guint Term = g_unix_signal_add(SIGTERM, &internal::onSignal, Raw);
+    guint Interrupt = g_unix_signal_add(SIGINT, &internal::onSignal, Raw);
+    g_main_loop_run(Self->m_Loop);
+    for (guint Source : {Tick, Term, Interrupt})
+      g_source_remove(Source);
+    Code = Self->m_ExitCode;
+    logEvent(Event::ProcessStopped, {{"exit_code", Code}});
+  }
+  internal::stopApi(*Self);
+  Self->m_Peers.reset();
+  Self->m_Disk.reset();
+  g_main_loop_unref(Self->m_Loop);
+  return Code;
+}
+
+void addKeeperCommand(CLI::App &App, int &Code) {
+  CLI::App *Command = App.add_subcommand(
+      "keeper", "Run a keeper: replicated log, document, leases and journal");
+  std::shared_ptr<std::string> Path = std::make_shared<std::string>();
+  std::shared_ptr<bool> Initialize = std::make_shared<bool>(false);
+  Command->add_option("--settings", *Path, "Settings file of kind \"keeper\"")
+      ->required();
+  Command->add_flag(
+      "--initialize", *Initialize,
+      "On an empty data folder: form the first keeper set together with all "
+      "other keepers of initial_keepers. Never use it to replace a lost disk: "
+      "without it the keeper starts with a fresh identity and joins by "
+      "keeper-set add");
+  Command->callback([Path, Initialize, &Code] {
+    Result<KeeperSettings> Settings = loadKeeperSettings(*Path);
+    if (!Settings) {
+      std::cerr << Settings.error().m_Text << "\n";
+      Code = ExitInvalidInput;
+      return;
+    }
+    Status Log = startLog(Settings.value().m_Log);
+    if (!Log) {
+      std::cerr << Log.error().m_Text << "\n";
+      Code = ExitInvalidInput;
+      return;
+    }
+    Code = runKeeper(Settings.value(), *Initialize);
+  });
+}
+
+} // namespace vanillaferry
--- a/src/daemon/process/keeper_formation.cpp
+++ b/src/daemon/process/keeper_formation.cpp
@@ -67,7 +67,10 @@
     Record.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
     Record.m_Disk = numberOf(Value.at("disk").get<std::string>());
     Record.m_State = stateNames().at(Value.at("state").get<std::string>());
-    Record.m_InitialSet = numberOf(Value.at("initial_set").get<std::string>());
+    for (const json::iterator::value_type &Member : Value.at("members"))
+      Record.m_Members.push_back(
+          {KeeperId(Member.at("keeper").get<std::string>()),
+           Member.at("peer_url").get<std::string>()});
     for (const json::iterator::value_type &Claim : Value.at("claims"))
       Record.m_Claims[KeeperId(Claim.at("keeper").get<std::string>())] =
           numberOf(Claim.at("disk").get<std::string>());
@@ -82,10 +85,14 @@
   for (const std::pair<const KeeperId, std::uint64_t> &Claim : Record.m_Claims)
     Claims.push_back(
         {{"keeper", Claim.first.m_Value}, {"disk", hexOf(Claim.second)}});
+  json Members = json::array();
+  for (const InitialKeeper &Member : Record.m_Members)
+    Members.push_back(
+        {{"keeper", Member.m_Keeper.m_Value}, {"peer_url", Member.m_PeerUrl}});
   json Value = {{"keeper", Record.m_Keeper.m_Value},
                 {"disk", hexOf(Record.m_Disk)},
                 {"state", nameOf(Record.m_State)},
-                {"initial_set", hexOf(Record.m_InitialSet)},
+                {"members", Members},
                 {"claims", Claims}};
   return replaceFile(Folder, FileName, Value.dump(2) + "\n",
                      [](int Descriptor) { return ::fdatasync(Descriptor); });
@@ -95,7 +102,6 @@
                                   bool Initialize, std::uint64_t Random) {
   Formation Record;
   Record.m_Disk = Random;
-  Record.m_InitialSet = hashInitialSet(Settings.m_InitialKeepers);
   if (!Initialize) {
     Record.m_Keeper =
         KeeperId(Settings.m_Keeper.m_Value + "-" + hexOf(Random).substr(0, 8));
@@ -112,6 +118,7 @@
                          " is not in initial_keepers");
   Record.m_Keeper = Settings.m_Keeper;
   Record.m_State = FormationState::Forming;
+  Record.m_Members = Settings.m_InitialKeepers;
   Record.m_Claims[Record.m_Keeper] = Record.m_Disk;
   return Record;
 }
@@ -137,7 +144,7 @@
                     Claim.m_Keeper.m_Value + "; start without --initialize";
     return Verdict;
   }
-  if (Own.m_InitialSet != Claim.m_InitialSet) {
+  if (hashInitialSet(Own.m_Members) != Claim.m_InitialSet) {
     Verdict.m_Why = "initial_keepers differ between the settings of " +
                     Own.m_Keeper.m_Value + " and " + Claim.m_Keeper.m_Value;
     return Verdict;
@@ -149,12 +156,11 @@
 }
 
 bool noteAcceptance(Formation &Own, std::set<KeeperId> &Accepted,
-                    const KeeperId &From, const IdentityVerdict &Verdict,
-                    const std::vector<InitialKeeper> &Keepers) {
+                    const KeeperId &From, const IdentityVerdict &Verdict) {
   if (Own.m_Claims.emplace(From, Verdict.m_Disk).first->second ==
       Verdict.m_Disk)
     Accepted.insert(From);
-  return std::all_of(Keepers.begin(), Keepers.end(),
+  return std::all_of(Own.m_Members.begin(), Own.m_Members.end(),
                      [&](const InitialKeeper &Keeper) {
                        return Keeper.m_Keeper == Own.m_Keeper ||
                               Accepted.count(Keeper.m_Keeper) != 0;
--- a/src/daemon/process/keeper_formation.hpp
+++ b/src/daemon/process/keeper_formation.hpp
@@ -29,7 +29,9 @@
   /// Drawn at random when the data folder was first used.
   std::uint64_t m_Disk = 0;
   FormationState m_State = FormationState::Fresh;
-  std::uint64_t m_InitialSet = 0;
+  /// The initial set of the settings at the first start; later changes of the
+  /// settings do not matter.
+  std::vector<InitialKeeper> m_Members;
   /// Disk of each member of the initial set, the first that claimed it.
   std::map<KeeperId, std::uint64_t> m_Claims;
 };
@@ -57,7 +59,6 @@
 /// other members of the initial set have accepted; the caller then saves the
 /// identity as Formed. A verdict of a disk that is not the member's is ignored.
 bool noteAcceptance(Formation &Own, std::set<KeeperId> &Accepted,
-                    const KeeperId &From, const IdentityVerdict &Verdict,
-                    const std::vector<InitialKeeper> &Keepers);
+                    const KeeperId &From, const IdentityVerdict &Verdict);
 
 } // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/keeper_requests.cpp
@@ -0,0 +1,203 @@
+#include "process/clock.hpp"
+#include "process/internal/keeper_task.hpp"
+#include "process/log.hpp"
+#include "vanillaferry/process/replication_codec.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry::internal {
+
+namespace {
+
+constexpr Millis LeaseCheckInterval{100};
+constexpr Millis ClockInterval{60000};
+/// Renewals kept while a new leader waits for its quorum lease; more routers
+/// than the target size has are not held.
+constexpr std::size_t MaxWaitingRenewals = 10000;
+
+std::string urlOfKeeper(const Keeper &Self, const KeeperId &Keeper) {
+  for (const std::vector<KeeperAddress> *Keepers :
+       {&Self.m_Replica.m_Set.m_Voters, &Self.m_Replica.m_Set.m_Learners})
+    for (const KeeperAddress &Address : *Keepers)
+      if (Address.m_Keeper == Keeper)
+        return Address.m_PeerUrl;
+  return std::string();
+}
+
+void redirect(Keeper &Self, const NodeId &To) {
+  KeeperId Leader = Self.m_Running ? Self.m_Replica.m_Leader : KeeperId();
+  addCounter(Self.m_Metrics, "vanillaferry_leader_redirects_total");
+  Self.m_Peers->send(To, RedirectLeader{Leader, urlOfKeeper(Self, Leader)});
+}
+
+void renew(Keeper &Self, const Renew &Request, bool MayPropose) {
+  Millis Now = monotonicNow();
+  LeaseTable *Table = grantingTable(Self, Now);
+  if (!Table) {
+    if (leads(Self) && Self.m_WaitingRenewals.size() < MaxWaitingRenewals)
+      Self.m_WaitingRenewals[Request.m_Node] = Request;
+    return;
+  }
+  RenewDecision Decision = renewLease(*Table, Self.m_State, Request, Now);
+  if (Decision.m_Grant) {
+    addCounter(Self.m_Metrics, "vanillaferry_leases_granted_total");
+    Self.m_Peers->send(Request.m_Node, std::move(*Decision.m_Grant));
+  }
+  if (!MayPropose)
+    return;
+  // Without a grant the router waits for the change; its renewal is handled
+  // once more when the change is applied.
+  bool Again = !Decision.m_Grant;
+  for (Command &Change : Decision.m_Propose)
+    proposeCommand(Self, std::move(Change),
+                   [&Self, Request, Again](const CommandAnswer *Answer) {
+                     if (Answer && Again)
+                       renew(Self, Request, false);
+                   });
+}
+
+void onRenew(Keeper &Self, const NodeId &From, const Renew &Request) {
+  if (Request.m_Node != From)
+    return;
+  if (!leads(Self))
+    redirect(Self, From);
+  else
+    renew(Self, Request, true);
+}
+
+void answerJournal(Keeper &Self, const NodeId &To, const RequestId &Request,
+                   const CommandAnswer *Answer) {
+  JournalAnswer Unknown;
+  Unknown.m_Request = Request;
+  const JournalAnswer *Known =
+      Answer ? std::get_if<JournalAnswer>(Answer) : nullptr;
+  Self.m_Peers->send(To, Known ? *Known : Unknown);
+}
+
+template <typename Call>
+void onJournal(Keeper &Self, const NodeId &From, const Call &Input) {
+  if (Input.m_Node != From)
+    return;
+  if (!leads(Self)) {
+    redirect(Self, From);
+    answerJournal(Self, From, Input.m_Request, nullptr);
+    return;
+  }
+  RequestId Request = Input.m_Request;
+  Call Proposed = Input;
+  if constexpr (std::is_same_v<Call, JournalBegin>)
+    Proposed.m_ProposedAt = wallNow();
+  addCounter(Self.m_Metrics, "vanillaferry_journal_commands_total");
+  proposeCommand(Self, std::move(Proposed),
+                 [&Self, From, Request](const CommandAnswer *Answer) {
+                   answerJournal(Self, From, Request, Answer);
+                 });
+}
+
+void onReplicate(Keeper &Self, const NodeId &From, const Replicate &Envelope) {
+  if (!Self.m_Running)
+    return;
+  Result<ReplicaMessage> Message = decodeReplicaMessage(Envelope.m_Payload);
+  if (!Message || Message.value().m_From.m_Value != From.m_Value) {
+    addCounter(Self.m_Metrics, "vanillaferry_replication_malformed_total");
+    return;
+  }
+  perform(Self,
+          receive(Self.m_Replica, std::move(Message.value()), monotonicNow()));
+}
+
+void onMessage(Keeper &Self, const NodeId &From, PeerMessage &Message) {
+  if (const Renew *Request = std::get_if<Renew>(&Message))
+    onRenew(Self, From, *Request);
+  else if (const JournalBegin *Begin = std::get_if<JournalBegin>(&Message))
+    onJournal(Self, From, *Begin);
+  else if (const JournalEnd *End = std::get_if<JournalEnd>(&Message))
+    onJournal(Self, From, *End);
+  else if (const Replicate *Envelope = std::get_if<Replicate>(&Message))
+    onReplicate(Self, From, *Envelope);
+  else if (const IdentityClaim *Claim = std::get_if<IdentityClaim>(&Message))
+    onClaim(Self, From, *Claim);
+  else if (const IdentityVerdict *Verdict =
+               std::get_if<IdentityVerdict>(&Message))
+    onVerdict(Self, From, *Verdict);
+}
+
+void finishInForceWaits(Keeper &Self, Millis Now) {
+  std::vector<InForceWait> Waits;
+  Waits.swap(Self.m_InForceWaits);
+  for (InForceWait &Wait : Waits) {
+    bool InForce =
+        Self.m_Leases &&
+        inForceEverywhere(*Self.m_Leases, Self.m_State, Wait.m_Version, Now);
+    if (InForce || Now >= Wait.m_Deadline)
+      Wait.m_OnDone(InForce);
+    else
+      Self.m_InForceWaits.push_back(std::move(Wait));
+  }
+}
+
+void removeEnded(Keeper &Self, Millis Now) {
+  for (Command &Removal : endedLeases(*Self.m_Leases, Self.m_State, Now)) {
+    NodeId Node = std::get<RemoveMember>(Removal).m_Node;
+    if (!Self.m_Removing.insert(Node).second)
+      continue;
+    logEvent(Event::KeeperRemovesRouter, {{"node", Node.m_Value}});
+    addCounter(Self.m_Metrics, "vanillaferry_routers_removed_total");
+    proposeCommand(
+        Self, std::move(Removal),
+        [&Self, Node](const CommandAnswer *) { Self.m_Removing.erase(Node); });
+  }
+}
+
+} // namespace
+
+bool leads(const Keeper &Self) {
+  return Self.m_Running && Self.m_Replica.m_Role == ReplicaRole::Leader;
+}
+
+LeaseTable *grantingTable(Keeper &Self, Millis Now) {
+  if (!leads(Self) || !holdsQuorumLease(Self.m_Replica, Now))
+    return nullptr;
+  if (!Self.m_Leases)
+    Self.m_Leases = makeLeaseTable(LeaseOptions(), Self.m_State, Now);
+  return &*Self.m_Leases;
+}
+
+void leaderWork(Keeper &Self, Millis Now) {
+  finishInForceWaits(Self, Now);
+  if (!grantingTable(Self, Now))
+    return;
+  std::map<NodeId, Renew> Waiting;
+  Waiting.swap(Self.m_WaitingRenewals);
+  for (const std::pair<const NodeId, Renew> &Row : Waiting)
+    renew(Self, Row.second, true);
+  if (Now >= Self.m_NextLeaseCheck) {
+    Self.m_NextLeaseCheck = Now + LeaseCheckInterval;
+    removeEnded(Self, Now);
+  }
+  if (Now >= Self.m_NextClock) {
+    Self.m_NextClock = Now + ClockInterval;
+    proposeCommand(Self, AdvanceClock{wallNow()}, [](const CommandAnswer *) {});
+  }
+}
+
+void onPeerEvent(Keeper &Self, PeerEvent Event) {
+  if (Event.m_Kind == PeerEvent::Kind::Message) {
+    onMessage(Self, Event.m_From, Event.m_Message);
+    return;
+  }
+  ConnectedPeer &Peer = Self.m_Connected[Event.m_From];
+  if (Event.m_Kind == PeerEvent::Kind::Up) {
+    const Hello &Greeting = std::get<Hello>(Event.m_Message);
+    Peer.m_Role = Greeting.m_Role;
+    Peer.m_Incarnation = Greeting.m_Incarnation;
+    Peer.m_HttpUrl = Greeting.m_HttpUrl;
+    ++Peer.m_Links;
+    // A claim need not wait for its next turn.
+    Self.m_NextClaim = Millis(0);
+  } else if (--Peer.m_Links == 0) {
+    Self.m_Connected.erase(Event.m_From);
+  }
+}
+
+} // namespace vanillaferry::internal
--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -130,6 +130,8 @@
         {OperatorId(Item["operator"].get<std::string>()),
          Item["token_sha256"].get<std::string>(),
          Item["sections"].get<std::vector<std::string>>()});
+  Settings.m_SnapshotEntries =
+      Value.value("snapshot_entries", Settings.m_SnapshotEntries);
   Settings.m_Log = readLog(Value, Settings.m_Keeper.m_Value);
   return Settings;
 }
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -60,6 +60,8 @@
   std::string m_DataFolder;
   std::vector<InitialKeeper> m_InitialKeepers;
   std::vector<OperatorSettings> m_Operators;
+  /// A snapshot replaces the log after this many entries.
+  std::uint64_t m_SnapshotEntries = 10000;
   LogOptions m_Log;
 };
 
--- a/src/daemon/process/settings_schema.cpp
+++ b/src/daemon/process/settings_schema.cpp
@@ -96,6 +96,7 @@
         }
       }
     },
+    "snapshot_entries": {"type": "integer", "minimum": 16},
     "log": {
       "type": "object", "additionalProperties": false,
       "properties": {
