--- a/src/core/process/cbor.cpp
+++ b/src/core/process/cbor.cpp
@@ -1,92 +1,98 @@
-#include "process/internal/cbor.hpp"
+#include "process/cbor.hpp"
 
-#include <cstdint>
-#include <optional>
 #include <vector>
 
-namespace vanillaferry::internal {
+namespace vanillaferry {
 
 namespace {
 
-/// Reads one item's head (RFC 8949, section 3); the system writes no items of
-/// indefinite length.
+constexpr std::uint8_t MajorBytes = 2;
+constexpr std::uint8_t MajorText = 3;
+constexpr std::uint8_t MajorArray = 4;
+constexpr std::uint8_t MajorMap = 5;
+constexpr std::uint8_t MajorTag = 6;
+
 struct CborHead {
-  unsigned m_Major = 0;
+  std::uint8_t m_Major = 0;
   std::uint64_t m_Argument = 0;
+  bool m_Valid = false;
 };
 
-std::optional<CborHead> readHead(const std::string &Data, std::size_t &At) {
-  if (At >= Data.size())
-    return std::nullopt;
-  unsigned First = static_cast<unsigned char>(Data[At++]);
+CborHead readHead(const std::string &Data, std::size_t &Position) {
   CborHead Head;
+  std::uint8_t First = static_cast<std::uint8_t>(Data[Position++]);
   Head.m_Major = First >> 5;
-  unsigned Additional = First & 31;
-  if (Additional < 24) {
-    Head.m_Argument = Additional;
+  std::uint8_t Info = First & 0x1F;
+  if (Info < 24) {
+    Head.m_Argument = Info;
+    Head.m_Valid = true;
     return Head;
   }
-  if (Additional > 27)
-    return std::nullopt;
-  std::size_t Count = std::size_t(1) << (Additional - 24);
-  if (Data.size() - At < Count)
-    return std::nullopt;
-  for (std::size_t I = 0; I < Count; ++I)
+  // 28 to 30 are reserved and 31 marks an indefinite length.
+  if (Info > 27)
+    return Head;
+  std::size_t Width = std::size_t(1) << (Info - 24);
+  if (Data.size() - Position < Width)
+    return Head;
+  for (std::size_t I = 0; I < Width; ++I)
     Head.m_Argument =
-        (Head.m_Argument << 8) | static_cast<unsigned char>(Data[At++]);
+        Head.m_Argument << 8 | static_cast<std::uint8_t>(Data[Position++]);
+  Head.m_Valid = true;
   return Head;
 }
 
-/// Checks lengths and depth without recursion: one complete item.
-bool isBounded(const std::string &Data) {
-  // Items that are still expected at each level.
-  std::vector<std::uint64_t> Open = {1};
-  std::size_t At = 0;
-  while (!Open.empty()) {
-    if (Open.back() == 0) {
-      Open.pop_back();
+} // namespace
+
+bool isPlainCbor(const std::string &Data) {
+  std::vector<std::uint64_t> ItemsLeft{1};
+  std::size_t Position = 0;
+  while (!ItemsLeft.empty()) {
+    if (ItemsLeft.back() == 0) {
+      ItemsLeft.pop_back();
       continue;
     }
-    std::optional<CborHead> Head = readHead(Data, At);
-    if (!Head)
+    --ItemsLeft.back();
+    if (Position >= Data.size())
+      return false;
+    CborHead Head = readHead(Data, Position);
+    if (!Head.m_Valid || Head.m_Major == MajorTag)
       return false;
-    std::uint64_t Left = Data.size() - At;
-    // A tag announces one more item.
-    if (Head->m_Major != 6)
-      --Open.back();
-    if (Head->m_Major == 2 || Head->m_Major == 3) {
-      if (Head->m_Argument > Left)
+    std::uint64_t Rest = Data.size() - Position;
+    if (Head.m_Major == MajorBytes || Head.m_Major == MajorText) {
+      if (Head.m_Argument > Rest)
         return false;
-      At += Head->m_Argument;
-    } else if (Head->m_Major == 4 || Head->m_Major == 5) {
+      Position += Head.m_Argument;
+    } else if (Head.m_Major == MajorArray || Head.m_Major == MajorMap) {
       // Every item takes at least one byte.
-      if (Head->m_Argument > Left || Open.size() > MaxCborDepth)
+      if (Head.m_Argument > Rest || ItemsLeft.size() > MaxCborDepth)
         return false;
-      Open.push_back(Head->m_Major == 4 ? Head->m_Argument
-                                        : Head->m_Argument * 2);
+      ItemsLeft.push_back(Head.m_Major == MajorMap ? 2 * Head.m_Argument
+                                                   : Head.m_Argument);
     }
   }
-  return At == Data.size();
+  return Position == Data.size();
 }
 
-} // namespace
-
-nlohmann::json parseCbor(const std::string &Data) {
-  nlohmann::json Discarded(nlohmann::json::value_t::discarded);
-  if (!isBounded(Data))
-    return Discarded;
-  // The library throws for some lengths even when told not to.
+Result<nlohmann::json> parseCbor(const std::string &Data) {
+  if (!isPlainCbor(Data))
+    return makeError(ErrorCode::Malformed, "not plain CBOR (" +
+                                               std::to_string(Data.size()) +
+                                               " bytes)");
   try {
-    return nlohmann::json::from_cbor(Data, true, false);
+    nlohmann::json Value =
+        nlohmann::json::from_cbor(Data.begin(), Data.end(), true, false);
+    if (!Value.is_discarded())
+      return Value;
   } catch (const nlohmann::json::exception &) {
-    return Discarded;
+    // Falls through: some errors are thrown in spite of allow_exceptions.
   }
+  return makeError(ErrorCode::Malformed, "CBOR that does not parse");
 }
 
-std::string dumpCbor(const nlohmann::json &Value) {
-  std::string Out;
-  nlohmann::json::to_cbor(Value, Out);
-  return Out;
+std::string printCbor(const nlohmann::json &Value) {
+  std::string Data;
+  nlohmann::json::to_cbor(Value, Data);
+  return Data;
 }
 
-} // namespace vanillaferry::internal
+} // namespace vanillaferry
