--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -239,6 +239,8 @@
   NoSuchKeeper,
   /// Removing the only voter would leave no quorum.
   LastVoter,
+  /// Too few voters of the new set have answered lately to form a quorum.
+  QuorumAtRisk,
 };
 
 /// Starts a replica from what its disk holds.
--- a/src/core/process/internal/replica.hpp
+++ b/src/core/process/internal/replica.hpp
@@ -32,6 +32,9 @@
             const std::function<std::int64_t(const PeerProgress &)> &ValueOf);
 
 // Roles.
+/// A keeper stands for election while its own removal is not committed: its log
+/// may be the only one that is new enough (Ongaro 2014, section 4.2.2).
+bool mayStand(const Replica &State);
 void resetElectionDeadline(Replica &State, Millis Now);
 void persistHard(Replica &State, ReplicaActions &Actions);
 void becomeFollower(Replica &State, ReplicaActions &Actions, Term NewTerm,
@@ -45,6 +48,10 @@
                        const ReplicaMessage &Message, Millis Now);
 
 // Leader.
+/// True for a sole voter between its election and the sync of the first entry
+/// of its term, which follows its vote on the disk. It sends and accepts
+/// nothing yet, so that it cannot lead the same term again after a crash.
+bool awaitsOwnVote(const Replica &State);
 void startLeading(Replica &State, ReplicaActions &Actions, Millis Now);
 /// Steps down when no quorum has answered for the election maximum.
 void checkQuorumContact(Replica &State, ReplicaActions &Actions, Millis Now);
--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -59,7 +59,7 @@
     if (State.m_Role == ReplicaRole::Leader && Now >= State.m_NextHeartbeat)
       sendHeartbeats(State, Actions, Now);
   } else if (Now >= State.m_ElectionDeadline) {
-    if (State.m_VotingAllowed && isVoter(State.m_Set, State.m_Self))
+    if (mayStand(State))
       startPreVote(State, Actions, Now);
     else
       resetElectionDeadline(State, Now);
@@ -103,7 +103,7 @@
   // A leader that was frozen may wake with proposals in its queue.
   if (State.m_Role == ReplicaRole::Leader)
     checkQuorumContact(State, Actions, Now);
-  if (State.m_Role != ReplicaRole::Leader)
+  if (State.m_Role != ReplicaRole::Leader || awaitsOwnVote(State))
     return ProposeError::NotLeader;
   for (std::string &Command : Commands) {
     LogEntry Entry;
@@ -130,11 +130,13 @@
     ++Position;
   if (Position == State.m_PendingSyncs.size())
     return Actions;
+  bool AwaitedVote = awaitsOwnVote(State);
   for (std::size_t I = 0; I <= Position; ++I) {
     if (State.m_PendingSyncs.front().m_Valid > State.m_Synced)
       State.m_Synced = State.m_PendingSyncs.front().m_Valid;
     State.m_PendingSyncs.pop_front();
   }
+  Actions.m_BecameLeader = AwaitedVote && !awaitsOwnVote(State);
   if (State.m_Role == ReplicaRole::Leader) {
     sendEntries(State, Actions, Now);
     commitByQuorum(State, Actions, Now);
@@ -149,7 +151,7 @@
                  Millis Now) {
   if (State.m_Role == ReplicaRole::Leader)
     checkQuorumContact(State, Actions, Now);
-  if (State.m_Role != ReplicaRole::Leader) {
+  if (State.m_Role != ReplicaRole::Leader || awaitsOwnVote(State)) {
     Actions.m_FailedReads.push_back(Token);
     return;
   }
--- a/src/core/process/replication_election.cpp
+++ b/src/core/process/replication_election.cpp
@@ -58,6 +58,16 @@
 
 } // namespace
 
+bool mayStand(const Replica &State) {
+  if (!State.m_VotingAllowed)
+    return false;
+  if (isVoter(State.m_Set, State.m_Self))
+    return true;
+  return State.m_SetIndex > State.m_Commit && State.m_SetIndex > LogIndex(0) &&
+         isVoter(setAt(State, LogIndex(State.m_SetIndex.m_Value - 1)),
+                 State.m_Self);
+}
+
 void resetElectionDeadline(Replica &State, Millis Now) {
   std::uniform_int_distribution<std::int64_t> Spread(
       State.m_Options.m_ElectionMin.m_Value,
--- a/src/core/process/replication_leader.cpp
+++ b/src/core/process/replication_leader.cpp
@@ -7,14 +7,6 @@
 
 namespace {
 
-/// A sole voter is elected before its vote is synced. It sends nothing until
-/// the first entry of its term is, so that it cannot lead the same term twice.
-bool mustNotSendYet(const Replica &State) {
-  return State.m_Set.m_Voters.size() == 1 &&
-         isVoter(State.m_Set, State.m_Self) &&
-         State.m_Synced < State.m_TermStart;
-}
-
 ReplicaMessage makeLeaderMessage(const Replica &State,
                                  ReplicaMessage::Kind Kind, const KeeperId &To,
                                  const PeerProgress &Peer) {
@@ -116,6 +108,13 @@
 
 } // namespace
 
+bool awaitsOwnVote(const Replica &State) {
+  return State.m_Role == ReplicaRole::Leader &&
+         State.m_Set.m_Voters.size() == 1 &&
+         isVoter(State.m_Set, State.m_Self) &&
+         State.m_Synced < State.m_TermStart;
+}
+
 void startLeading(Replica &State, ReplicaActions &Actions, Millis Now) {
   State.m_Role = ReplicaRole::Leader;
   State.m_PreVoting = false;
@@ -130,7 +129,7 @@
   Noop.m_Index = State.m_TermStart;
   Noop.m_Term = State.m_Hard.m_Term;
   appendEntry(State, Actions, std::move(Noop));
-  Actions.m_BecameLeader = true;
+  Actions.m_BecameLeader = !awaitsOwnVote(State);
   sendHeartbeats(State, Actions, Now);
   commitByQuorum(State, Actions, Now);
 }
@@ -146,7 +145,7 @@
 }
 
 void sendEntries(Replica &State, ReplicaActions &Actions, Millis Now) {
-  if (mustNotSendYet(State))
+  if (awaitsOwnVote(State))
     return;
   for (std::pair<const KeeperId, PeerProgress> &Peer : State.m_Peers)
     sendEntriesTo(State, Actions, Peer.first, Peer.second, Now);
@@ -155,7 +154,7 @@
 void sendHeartbeats(Replica &State, ReplicaActions &Actions, Millis Now) {
   State.m_NextHeartbeat = Now + State.m_Options.m_HeartbeatInterval;
   startSequence(State, Now);
-  if (mustNotSendYet(State))
+  if (awaitsOwnVote(State))
     return;
   for (std::pair<const KeeperId, PeerProgress> &Entry : State.m_Peers) {
     PeerProgress &Peer = Entry.second;
@@ -176,7 +175,7 @@
 
 void sendConfirms(Replica &State, ReplicaActions &Actions, Millis Now) {
   startSequence(State, Now);
-  if (mustNotSendYet(State))
+  if (awaitsOwnVote(State))
     return;
   for (const std::pair<const KeeperId, PeerProgress> &Peer : State.m_Peers)
     if (isVoter(State.m_Set, Peer.first))
--- a/src/core/process/replication_set.cpp
+++ b/src/core/process/replication_set.cpp
@@ -50,6 +50,21 @@
   return ProposeError::None;
 }
 
+/// True when the voters of this set that answered lately are a quorum of it.
+bool hasLiveQuorum(const Replica &State, const KeeperSet &Set, Millis Now) {
+  std::size_t Live = 0;
+  for (const KeeperAddress &Voter : Set.m_Voters) {
+    std::map<KeeperId, PeerProgress>::const_iterator Peer =
+        State.m_Peers.find(Voter.m_Keeper);
+    if (Voter.m_Keeper == State.m_Self ||
+        (Peer != State.m_Peers.end() && !Peer->second.m_Regressed &&
+         Peer->second.m_ConfirmedAt &&
+         Now - *Peer->second.m_ConfirmedAt < State.m_Options.m_ElectionMax))
+      ++Live;
+  }
+  return Live >= quorumSize(Set);
+}
+
 ProposeError proposeSet(Replica &State, const KeeperSet &Set,
                         ReplicaActions &Actions, Millis Now) {
   LogEntry Entry;
@@ -174,6 +189,8 @@
     return ProposeError::LearnerBehind;
   Set.m_Voters.push_back(*Found);
   Set.m_Learners.erase(Found);
+  if (!hasLiveQuorum(State, Set, Now))
+    return ProposeError::QuorumAtRisk;
   return proposeSet(State, Set, Actions, Now);
 }
 
@@ -189,6 +206,10 @@
     return ProposeError::NoSuchKeeper;
   if (Set.m_Voters.empty())
     return ProposeError::LastVoter;
+  // The removal itself needs a quorum of the set that it leaves; without one
+  // no later change could be committed either.
+  if (!hasLiveQuorum(State, Set, Now))
+    return ProposeError::QuorumAtRisk;
   Set.m_Removed.push_back(Keeper);
   return proposeSet(State, Set, Actions, Now);
 }
--- /dev/null
+++ b/tests/core/Replication.tests.cpp
@@ -0,0 +1,54 @@
+#include "ReplicationHarness.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <string>
+
+using namespace vanillaferry;
+using namespace replication_test;
+
+namespace {
+
+std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Replication)
+
+// Guards against any schedule of faults that loses or changes a committed
+// entry, elects two leaders or confirms a stale read. VANILLAFERRY_SEED runs
+// one seed, VANILLAFERRY_SCHEDULES another number of them.
+BOOST_AUTO_TEST_CASE(RandomSchedulesKeepEverySafetyProperty) {
+  std::uint64_t First = numberFromEnvironment("VANILLAFERRY_SEED", 0);
+  std::uint64_t Count =
+      First != 0 ? 1 : numberFromEnvironment("VANILLAFERRY_SCHEDULES", 10000);
+  Coverage Total;
+  std::uint64_t Failures = 0;
+  for (std::uint64_t I = 0; I < Count && Failures < 5; ++I) {
+    std::uint64_t Seed = First != 0 ? First : I + 1;
+    std::string Violation = runSchedule(Seed, Total);
+    if (Violation.empty())
+      continue;
+    ++Failures;
+    BOOST_ERROR("VANILLAFERRY_SEED=" << Seed << ": " << Violation);
+  }
+  BOOST_TEST_MESSAGE(
+      "schedules " << Count << ", elections " << Total.m_Elections
+                   << ", commits " << Total.m_Commits << ", reads "
+                   << Total.m_Reads << " (failed " << Total.m_FailedReads
+                   << "), crashes " << Total.m_Crashes << ", freezes "
+                   << Total.m_Freezes << ", cuts " << Total.m_Cuts
+                   << ", lost disks " << Total.m_DiskLosses
+                   << ", refused returns " << Total.m_RefusedReturns
+                   << ", promotions " << Total.m_Promotions << ", removals "
+                   << Total.m_Removals << ", snapshots installed "
+                   << Total.m_SnapshotsInstalled << ", truncations "
+                   << Total.m_Truncations << ", lease checks "
+                   << Total.m_LeaseChecks << ", recovered " << Total.m_Recovered
+                   << ", without quorum " << Total.m_NoQuorumLeft);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
