--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -96,6 +96,7 @@
   Visit("a", Data.m_Account);
   Visit("r", Data.m_Running);
   Visit("w", Data.m_Waiting);
+  Visit("s", Data.m_Share);
 }
 
 template <typename V, typename M, IfMessage<M, AccountShare> * = nullptr>
@@ -127,6 +128,7 @@
   Visit("z", Data.m_Zone);
   Visit("e", Data.m_AckedEpoch);
   Visit("v", Data.m_AckedVersion);
+  Visit("g", Data.m_AckedGrant);
   Visit("l", Data.m_Leaving);
   Visit("p", Data.m_Pools);
   Visit("t", Data.m_Targets);
@@ -167,6 +169,7 @@
   Visit("t", Data.m_IssuedAt);
   Visit("n", Data.m_Node);
   Visit("i", Data.m_Incarnation);
+  Visit("p", Data.m_ProposedAt);
 }
 
 template <typename V, typename M, IfMessage<M, CallAnswer> * = nullptr>
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -59,10 +59,11 @@
              ZoneId("Topsia"),
              Epoch(4),
              DocumentVersion(5),
+             8,
              true,
              {{PoolId("p"), 3}, {PoolId("q"), 0}},
              {{TargetId("t"), 4}},
-             {{AccountId("a"), 5, 6}}};
+             {{AccountId("a"), 5, 6, 7}}};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -82,6 +83,8 @@
   SAME(m_Accounts.at(0).m_Account);
   SAME(m_Accounts.at(0).m_Running);
   SAME(m_Accounts.at(0).m_Waiting);
+  SAME(m_Accounts.at(0).m_Share);
+  SAME(m_AckedGrant);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -135,9 +138,9 @@
 
 BOOST_AUTO_TEST_CASE(JournalMessagesKeepEveryField) {
   {
-    JournalBegin Sent{RequestId("r"), AccountId("a"), IdempotencyKey("k"),
-                      "hash",         UnixMillis(99), NodeId("n"),
-                      Incarnation(11)};
+    JournalBegin Sent{RequestId("r"),  AccountId("a"), IdempotencyKey("k"),
+                      "hash",          UnixMillis(99), NodeId("n"),
+                      Incarnation(11), UnixMillis(98)};
     JournalBegin Got = roundTrip(Sent);
     SAME(m_Request);
     SAME(m_Account);
@@ -146,6 +149,7 @@
     SAME(m_IssuedAt);
     SAME(m_Node);
     SAME(m_Incarnation);
+    SAME(m_ProposedAt);
   }
   {
     JournalEnd Sent{RequestId("r"),
