--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -37,11 +37,13 @@
 // Guards against a field that one end sets and the other end never sees.
 BOOST_AUTO_TEST_CASE(HelloAndHeartbeatKeepEveryField) {
   {
-    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper};
+    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper,
+               "http://127.0.0.1:2"};
     Hello Got = roundTrip(Sent);
     SAME(m_Node);
     SAME(m_Incarnation);
     SAME(m_Protocol);
+    SAME(m_HttpUrl);
     BOOST_TEST((Got.m_Role == NodeRole::Keeper));
   }
   {
@@ -59,10 +61,11 @@
              ZoneId("Topsia"),
              Epoch(4),
              DocumentVersion(5),
+             88,
              true,
              {{PoolId("p"), 3}, {PoolId("q"), 0}},
              {{TargetId("t"), 4}},
-             {{AccountId("a"), 5, 6}}};
+             {{AccountId("a"), 5, 6, 7}}};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -71,6 +74,7 @@
   SAME(m_Zone);
   SAME(m_AckedEpoch);
   SAME(m_AckedVersion);
+  SAME(m_AckedGrant);
   SAME(m_Leaving);
   BOOST_REQUIRE_EQUAL(Got.m_Pools.size(), 2U);
   SAME(m_Pools[0].m_Pool);
@@ -82,6 +86,7 @@
   SAME(m_Accounts.at(0).m_Account);
   SAME(m_Accounts.at(0).m_Running);
   SAME(m_Accounts.at(0).m_Waiting);
+  SAME(m_Accounts.at(0).m_Share);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -125,6 +130,20 @@
     SAME(m_Leader);
     SAME(m_PeerUrl);
   }
+  {
+    IdentityClaim Sent{KeeperId("k2"), ~0ULL, 5};
+    IdentityClaim Got = roundTrip(Sent);
+    SAME(m_Keeper);
+    SAME(m_Disk);
+    SAME(m_InitialSet);
+  }
+  {
+    IdentityVerdict Sent{true, 7, "why"};
+    IdentityVerdict Got = roundTrip(Sent);
+    SAME(m_Accepted);
+    SAME(m_Disk);
+    SAME(m_Why);
+  }
   {
     Replicate Sent;
     Sent.m_Payload = allBytes();
@@ -135,15 +154,16 @@
 
 BOOST_AUTO_TEST_CASE(JournalMessagesKeepEveryField) {
   {
-    JournalBegin Sent{RequestId("r"), AccountId("a"), IdempotencyKey("k"),
-                      "hash",         UnixMillis(99), NodeId("n"),
-                      Incarnation(11)};
+    JournalBegin Sent{RequestId("r"),  AccountId("a"), IdempotencyKey("k"),
+                      "hash",          UnixMillis(99), NodeId("n"),
+                      Incarnation(11), UnixMillis(123)};
     JournalBegin Got = roundTrip(Sent);
     SAME(m_Request);
     SAME(m_Account);
     SAME(m_Key);
     SAME(m_BodyHash);
     SAME(m_IssuedAt);
+    SAME(m_ProposedAt);
     SAME(m_Node);
     SAME(m_Incarnation);
   }
