--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -113,8 +113,8 @@
   std::vector<PoolTotal> m_Totals;
   /// Requests of other (ended or former) owners at targets of this node.
   std::vector<TargetLoad> m_Residual;
-  /// All shares of this node, in place of the former ones; an account that is
-  /// not listed has none until the node reports demand for it.
+  /// All shares of this node, in place of the former ones. A share may be 0. An
+  /// account that is not listed has none until the node reports demand for it.
   std::vector<AccountShare> m_Shares;
 };
 
--- /dev/null
+++ b/include/vanillaferry/version/section.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/request/account_limit.hpp"
+#include "vanillaferry/version/pool.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace vanillaferry {
+
+/// Names of the document's sections.
+constexpr const char *AccountsSectionName = "accounts";
+constexpr const char *ServicesSectionName = "services";
+constexpr const char *ModelVersionsSectionName = "model_versions";
+constexpr const char *ZonesSectionName = "zones";
+constexpr const char *LimitsSectionName = "limits";
+
+struct AccountEntry {
+  AccountSettings m_Settings;
+  /// Lower-case hex SHA-256 of each API key.
+  std::vector<std::string> m_ApiKeyHashes;
+};
+
+struct ModelVersion {
+  std::string m_Name;
+  std::string m_Version;
+  /// Service whose engines run the model.
+  PoolId m_Service;
+};
+
+struct LimitSettings {
+  std::uint32_t m_QueueLength = 1024;
+  Millis m_DefaultDeadline{60000};
+  double m_RetryShare = 0.1;
+  std::uint32_t m_RetryFloor = 3;
+  Bytes m_MaxHeader{16 * 1024};
+  Bytes m_MaxBody{4 * 1024 * 1024};
+  Bytes m_MaxStream{64 * 1024 * 1024};
+  Millis m_SlowSender{10000};
+  Millis m_StreamSilence{5000};
+  double m_WeightStoreLoadsPerMinute = 6;
+};
+
+/// The typed content of all sections; a missing section is empty.
+struct DocumentSettings {
+  std::vector<AccountEntry> m_Accounts;
+  std::vector<PoolSettings> m_Services;
+  std::vector<ModelVersion> m_Models;
+  std::vector<ZoneSettings> m_Zones;
+  LimitSettings m_Limits;
+};
+
+/// One fault of a section.
+struct SectionFault {
+  SectionName m_Section;
+  /// JSON pointer of the faulty value.
+  std::string m_Path;
+  /// The value as JSON text, shortened; "nothing" when it is missing.
+  std::string m_Value;
+  std::string m_Expected;
+};
+
+/// "section path: expected ..., got value".
+std::string faultText(const SectionFault &Fault);
+
+/// All faults of a section. Warnings do not prevent an edit.
+struct SectionCheck {
+  std::vector<SectionFault> m_Errors;
+  std::vector<SectionFault> m_Warnings;
+};
+
+/// Names of all sections.
+std::vector<SectionName> sectionNames();
+
+/// Reads one section into the settings, in place of its former content. With
+/// errors nothing changes.
+SectionCheck readSection(const SectionName &Name, const std::string &Json,
+                         DocumentSettings &Settings);
+
+/// Checks what sections say of each other: the models' services and the
+/// targets' zones.
+SectionCheck checkReferences(const DocumentSettings &Settings);
+
+/// Checks an edit of one section against the other sections of the document.
+SectionCheck checkEdit(const std::map<SectionName, std::string> &Document,
+                       const SectionName &Name, const std::string &Json);
+
+} // namespace vanillaferry
--- a/src/core/process/account_shares.cpp
+++ b/src/core/process/account_shares.cpp
@@ -203,9 +203,8 @@
     std::uint32_t Share = Idle ? 0 : shareFor(Ledger, Self, FormerLeases, Now);
     if (Own.m_Given.empty() || Own.m_Given.back().m_Limit != Share)
       Own.m_Given.push_back({Request.m_Sequence, Share});
-    if (Share > 0) {
-      Shares.push_back({Account, Share});
-    } else if (Idle && usableBy(Own) == 0) {
+    Shares.push_back({Account, Share});
+    if (Share == 0 && Idle && usableBy(Own) == 0) {
       Ledger.m_Holders.erase(Self);
       Table.m_Held[Self].erase(Account);
     }
--- a/src/core/process/lease_reports.cpp
+++ b/src/core/process/lease_reports.cpp
@@ -1,7 +1,8 @@
 #include "process/lease_reports.hpp"
 
+#include "vanillaferry/version/section.hpp"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace vanillaferry {
 
@@ -141,17 +142,14 @@
       Found->second.m_Version == Table.m_AccountsVersion)
     return;
   Table.m_AccountsVersion = Found->second.m_Version;
-  nlohmann::json Parsed =
-      nlohmann::json::parse(Found->second.m_Json, nullptr, false);
-  if (!Parsed.is_object() || !Parsed["accounts"].is_array())
+  DocumentSettings Settings;
+  if (!readSection(Found->first, Found->second.m_Json, Settings)
+           .m_Errors.empty())
     return;
   std::map<AccountId, std::uint32_t> Limits;
-  for (const nlohmann::json &Row : Parsed["accounts"])
-    if (Row.is_object() && Row.contains("id") && Row["id"].is_string() &&
-        Row.contains("max_concurrent") &&
-        Row["max_concurrent"].is_number_unsigned())
-      Limits[AccountId(Row["id"].get<std::string>())] =
-          Row["max_concurrent"].get<std::uint32_t>();
+  for (const AccountEntry &Entry : Settings.m_Accounts)
+    Limits[Entry.m_Settings.m_Id] =
+        Entry.m_Settings.m_Enabled ? Entry.m_Settings.m_MaxConcurrent : 0;
   setAccountLimits(Table.m_Shares, Limits);
 }
 
--- /dev/null
+++ b/src/core/version/section_schema.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+
+namespace vanillaferry {
+
+/// JSON Schema of a section; null for an unknown name. The schemas use no
+/// patterns: std::regex recurses once for each character, so that a long value
+/// would exhaust the stack. The form of ids, hashes and URLs is checked apart.
+const char *sectionSchema(const SectionName &Name);
+
+} // namespace vanillaferry
