Grant nothing for an overtaken renewal

A late renewal got a grant whose sequence stood behind a newer one in the share ledger, so that an acknowledgement could drop the larger share too early.

--- a/src/core/process/account_shares.cpp
+++ b/src/core/process/account_shares.cpp
@@ -90,7 +90,7 @@
   const ShareHolder &Own = Ledger.m_Holders[Self];
   // The former leader kept the sum of reported shares within the limit.
   if (FormerLeases)
-    return std::min(Ledger.m_Limit, std::max(Own.m_Reported, Own.m_Running));
+    return std::min(Ledger.m_Limit, Own.m_Reported);
   std::uint64_t Others = 0;
   for (const std::pair<const ShareHolderKey, ShareHolder> &Row :
        Ledger.m_Holders)
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -167,16 +167,17 @@
   pruneFormer(Table, State, Now);
   bool IsNew = false;
   NodeLease &Lease = openLease(Table, Request, IsNew);
+  // The node has sent a later renewal and takes no grant for this one.
+  if (Request.m_Sequence <= Lease.m_Sequence)
+    return Decision;
   bool WasEnded = IsNew ? formerLeasesEnded(Table, Now) : !isLive(Lease, Now);
   noteAcknowledged(Lease, State, Request, WasEnded);
   Lease.m_Ends = Now + Table.m_Options.m_LeaseTime;
   Lease.m_Leaving = Lease.m_Leaving || Request.m_Leaving;
   refreshAccountLimits(Table, State);
-  if (Request.m_Sequence > Lease.m_Sequence) {
-    Lease.m_Sequence = Request.m_Sequence;
-    takeReport(Table, Lease, State, Request, Now);
-    noteDemand(Table.m_Shares, Request, WasEnded);
-  }
+  Lease.m_Sequence = Request.m_Sequence;
+  takeReport(Table, Lease, State, Request, Now);
+  noteDemand(Table.m_Shares, Request, WasEnded);
   Decision.m_Grant = makeGrant(Table, State, Request, Now);
   return Decision;
 }
