--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -90,6 +90,8 @@
   std::uint32_t m_DropMinimum = 4;
   /// Each restart adds one penalty, which halves in this time.
   Millis m_PenaltyHalfLife{30000};
+  /// Pause after a failed connection; a load report ends it early.
+  Millis m_UnreachablePause{1000};
   /// Above this the target gets no work until the penalty has decayed.
   double m_PenaltyLimit = 2.5;
 };
@@ -116,6 +118,8 @@
   std::uint32_t m_Stage = 0;
   double m_Penalty = 0;
   Millis m_PenaltyAt;
+  /// No dispatch before this time: the last connection failed.
+  Millis m_TryAgainAt;
 };
 
 /// A target's own load report: GET /load.
@@ -164,7 +168,13 @@
 /// Starts the ramp over after a restart, with a flap penalty.
 void markCold(TargetState &State, Millis Now);
 
-/// Replaces the residual count from a grant.
+/// Notes a failed connection or broken streams: no work for a pause, then the
+/// ramp from the cold limit. The penalty follows only from a new identity, so
+/// that one restart is not counted twice.
+void noteUnreachable(TargetState &State, Millis Now);
+
+/// Takes the residual count of a later grant. It can only fall: requests of
+/// former owners end, and the target's own report may already show fewer.
 void setResidual(TargetState &State, std::uint32_t Residual);
 
 } // namespace vanillaferry
--- a/include/vanillaferry/request/admission_queue.hpp
+++ b/include/vanillaferry/request/admission_queue.hpp
@@ -73,6 +73,10 @@
 dequeue(AdmissionQueue &Queue,
         const std::function<bool(const AccountId &)> &MayStart, Millis Now);
 
+/// Puts a request that found no place back at the head of its line.
+void requeue(AdmissionQueue &Queue, WaitingRequest Request,
+             std::uint32_t Weight);
+
 /// Removes requests whose deadline has passed; they are refused with
 /// DeadlineUnreachable, not run.
 std::vector<WaitingRequest> expireWaiting(AdmissionQueue &Queue, Millis Now);
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -135,7 +135,8 @@
 bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now) {
   std::uint32_t Limit =
       std::min({BoundLimit, State.m_RampLimit, State.m_MaxConcurrent});
-  return targetLoad(State) < Limit && !isDamped(State, Now);
+  return targetLoad(State) < Limit && Now >= State.m_TryAgainAt &&
+         !isDamped(State, Now);
 }
 
 std::uint32_t startRequest(TargetState &State) {
@@ -181,11 +182,17 @@
       !State.m_Instance.empty() && State.m_Instance != Report.m_Instance;
   bool First = State.m_Instance.empty();
   State.m_Instance = Report.m_Instance;
+  State.m_TryAgainAt = Millis();
+  std::uint32_t Foreign = Report.m_Running > Report.m_OwnRunningThen
+                              ? Report.m_Running - Report.m_OwnRunningThen
+                              : 0;
+  bool Residuals = State.m_Residual > 0;
+  State.m_Residual = std::min(State.m_Residual, Foreign);
   if (First) {
-    // After a change of owner the limit follows what the target itself says.
-    std::uint32_t Shown = std::min(Report.m_Running, State.m_RampLimit);
-    if (State.m_Residual > 0 && Shown < State.m_RampLimit && isCold(State))
-      State.m_RampLimit = std::max(State.m_ColdLimit, Shown);
+    // After a change of owner the limit follows what the target itself shows.
+    if (Residuals && isCold(State))
+      State.m_RampLimit =
+          std::clamp(Report.m_Running, State.m_ColdLimit, State.m_RampLimit);
     return false;
   }
   bool Dropped =
@@ -204,7 +211,12 @@
 }
 
 void setResidual(TargetState &State, std::uint32_t Residual) {
-  State.m_Residual = Residual;
+  State.m_Residual = std::min(State.m_Residual, Residual);
+}
+
+void noteUnreachable(TargetState &State, Millis Now) {
+  State.m_TryAgainAt = Now + State.m_Options.m_UnreachablePause;
+  restartRamp(State);
 }
 
 } // namespace vanillaferry
--- a/src/core/request/admission_queue.cpp
+++ b/src/core/request/admission_queue.cpp
@@ -155,6 +155,23 @@
   return Next;
 }
 
+void requeue(AdmissionQueue &Queue, WaitingRequest Request,
+             std::uint32_t Weight) {
+  QueueClass &Class = classOf(Queue, Request.m_Priority);
+  auto Line = Class.m_Lines.find(Request.m_Account);
+  if (Line == Class.m_Lines.end()) {
+    Class.m_Turn.push_front(Request.m_Account);
+    Line = Class.m_Lines.emplace(Request.m_Account, AccountLine()).first;
+  }
+  Line->second.m_Weight = Weight;
+  Line->second.m_Deficit += Request.m_Cost;
+  ++Queue.m_Size;
+  ++Queue.m_PerAccount[Request.m_Account];
+  if (Queue.m_RateServed > 0)
+    --Queue.m_RateServed;
+  Line->second.m_Waiting.push_front(std::move(Request));
+}
+
 std::vector<WaitingRequest> expireWaiting(AdmissionQueue &Queue, Millis Now) {
   auto Passed = [Now](const WaitingRequest &Request) {
     return Request.m_Deadline <= Now;
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -17,6 +17,8 @@
   App.require_subcommand(1);
   int Code = ExitOk;
   addCheckSettingsCommand(App, Code);
+  addGenerateTraceCommand(App, Code);
+  addReplayCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
