--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -208,8 +208,9 @@
       closeSocket();
     return;
   }
-  if ((Events & EPOLLIN) && !m_Read && !m_Streaming && m_OnBytes)
-    m_OnBytes();
+  std::function<void()> OnBytes = m_OnBytes;
+  if ((Events & EPOLLIN) && !m_Read && !m_Streaming && OnBytes)
+    OnBytes();
   if ((Events & (EPOLLERR | EPOLLHUP)) ||
       ((Events & EPOLLRDHUP) && (m_Read || m_Streaming))) {
     gone();
@@ -247,8 +248,10 @@
     bool WasBlocked = (m_WatchedEvents & EPOLLOUT) != 0;
     m_WatchedEvents = Wanted;
     m_Watcher.change(m_Watch, Wanted);
-    if (WasBlocked && m_OnDrained && !m_Finishing)
-      m_OnDrained();
+    // A copy, because the handler may end the exchange.
+    std::function<void()> OnDrained = m_OnDrained;
+    if (WasBlocked && OnDrained && !m_Finishing)
+      OnDrained();
   }
   if (Drained && m_Finishing)
     linger();
--- /dev/null
+++ b/src/daemon/connection/engine_adapter.cpp
@@ -0,0 +1,201 @@
+#include "connection/engine_adapter.hpp"
+
+#include <cstdio>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace vanillaferry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t BytesPerToken = 4;
+constexpr const char *DoneEvent = "data: [DONE]";
+
+/// Length of the blank line that starts at this line end; 0 when the event
+/// goes on.
+std::size_t blankLineAt(const std::string &Text, std::size_t LineEnd) {
+  if (LineEnd + 1 < Text.size() && Text[LineEnd + 1] == '\n')
+    return 2;
+  if (LineEnd + 2 < Text.size() && Text[LineEnd + 1] == '\r' &&
+      Text[LineEnd + 2] == '\n')
+    return 3;
+  return 0;
+}
+
+/// Position behind the event that starts at From; npos when it is not whole.
+std::size_t eventEnd(const std::string &Text, std::size_t From) {
+  for (std::size_t At = Text.find('\n', From); At != std::string::npos;
+       At = Text.find('\n', At + 1))
+    if (std::size_t Length = blankLineAt(Text, At))
+      return At + Length;
+  return std::string::npos;
+}
+
+void appendText(std::string &Text, const json &Event) {
+  if (!Event.is_object() || !Event.contains("choices") ||
+      !Event["choices"].is_array())
+    return;
+  for (const json &Choice : Event["choices"])
+    if (Choice.is_object() && Choice.contains("delta") &&
+        Choice["delta"].is_object() && Choice["delta"].contains("content") &&
+        Choice["delta"]["content"].is_string())
+      Text += Choice["delta"]["content"].get<std::string>();
+}
+
+/// Hash up to the first user message, which follow-ups leave unchanged.
+std::string hashFirstMessages(const json &Messages) {
+  std::uint64_t Hash = 0;
+  for (const json &Message : Messages) {
+    std::string Text =
+        Message.dump(-1, ' ', false, json::error_handler_t::replace);
+    Hash = XXH3_64bits_withSeed(Text.data(), Text.size(), Hash);
+    if (Message.is_object() && Message.contains("role") &&
+        Message["role"] == "user")
+      break;
+  }
+  char Name[24];
+  std::snprintf(Name, sizeof Name, "h-%016llx",
+                static_cast<unsigned long long>(Hash));
+  return Name;
+}
+
+} // namespace
+
+Result<ChatBody> parseChatBody(const std::string &Body) {
+  json Value = json::parse(Body, nullptr, false);
+  if (!Value.is_object())
+    return makeError(ErrorCode::Malformed, "the body is not a JSON object");
+  if (!Value.contains("model") || !Value["model"].is_string())
+    return makeError(ErrorCode::Malformed, "\"model\" is not a string");
+  if (!Value.contains("messages") || !Value["messages"].is_array() ||
+      Value["messages"].empty())
+    return makeError(ErrorCode::Malformed,
+                     "\"messages\" is not a list with members");
+  if (Value.contains("stream") && !Value["stream"].is_boolean() &&
+      !Value["stream"].is_null())
+    return makeError(ErrorCode::Malformed, "\"stream\" is not a boolean");
+  // The router sets this field itself when it continues a broken stream.
+  if (Value.contains("continue_text"))
+    return makeError(ErrorCode::Malformed, "\"continue_text\" is reserved");
+  ChatBody Chat;
+  Chat.m_Model = Value["model"].get<std::string>();
+  Chat.m_Stream = Value.contains("stream") && Value["stream"] == true;
+  Chat.m_PromptTokens =
+      Tokens(static_cast<std::int64_t>(Body.size() / BytesPerToken));
+  Chat.m_FirstMessages = ChatId(hashFirstMessages(Value["messages"]));
+  return Chat;
+}
+
+EventBatch takeBytes(EventSplitter &Splitter, const char *Data,
+                     std::size_t Size) {
+  EventBatch Batch;
+  std::string &Text = Splitter.m_Partial;
+  Text.append(Data, Size);
+  std::size_t Whole = 0;
+  std::size_t Last = 0;
+  for (std::size_t End = eventEnd(Text, 0); End != std::string::npos;
+       End = eventEnd(Text, End)) {
+    Last = Whole;
+    Whole = End;
+    ++Batch.m_Count;
+  }
+  if (Batch.m_Count == 0)
+    return Batch;
+  Batch.m_Done =
+      Text.compare(Last, std::strlen(DoneEvent), DoneEvent) == 0;
+  if (Whole == Text.size()) {
+    Batch.m_Data = std::move(Text);
+    Text.clear();
+  } else {
+    Batch.m_Data = Text.substr(0, Whole);
+    Text.erase(0, Whole);
+  }
+  return Batch;
+}
+
+std::string skipEvents(const std::string &Data, std::uint32_t Count) {
+  std::size_t From = 0;
+  for (; Count > 0 && From < Data.size(); --Count) {
+    std::size_t End = eventEnd(Data, From);
+    if (End == std::string::npos)
+      return "";
+    From = End;
+  }
+  return Data.substr(From);
+}
+
+std::string textOfEvents(const std::string &Events) {
+  std::string Text;
+  std::size_t From = 0;
+  for (std::size_t End = eventEnd(Events, 0); End != std::string::npos;
+       End = eventEnd(Events, From)) {
+    std::size_t Start = Events.find("data:", From);
+    if (Start != std::string::npos && Start < End)
+      appendText(Text, json::parse(Events.substr(Start + 5, End - Start - 5),
+                                   nullptr, false));
+    From = End;
+  }
+  return Text;
+}
+
+std::string errorEvent(const std::string &RefusalText) {
+  return "data: " + RefusalText + "\n\n";
+}
+
+TargetRequest engineRequest(const std::string &Url, const Forward &Order,
+                            std::optional<std::uint64_t> ResumeAt) {
+  TargetRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Url = Url + "/v1/chat/completions";
+  Request.m_ContentType = "application/json";
+  Request.m_Fields.emplace_back("X-Request-Id", Order.m_Request.m_Value);
+  Request.m_Fields.emplace_back(
+      "X-Priority",
+      Order.m_Priority == Priority::Latency ? "latency" : "batch");
+  if (ResumeAt)
+    Request.m_Fields.emplace_back("X-Resume-Offset",
+                                  std::to_string(*ResumeAt));
+  Request.m_Body = Order.m_Body;
+  if (!Order.m_ResumeText.empty()) {
+    json Body = json::parse(Order.m_Body, nullptr, false);
+    if (Body.is_object()) {
+      Body["continue_text"] = Order.m_ResumeText;
+      Request.m_Body =
+          Body.dump(-1, ' ', false, json::error_handler_t::replace);
+    }
+  }
+  return Request;
+}
+
+TargetRequest engineCancel(const std::string &Url, const RequestId &Request) {
+  TargetRequest Cancel;
+  Cancel.m_Method = "POST";
+  Cancel.m_Url = Url + "/v1/cancel";
+  Cancel.m_ContentType = "application/json";
+  Cancel.m_Body = json{{"request_id", Request.m_Value}}.dump();
+  return Cancel;
+}
+
+bool statesNotRun(const std::string &Body) {
+  json Value = json::parse(Body, nullptr, false);
+  return Value.is_object() && Value.contains("error") &&
+         Value["error"].is_object() && Value["error"].contains("not_run") &&
+         Value["error"]["not_run"] == true;
+}
+
+std::optional<LoadReport> parseLoadReport(const std::string &Text) {
+  json Value = json::parse(Text, nullptr, false);
+  if (!Value.is_object() || !Value.contains("instance") ||
+      !Value["instance"].is_string() || !Value.contains("running") ||
+      !Value["running"].is_number_unsigned())
+    return std::nullopt;
+  LoadReport Report;
+  Report.m_Instance = Value["instance"].get<std::string>();
+  Report.m_Running = Value["running"].get<std::uint32_t>();
+  return Report;
+}
+
+} // namespace vanillaferry
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -36,7 +36,7 @@
                                               const TargetRequest &Request,
                                               CallHandlers Handlers) {
   std::shared_ptr<TargetCall> Call(new TargetCall(Watcher));
-  Call->m_Handlers = std::move(Handlers);
+  Call->m_Handlers = std::make_shared<CallHandlers>(std::move(Handlers));
   Call->m_Message.reset(
       soup_message_new(Request.m_Method.c_str(), Request.m_Url.c_str()));
   if (!Call->m_Message) {
@@ -73,8 +73,8 @@
   g_signal_connect(Message, "starting",
                    G_CALLBACK(+[](SoupMessage *, gpointer Data) {
                      TargetCall *Self = static_cast<TargetCall *>(Data);
-                     if (Self->m_Handlers.m_MayDispatch &&
-                         !Self->m_Handlers.m_MayDispatch()) {
+                     if (Self->m_Handlers->m_MayDispatch &&
+                         !Self->m_Handlers->m_MayDispatch()) {
                        Self->m_Refused = true;
                        g_cancellable_cancel(Self->m_Cancel.get());
                        // A closed socket makes sure that nothing leaves.
@@ -120,8 +120,8 @@
   Head.m_Status = static_cast<int>(soup_message_get_status(m_Message.get()));
   Head.m_ContentType = fieldOf(Headers, "Content-Type");
   Head.m_RequestId = fieldOf(Headers, "X-Request-Id");
-  Head.m_NotRun = fieldOf(Headers, "X-Not-Run") == "true";
-  m_Handlers.m_OnHead(Head);
+  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
+  Handlers->m_OnHead(Head);
   if (m_Done)
     return;
   m_Watch = m_Watcher.add(m_Fd, EPOLLIN | EPOLLRDHUP,
@@ -138,6 +138,7 @@
   std::shared_ptr<TargetCall> Self = shared_from_this();
   static std::array<char, ReadBytes> Buffer;
   m_Reading = true;
+  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
   for (int Round = 0; !m_Done && !m_Paused; ++Round) {
     if (Round == ReadsPerRound) {
       // libsoup may hold bytes that the socket no longer signals.
@@ -150,7 +151,7 @@
         nullptr, &Fault);
     GErrorHandle Owned(Fault);
     if (Count > 0) {
-      m_Handlers.m_OnData(Buffer.data(), static_cast<std::size_t>(Count));
+      Handlers->m_OnData(Buffer.data(), static_cast<std::size_t>(Count));
       continue;
     }
     if (Count < 0 && g_error_matches(Fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
@@ -181,7 +182,7 @@
   if (m_Done)
     return;
   m_Done = true;
-  m_Handlers = CallHandlers();
+  m_Handlers.reset();
   g_cancellable_cancel(m_Cancel.get());
   release();
 }
@@ -190,11 +191,10 @@
   if (m_Done)
     return;
   m_Done = true;
-  CallHandlers Handlers = std::move(m_Handlers);
-  m_Handlers = CallHandlers();
+  std::shared_ptr<CallHandlers> Handlers = std::move(m_Handlers);
   release();
-  if (Handlers.m_OnEnd)
-    Handlers.m_OnEnd(How, Detail);
+  if (Handlers->m_OnEnd)
+    Handlers->m_OnEnd(How, Detail);
 }
 
 void TargetCall::release() {
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -25,8 +25,6 @@
   std::string m_ContentType;
   /// The target's X-Request-Id; empty when it sends none.
   std::string m_RequestId;
-  /// True when the target states that it did not run the request.
-  bool m_NotRun = false;
 };
 
 /// How one HTTP exchange with a target ended.
@@ -84,7 +82,8 @@
   GHandle<SoupMessage> m_Message;
   GHandle<GCancellable> m_Cancel;
   GHandle<GInputStream> m_Body;
-  CallHandlers m_Handlers;
+  /// Shared, so that a handler that cancels its call stays alive meanwhile.
+  std::shared_ptr<CallHandlers> m_Handlers;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   bool m_MayBeSent = false;
