--- a/src/daemon/connection/service_adapter.hpp
+++ b/src/daemon/connection/service_adapter.hpp
@@ -8,7 +8,8 @@
 namespace vanillaferry {
 
 /// A call for a plain service. The caller's path below /services/NAME is kept
-/// with its query.
-TargetRequest serviceRequest(const std::string &Url, const Forward &Order);
+/// with its query. SendKey adds the idempotency key of a journaled call.
+TargetRequest serviceRequest(const std::string &Url, const Forward &Order,
+                             bool SendKey);
 
 } // namespace vanillaferry
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -109,9 +109,11 @@
     return;
   }
   if (!Body) {
-    end(m_MayBeSent ? CallEnd::Broken : CallEnd::NotSent,
-        m_Refused ? "the lease ended before the dispatch"
-                  : (Owned ? Owned->message : "no answer"));
+    CallEnd How = m_Refused     ? CallEnd::Forbidden
+                  : m_MayBeSent ? CallEnd::Broken
+                                : CallEnd::NotSent;
+    end(How, m_Refused ? "the lease ended before the dispatch"
+                       : (Owned ? Owned->message : "no answer"));
     return;
   }
   SoupMessageHeaders *Headers =
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -33,6 +33,8 @@
   Complete,
   /// No byte of the request left.
   NotSent,
+  /// m_MayDispatch said no: no byte left.
+  Forbidden,
   /// The connection broke after bytes may have left.
   Broken,
 };
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -17,6 +17,7 @@
   App.require_subcommand(1);
   int Code = ExitOk;
   addCheckSettingsCommand(App, Code);
+  addRouterCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -28,5 +28,6 @@
 
 /// Each adds its subcommands; the callback stores the exit code.
 void addCheckSettingsCommand(CLI::App &App, int &Code);
+void addRouterCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/lease_client.cpp
@@ -0,0 +1,294 @@
+#include "process/lease_client.hpp"
+
+#include "process/clock.hpp"
+#include "process/router.hpp"
+#include "request/run.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr Millis EarlySpacing{100};
+/// Pause before another keeper is asked when the last one knew no leader.
+constexpr Millis UnknownLeaderPause{150};
+
+void addPoolLoads(Router &R, Renew &Renewal, Millis Now) {
+  std::map<PoolId, std::uint32_t> &Reported =
+      R.m_Keeper.m_Reported[Renewal.m_Sequence];
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
+    std::uint32_t Running = ownerLoad(Row.second);
+    Reported[Row.first] = Running;
+    noteReported(Row.second.m_Mean, Running, Now);
+    Renewal.m_Pools.push_back({Row.first, Running});
+    for (const std::pair<const TargetId, OwnedTarget> &Target :
+         Row.second.m_Targets)
+      if (Target.second.m_State.m_Running > 0)
+        Renewal.m_Targets.push_back(
+            {Target.first, Target.second.m_State.m_Running});
+  }
+}
+
+void sendRenewal(Router &R) {
+  Millis Now = monotonicNow();
+  Renew Renewal;
+  Renewal.m_Node = R.m_Settings.m_Node;
+  Renewal.m_Incarnation = R.m_Incarnation;
+  Renewal.m_AckedGrant = R.m_Lease.m_TakenSequence;
+  Renewal.m_Sequence = renewalSent(R.m_Lease, Now);
+  Renewal.m_PeerUrl = "ws://" + R.m_Settings.m_Peer.m_Address + ":" +
+                      std::to_string(R.m_Settings.m_Peer.m_Port);
+  Renewal.m_Zone = R.m_Settings.m_Zone;
+  Renewal.m_AckedEpoch = R.m_Keeper.m_AckedEpoch;
+  Renewal.m_AckedVersion = R.m_Keeper.m_AckedVersion;
+  Renewal.m_Leaving = R.m_Draining;
+  addPoolLoads(R, Renewal, Now);
+  Renewal.m_Accounts = accountDemand(R.m_Accounts);
+  R.m_Keeper.m_SentAt[Renewal.m_Sequence] = Now;
+  R.m_Keeper.m_LastRenew = Now;
+  while (R.m_Keeper.m_SentAt.size() > 64) {
+    R.m_Keeper.m_Reported.erase(R.m_Keeper.m_SentAt.begin()->first);
+    R.m_Keeper.m_SentAt.erase(R.m_Keeper.m_SentAt.begin());
+  }
+  addCounter(R.m_Metrics, "vanillaferry_renewals_total");
+  sendToLeader(R, std::move(Renewal));
+}
+
+/// A pool's count fell, or an account without a share here has work.
+bool earlyRenewalDue(const Router &R, Millis Now) {
+  if (R.m_Keeper.m_LastRenew + EarlySpacing > Now)
+    return false;
+  for (const std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
+    if (earlyReportDue(Row.second.m_Mean, ownerLoad(Row.second), Now))
+      return true;
+  for (const std::pair<const AccountId, AccountState> &Row :
+       R.m_Accounts.m_Accounts)
+    if (Row.second.m_Waiting > 0 && Row.second.m_Running >= Row.second.m_Share)
+      return true;
+  return false;
+}
+
+void tryNextKeeper(Router &R, Millis Now) {
+  const std::vector<std::string> &All = R.m_Settings.m_Keepers;
+  R.m_Keeper.m_Index = (R.m_Keeper.m_Index + 1) % All.size();
+  R.m_Keeper.m_Url = All[R.m_Keeper.m_Index];
+  R.m_Keeper.m_LastAnswer = Now;
+  R.m_Lease.m_NextRenewal = Now;
+  logEvent(Event::KeeperChanged, {{"url", R.m_Keeper.m_Url}});
+}
+
+void takeSections(Router &R, const Grant &Granted) {
+  for (const SectionContent &Section : Granted.m_Sections) {
+    Status Applied = applySection(R.m_Document, Section);
+    if (!Applied)
+      logEvent(Event::SectionRefused, {{"section", Section.m_Name.m_Value},
+                                       {"fault", Applied.error().m_Text}});
+    else
+      logEvent(Event::SectionApplied,
+               {{"section", Section.m_Name.m_Value},
+                {"version", Section.m_Version.m_Value},
+                {"document", Granted.m_Version.m_Value}});
+  }
+}
+
+void applyLimits(Router &R) {
+  const RouterLimits &Limits = R.m_Document.m_Limits;
+  R.m_Retries.m_Options.m_Share = Limits.m_RetryShare;
+  R.m_Retries.m_Options.m_Floor = Limits.m_RetryFloor;
+  if (R.m_Front)
+    R.m_Front->setLimits(
+        {Limits.m_MaxHeader, Limits.m_MaxBody, Limits.m_SlowSender});
+}
+
+void dialMembers(Router &R) {
+  std::set<std::string> Wanted(R.m_Settings.m_Keepers.begin(),
+                               R.m_Settings.m_Keepers.end());
+  // One of two routers dials, so that there is one link between them.
+  for (const Member &Other : R.m_Members.m_Members)
+    if (R.m_Settings.m_Node < Other.m_Node)
+      Wanted.insert(Other.m_PeerUrl);
+  if (!R.m_Peer)
+    return;
+  for (const std::string &Url : R.m_Dialled)
+    if (Wanted.count(Url) == 0)
+      R.m_Peer->disconnect(Url);
+  for (const std::string &Url : Wanted)
+    if (R.m_Dialled.count(Url) == 0)
+      R.m_Peer->connect(Url);
+  R.m_Dialled = std::move(Wanted);
+}
+
+void takeLoads(Router &R, const Grant &Granted, Millis SentAt) {
+  std::map<PoolId, std::uint32_t> Reported =
+      R.m_Keeper.m_Reported[Granted.m_Sequence];
+  for (const PoolTotal &Total : Granted.m_Totals) {
+    auto Pool = R.m_OwnerPools.find(Total.m_Pool);
+    if (Pool != R.m_OwnerPools.end())
+      takePoolTotal(Pool->second.m_Mean, Total, Reported[Total.m_Pool], SentAt);
+  }
+  R.m_Residual.clear();
+  for (const TargetLoad &Load : Granted.m_Residual)
+    R.m_Residual[Load.m_Target] = Load.m_Running;
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
+    for (std::pair<const TargetId, OwnedTarget> &Target : Row.second.m_Targets)
+      setResidual(Target.second.m_State, R.m_Residual[Target.first]);
+}
+
+/// Members, sections and accounts of a grant, before the next dispatch.
+void takeChanges(Router &R, const Grant &Granted, Millis Now) {
+  bool NewMembers = !Granted.m_Members.empty();
+  if (NewMembers) {
+    R.m_Members.m_Epoch = Granted.m_Epoch;
+    R.m_Members.m_Members = Granted.m_Members;
+    logEvent(
+        Event::MembersChanged,
+        {{"epoch", Granted.m_Epoch.m_Value},
+         {"members", static_cast<std::uint64_t>(Granted.m_Members.size())}});
+    dialMembers(R);
+  }
+  takeSections(R, Granted);
+  if (NewMembers || !Granted.m_Sections.empty()) {
+    setAccounts(R.m_Accounts, R.m_Document.m_Accounts,
+                static_cast<std::uint32_t>(R.m_Members.m_Members.size()), Now);
+    applyLimits(R);
+    rebuildPools(R);
+  }
+}
+
+/// A target stays while requests run at it, so that their places are counted.
+void dropOrphans(OwnerPool &Pool, const std::set<TargetId> &Kept) {
+  for (auto It = Pool.m_Targets.begin(); It != Pool.m_Targets.end();)
+    if (Kept.count(It->first) == 0 && It->second.m_State.m_Running == 0)
+      It = Pool.m_Targets.erase(It);
+    else
+      ++It;
+}
+
+void rebuildOwnerPool(Router &R, const PoolSettings &Settings,
+                      const RoutedPool &Routed) {
+  OwnerPool &Own = R.m_OwnerPools[Settings.m_Id];
+  Own.m_Settings = Settings;
+  setTargetCount(Own.m_PoolTargets, Routed.m_View.m_Targets.size(),
+                 monotonicNow());
+  std::set<TargetId> Kept;
+  for (const TargetSettings &Target : Settings.m_Targets) {
+    std::optional<NodeId> Owner = ownerOf(R.m_Members, Target.m_Id);
+    if (!Owner || *Owner != R.m_Settings.m_Node)
+      continue;
+    Kept.insert(Target.m_Id);
+    auto Found = Own.m_Targets.find(Target.m_Id);
+    if (Found == Own.m_Targets.end()) {
+      OwnedTarget &New = Own.m_Targets[Target.m_Id];
+      New.m_State = makeTargetState(Target, R.m_Residual[Target.m_Id]);
+      New.m_Prefixes.m_Capacity = Target.m_CacheTokens;
+    } else {
+      Found->second.m_State.m_MaxConcurrent = Target.m_MaxConcurrent;
+      Found->second.m_State.m_ColdLimit = Target.m_ColdLimit;
+      Found->second.m_Prefixes.m_Capacity = Target.m_CacheTokens;
+    }
+  }
+  dropOrphans(Own, Kept);
+}
+
+} // namespace
+
+void sendToLeader(Router &R, PeerMessage Message) {
+  if (R.m_Peer)
+    R.m_Peer->sendToUrl(R.m_Keeper.m_Url, std::move(Message));
+}
+
+void checkLease(Router &R) {
+  Millis Now = monotonicNow();
+  if (R.m_Settings.m_Keepers.empty())
+    return;
+  bool Unanswered = R.m_Keeper.m_LastAnswer < R.m_Keeper.m_LastRenew;
+  if (Unanswered && (Now - R.m_Keeper.m_LastRenew > KeeperSilence ||
+                     Now - R.m_Keeper.m_LastAnswer >
+                         R.m_Lease.m_RenewInterval + KeeperSilence))
+    tryNextKeeper(R, Now);
+  if (renewalDue(R.m_Lease, Now) || earlyRenewalDue(R, Now))
+    sendRenewal(R);
+}
+
+void takeGrantMessage(Router &R, const Grant &Granted) {
+  Millis Now = monotonicNow();
+  bool Held = holdsLease(R);
+  auto Sent = R.m_Keeper.m_SentAt.find(Granted.m_Sequence);
+  Millis SentAt = Sent == R.m_Keeper.m_SentAt.end() ? Now : Sent->second;
+  if (!takeGrant(R.m_Lease, Granted, Now))
+    return;
+  R.m_Keeper.m_LastAnswer = Now;
+  takeChanges(R, Granted, Now);
+  takeShares(R.m_Accounts, Granted.m_Shares);
+  takeLoads(R, Granted, SentAt);
+  updateDispatchable(R);
+  // Dispatches check ownership under the new members from here on, so the lost
+  // targets get nothing more and the epoch may be acknowledged.
+  R.m_Keeper.m_AckedEpoch = R.m_Members.m_Epoch;
+  R.m_Keeper.m_AckedVersion = Granted.m_Version;
+  if (!Granted.m_Sections.empty() || !Granted.m_Members.empty())
+    R.m_Lease.m_NextRenewal = Now;
+  if (!Held && holdsLease(R))
+    logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
+}
+
+void takeRedirect(Router &R, const RedirectLeader &Redirect) {
+  Millis Now = monotonicNow();
+  if (Redirect.m_PeerUrl.empty()) {
+    tryNextKeeper(R, Now);
+    R.m_Lease.m_NextRenewal = Now + UnknownLeaderPause;
+    return;
+  }
+  if (Redirect.m_PeerUrl == R.m_Keeper.m_Url)
+    return;
+  R.m_Keeper.m_Url = Redirect.m_PeerUrl;
+  R.m_Keeper.m_LastAnswer = Now;
+  R.m_Lease.m_NextRenewal = Now;
+  if (R.m_Dialled.insert(Redirect.m_PeerUrl).second && R.m_Peer)
+    R.m_Peer->connect(Redirect.m_PeerUrl);
+}
+
+void rebuildPools(Router &R) {
+  Millis Now = monotonicNow();
+  std::vector<TargetId> All;
+  for (const std::pair<const PoolId, PoolSettings> &Row :
+       R.m_Document.m_Services)
+    for (const TargetSettings &Target : Row.second.m_Targets)
+      All.push_back(Target.m_Id);
+  updateOwned(R.m_Owned, R.m_Members, All);
+  R.m_Pools.clear();
+  for (const std::pair<const PoolId, PoolSettings> &Row :
+       R.m_Document.m_Services) {
+    RoutedPool Routed = makeRoutedPool(
+        makePoolView(Row.second, R.m_Document.m_Zones, R.m_Vms, Now),
+        R.m_Members);
+    rebuildOwnerPool(R, Row.second, Routed);
+    R.m_Pools[Row.first] = std::move(Routed);
+  }
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
+    if (R.m_Document.m_Services.count(Row.first) == 0)
+      dropOrphans(Row.second, {});
+  updateDispatchable(R);
+}
+
+void updateDispatchable(Router &R) {
+  Millis Now = monotonicNow();
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
+    auto Routed = R.m_Pools.find(Row.first);
+    for (std::pair<const TargetId, OwnedTarget> &Target :
+         Row.second.m_Targets) {
+      bool Listed = Routed != R.m_Pools.end() &&
+                    findTarget(Routed->second.m_View, Target.first) <
+                        Routed->second.m_View.m_Targets.size();
+      Target.second.m_InService = Listed;
+      auto Poll = R.m_Polls.find(Target.first);
+      bool Failed = Poll != R.m_Polls.end() && Poll->second.m_FailedUntil > Now;
+      Target.second.m_Dispatchable =
+          Listed && !Failed &&
+          mayDispatchNow(R.m_Lease, R.m_Owned, Target.first, Now);
+    }
+  }
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/lease_client.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "vanillaferry/connection/message.hpp"
+
+namespace vanillaferry {
+
+struct Router;
+
+/// A leader that leaves a renewal unanswered for this long is left for the next
+/// keeper.
+constexpr Millis KeeperSilence{700};
+
+/// Sends to the keeper that is taken for the leader.
+void sendToLeader(Router &R, PeerMessage Message);
+
+/// Renews when due, early when a pool's count fell or demand is new.
+void checkLease(Router &R);
+
+void takeGrantMessage(Router &R, const Grant &Granted);
+void takeRedirect(Router &R, const RedirectLeader &Redirect);
+
+/// Rebuilds pools and ownership after a change of the document, the members or
+/// the VM list.
+void rebuildPools(Router &R);
+
+/// Updates which owned targets may be dispatched to at present.
+void updateDispatchable(Router &R);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/poller.cpp
@@ -0,0 +1,116 @@
+#include "process/poller.hpp"
+
+#include "connection/engine_adapter.hpp"
+#include "connection/platform_adapter.hpp"
+#include "process/clock.hpp"
+#include "process/lease_client.hpp"
+#include "process/router.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr std::int64_t PollTimeoutMs = 2000;
+/// Pauses of a target that cannot be reached: doubled from the first to the
+/// last.
+constexpr std::int64_t FirstPauseMs = 250;
+constexpr std::int64_t LastPauseMs = 4000;
+
+/// Empty when the target went to another owner meanwhile.
+OwnedTarget *findOwned(Router &R, const PoolId &Pool, const TargetId &Target) {
+  auto Own = R.m_OwnerPools.find(Pool);
+  if (Own == R.m_OwnerPools.end())
+    return nullptr;
+  auto Found = Own->second.m_Targets.find(Target);
+  return Found == Own->second.m_Targets.end() ? nullptr : &Found->second;
+}
+
+void takeVmList(Router &R, const std::string &Text) {
+  std::optional<std::vector<ListedVm>> Listed = parseVmList(Text);
+  if (!Listed) {
+    addCounter(R.m_Metrics, "vanillaferry_vm_list_failures_total");
+    return;
+  }
+  updateVms(R.m_Vms, *Listed, monotonicNow());
+  rebuildPools(R);
+}
+
+void pollVmList(Router &R, Millis Now) {
+  if (R.m_Settings.m_VmListUrl.empty() || R.m_VmListNext > Now)
+    return;
+  R.m_VmListNext = Now + R.m_Settings.m_VmListInterval;
+  fetchText(R.m_PollSession.get(), R.m_Settings.m_VmListUrl, PollTimeoutMs,
+            [&R](const std::string &Text) { takeVmList(R, Text); });
+}
+
+void takeReport(Router &R, const PoolId &Pool, const TargetId &Target,
+                std::uint32_t OwnThen, const std::string &Text) {
+  R.m_Polls[Target].m_Running = false;
+  std::optional<LoadReport> Report = parseLoadReport(Text);
+  OwnedTarget *Own = findOwned(R, Pool, Target);
+  if (!Report || !Own) {
+    addCounter(R.m_Metrics, "vanillaferry_load_report_failures_total");
+    return;
+  }
+  Millis Now = monotonicNow();
+  Report->m_ReadAt = Now;
+  Report->m_OwnRunningThen = OwnThen;
+  std::string Before = Own->m_State.m_Instance;
+  takeReportAt(R.m_OwnerPools[Pool], Target, *Report, Now);
+  if (!Before.empty() && Before != Report->m_Instance)
+    logEvent(Event::TargetRestarted,
+             {{"target", Target.m_Value}, {"instance", Report->m_Instance}});
+}
+
+void pollTarget(Router &R, const PoolId &Pool, const TargetSettings &Target,
+                Millis Now) {
+  OwnedTarget *Own = findOwned(R, Pool, Target.m_Id);
+  TargetPoll &Poll = R.m_Polls[Target.m_Id];
+  if (!Own || Poll.m_Running || Poll.m_Next > Now)
+    return;
+  Poll.m_Next = Now + Millis(LoadPollMs);
+  Poll.m_Running = true;
+  TargetId Id = Target.m_Id;
+  std::uint32_t OwnThen = Own->m_State.m_Running;
+  fetchText(R.m_PollSession.get(), Target.m_Url + "/load", PollTimeoutMs,
+            [&R, Pool, Id, OwnThen](const std::string &Text) {
+              takeReport(R, Pool, Id, OwnThen, Text);
+            });
+}
+
+} // namespace
+
+void checkPolls(Router &R) {
+  Millis Now = monotonicNow();
+  pollVmList(R, Now);
+  if (!holdsLease(R))
+    return;
+  for (const std::pair<const PoolId, PoolSettings> &Row :
+       R.m_Document.m_Services) {
+    if (Row.second.m_Kind != ServiceKind::Engine)
+      continue;
+    for (const TargetSettings &Target : Row.second.m_Targets)
+      pollTarget(R, Row.first, Target, Now);
+  }
+}
+
+void noteTargetFailed(Router &R, const TargetId &Target) {
+  TargetPoll &Poll = R.m_Polls[Target];
+  std::int64_t Pause =
+      std::min(LastPauseMs, FirstPauseMs << std::min(Poll.m_Failures, 8U));
+  ++Poll.m_Failures;
+  Poll.m_FailedUntil = monotonicNow() + Millis(Pause);
+  logEvent(Event::TargetUnreachable,
+           {{"target", Target.m_Value}, {"pause_ms", Pause}});
+  updateDispatchable(R);
+}
+
+void noteTargetReached(Router &R, const TargetId &Target) {
+  auto Poll = R.m_Polls.find(Target);
+  if (Poll != R.m_Polls.end())
+    Poll->second.m_Failures = 0;
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/poller.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+
+#include <string>
+
+namespace vanillaferry {
+
+struct Router;
+
+/// Time between two load reports of one target; the owner's own count is exact,
+/// the report only shows restarts.
+constexpr std::int64_t LoadPollMs = 1000;
+
+/// Reads the VM list and the load reports and cache events of owned targets.
+void checkPolls(Router &R);
+
+/// Keeps new work away from a target that could not be reached.
+void noteTargetFailed(Router &R, const TargetId &Target);
+/// Ends the growth of its pauses.
+void noteTargetReached(Router &R, const TargetId &Target);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/router.cpp
@@ -0,0 +1,224 @@
+#include "process/router.hpp"
+
+#include "process/clock.hpp"
+#include "process/lease_client.hpp"
+#include "process/poller.hpp"
+#include "process/recorder.hpp"
+#include "request/entry.hpp"
+#include "request/journal_client.hpp"
+#include "request/run.hpp"
+#include "request/session.hpp"
+
+namespace vanillaferry {
+
+namespace {
+
+/// Sends a message to the part of the router that handles its kind.
+struct MessageHandler {
+  Router &m_Router;
+  const NodeId &m_From;
+
+  void operator()(Forward &Message) {
+    startRun(m_Router, m_From, std::move(Message));
+  }
+  void operator()(ForwardAccept &Message) {
+    sessionAccept(m_Router, m_From, Message);
+  }
+  void operator()(ForwardDecline &Message) {
+    sessionDecline(m_Router, m_From, Message);
+  }
+  void operator()(ForwardChunk &Message) {
+    sessionChunk(m_Router, m_From, Message);
+  }
+  void operator()(ForwardEnd &Message) {
+    sessionEnd(m_Router, m_From, Message);
+  }
+  void operator()(ForwardCancel &Message) {
+    cancelRun(m_Router, m_From, Message);
+  }
+  void operator()(ForwardCredit &Message) {
+    creditRun(m_Router, m_From, Message);
+  }
+  void operator()(Placed &Message) {
+    auto Pool = m_Router.m_OwnerPools.find(Message.m_Pool);
+    if (Pool != m_Router.m_OwnerPools.end())
+      notePlaced(Pool->second.m_Redirects, hashChat(Message.m_Chat),
+                 Message.m_Home, Message.m_Target);
+  }
+  void operator()(Grant &Message) { takeGrantMessage(m_Router, Message); }
+  void operator()(RedirectLeader &Message) { takeRedirect(m_Router, Message); }
+  void operator()(JournalAnswer &Message) {
+    takeJournalAnswer(m_Router, Message);
+  }
+  /// Kinds that no router receives.
+  template <typename Other> void operator()(Other &) {
+    addCounter(m_Router.m_Metrics, "vanillaferry_unexpected_messages_total");
+  }
+};
+
+void checkSessions(Router &R) {
+  Millis Now = monotonicNow();
+  std::vector<std::shared_ptr<Session>> Waiting;
+  for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+       R.m_Sessions)
+    if (Row.second->m_Step == SessionStep::Relinking &&
+        Row.second->m_NextTry <= Now)
+      Waiting.push_back(Row.second);
+  for (const std::shared_ptr<Session> &S : Waiting)
+    tryRelink(S);
+}
+
+void checkDrained(Router &R) {
+  if (!R.m_Draining || !R.m_OnDrained)
+    return;
+  bool Idle = R.m_Sessions.empty() && R.m_Runs.empty() &&
+              R.m_JournalEnds.empty() && R.m_JournalBegins.empty();
+  bool OwnsNothing = true;
+  for (const Member &One : R.m_Members.m_Members)
+    if (One.m_Node == R.m_Settings.m_Node && !One.m_Leaving)
+      OwnsNothing = false;
+  bool Overdue =
+      R.m_DrainUntil.m_Value != 0 && R.m_DrainUntil <= monotonicNow();
+  // Without a lease nobody can take the targets over before it is over anyway.
+  if ((Idle && (OwnsNothing || !holdsLease(R))) || Overdue) {
+    std::function<void()> OnDrained = std::move(R.m_OnDrained);
+    R.m_OnDrained = nullptr;
+    OnDrained();
+  }
+}
+
+} // namespace
+
+void initializeRouter(Router &R, RouterSettings Settings) {
+  R.m_Settings = std::move(Settings);
+  R.m_Incarnation = Incarnation(randomSeed());
+  R.m_Metrics = makeMetrics();
+  R.m_TargetSession = makeTargetSession();
+  R.m_PollSession = makeTargetSession();
+  R.m_Lease.m_Node = R.m_Settings.m_Node;
+  R.m_Lease.m_Incarnation = R.m_Incarnation;
+  R.m_Owned.m_Node = R.m_Settings.m_Node;
+  R.m_Vms.m_Configured = !R.m_Settings.m_VmListUrl.empty();
+  R.m_Keeper.m_LastAnswer = monotonicNow();
+  if (!R.m_Settings.m_Keepers.empty())
+    R.m_Keeper.m_Url = R.m_Settings.m_Keepers.front();
+}
+
+Status startRouter(Router &R) {
+  Status Record = openRecord(R);
+  if (!Record)
+    return Record;
+  Result<std::unique_ptr<HttpFront>> Front = HttpFront::start(
+      R.m_Settings.m_Http, R.m_Watcher,
+      [&R](std::shared_ptr<Caller> Sender, CallerRequest Request) {
+        handleCallerRequest(R, Sender, std::move(Request));
+      },
+      [&R](RefusalReason Reason) { countRefusal(R.m_Metrics, Reason); });
+  if (!Front)
+    return Front.error();
+  R.m_Front = std::move(Front.value());
+  R.m_Mailbox = std::make_unique<Mailbox<PeerEvent>>(
+      g_main_context_get_thread_default(),
+      [&R](PeerEvent Event) { handlePeerEvent(R, std::move(Event)); });
+  PeerOptions Options;
+  Options.m_Self = R.m_Settings.m_Node;
+  Options.m_Incarnation = R.m_Incarnation;
+  Options.m_Role = NodeRole::Router;
+  Options.m_ListenAddress = R.m_Settings.m_Peer.m_Address;
+  Options.m_ListenPort = R.m_Settings.m_Peer.m_Port;
+  Mailbox<PeerEvent> *Box = R.m_Mailbox.get();
+  Result<std::unique_ptr<PeerTask>> Peer = PeerTask::start(
+      Options, [Box](PeerEvent Event) { Box->post(std::move(Event)); });
+  if (!Peer)
+    return Peer.error();
+  R.m_Peer = std::move(Peer.value());
+  for (const std::string &Url : R.m_Settings.m_Keepers) {
+    R.m_Peer->connect(Url);
+    R.m_Dialled.insert(Url);
+  }
+  R.m_Tick.start(TickMs, [&R] {
+    tickRouter(R);
+    return true;
+  });
+  return boost::outcome_v2::success();
+}
+
+void sendToNode(Router &R, const NodeId &To, PeerMessage Message) {
+  if (To != R.m_Settings.m_Node) {
+    if (R.m_Peer)
+      R.m_Peer->send(To, std::move(Message));
+    return;
+  }
+  R.m_Local.push_back(std::move(Message));
+  if (R.m_DeliveringLocal)
+    return;
+  R.m_DeliveringLocal = true;
+  while (!R.m_Local.empty()) {
+    PeerMessage Next = std::move(R.m_Local.front());
+    R.m_Local.pop_front();
+    handlePeerMessage(R, R.m_Settings.m_Node, std::move(Next));
+  }
+  R.m_DeliveringLocal = false;
+}
+
+void handlePeerMessage(Router &R, const NodeId &From, PeerMessage Message) {
+  std::visit(MessageHandler{R, From}, Message);
+}
+
+void handlePeerEvent(Router &R, PeerEvent Event) {
+  switch (Event.m_Kind) {
+  case PeerEvent::Kind::Up:
+    R.m_Links[Event.m_From].insert(Event.m_Connection);
+    return;
+  case PeerEvent::Kind::Down: {
+    std::set<std::uint64_t> &Links = R.m_Links[Event.m_From];
+    Links.erase(Event.m_Connection);
+    if (!Links.empty())
+      return;
+    R.m_Links.erase(Event.m_From);
+    sessionLinkLost(R, Event.m_From);
+    return;
+  }
+  case PeerEvent::Kind::Message:
+    handlePeerMessage(R, Event.m_From, std::move(Event.m_Message));
+    return;
+  }
+}
+
+void tickRouter(Router &R) {
+  checkLease(R);
+  updateDispatchable(R);
+  checkRuns(R);
+  checkSessions(R);
+  checkQueues(R);
+  checkJournal(R);
+  checkPolls(R);
+  checkDrained(R);
+}
+
+bool holdsLease(const Router &R) {
+  return leaseHolds(R.m_Lease, monotonicNow());
+}
+
+bool mayDispatchNow(const Router &R, const PoolId &Pool,
+                    const TargetId &Target) {
+  auto Found = R.m_Pools.find(Pool);
+  if (Found == R.m_Pools.end() || findTarget(Found->second.m_View, Target) >=
+                                      Found->second.m_View.m_Targets.size())
+    return false;
+  return mayDispatchNow(R.m_Lease, R.m_Owned, Target, monotonicNow());
+}
+
+void drainRouter(Router &R) {
+  if (R.m_Draining)
+    return;
+  R.m_Draining = true;
+  if (R.m_Settings.m_DrainLimit.m_Value > 0)
+    R.m_DrainUntil = monotonicNow() + R.m_Settings.m_DrainLimit;
+  R.m_Lease.m_NextRenewal = Millis();
+  logEvent(Event::ShutdownRequested,
+           {{"sessions", static_cast<std::uint64_t>(R.m_Sessions.size())},
+            {"runs", static_cast<std::uint64_t>(R.m_Runs.size())}});
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/process/router.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "connection/fd_watcher.hpp"
+#include "connection/http_front.hpp"
+#include "connection/peer_task.hpp"
+#include "connection/target_client.hpp"
+#include "process/mailbox.hpp"
+#include "process/metrics.hpp"
+#include "process/settings.hpp"
+#include "vanillaferry/process/node_lease.hpp"
+#include "vanillaferry/process/ownership.hpp"
+#include "vanillaferry/request/account_limit.hpp"
+#include "vanillaferry/request/admission_queue.hpp"
+#include "vanillaferry/request/placement.hpp"
+#include "vanillaferry/request/retry.hpp"
+#include "vanillaferry/version/pool.hpp"
+#include "version/router_document.hpp"
+
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace vanillaferry {
+
+struct Session;
+struct Run;
+
+/// The last first-token times of a pool, for their median.
+struct FirstTokenWindow {
+  std::deque<Millis> m_Times;
+};
+
+/// Requests of one pool that wait at this router.
+struct PoolQueue {
+  AdmissionQueue m_Queue;
+  /// After a walk that every owner declined, no request leaves the queue before
+  /// this time.
+  Millis m_BlockedUntil;
+};
+
+/// Connection to the keepers' leader.
+struct KeeperLink {
+  /// URL that is asked at present.
+  std::string m_Url;
+  std::size_t m_Index = 0;
+  Millis m_LastAnswer;
+  /// Own counts in renewals without an answer, by sequence.
+  std::map<std::uint64_t, std::map<PoolId, std::uint32_t>> m_Reported;
+  std::map<std::uint64_t, Millis> m_SentAt;
+  Epoch m_AckedEpoch;
+  DocumentVersion m_AckedVersion;
+  Millis m_LastRenew;
+};
+
+/// A message to the journal that is repeated until it is answered.
+struct JournalCall {
+  std::variant<JournalBegin, JournalEnd> m_Message;
+  Millis m_NextSend;
+  /// Called with the answer; empty when nobody waits any more.
+  std::function<void(const JournalAnswer &)> m_OnAnswer;
+};
+
+/// What a router polls from one owned target.
+struct TargetPoll {
+  Millis m_Next;
+  bool m_Running = false;
+  /// The target takes no new work before this time, after a failed connection.
+  Millis m_FailedUntil;
+  std::uint32_t m_Failures = 0;
+};
+
+/// The state of one router process; owned by the GLib task.
+struct Router {
+  RouterSettings m_Settings;
+  Incarnation m_Incarnation;
+  Metrics m_Metrics;
+  FdWatcher m_Watcher;
+  GHandle<SoupSession> m_TargetSession;
+  GHandle<SoupSession> m_PollSession;
+
+  RouterLease m_Lease;
+  KeeperLink m_Keeper;
+  Membership m_Members;
+  OwnedTargets m_Owned;
+  std::map<NodeId, std::set<std::uint64_t>> m_Links;
+  std::set<std::string> m_Dialled;
+
+  RouterDocument m_Document;
+  VmView m_Vms;
+  Millis m_VmListNext;
+  std::map<PoolId, RoutedPool> m_Pools;
+  std::map<PoolId, OwnerPool> m_OwnerPools;
+  std::map<PoolId, FirstTokenWindow> m_FirstTokens;
+  std::map<TargetId, TargetPoll> m_Polls;
+  /// Residual counts of the last grant.
+  std::map<TargetId, std::uint32_t> m_Residual;
+
+  AccountTable m_Accounts;
+  std::map<PoolId, PoolQueue> m_Queues;
+  RetryTable m_Retries;
+  std::unordered_map<RequestId, std::shared_ptr<Session>> m_Sessions;
+  std::unordered_map<RequestId, std::shared_ptr<Run>> m_Runs;
+  std::map<RequestId, JournalCall> m_JournalBegins;
+  std::map<RequestId, JournalCall> m_JournalEnds;
+
+  std::deque<PeerMessage> m_Local;
+  bool m_DeliveringLocal = false;
+  bool m_Draining = false;
+  Millis m_DrainUntil;
+  std::ofstream m_Record;
+  std::function<void()> m_OnDrained;
+
+  Timer m_Tick;
+  // Last, so that they end before the state that they deliver to.
+  std::unique_ptr<HttpFront> m_Front;
+  std::unique_ptr<Mailbox<PeerEvent>> m_Mailbox;
+  std::unique_ptr<PeerTask> m_Peer;
+};
+
+/// Starts everything but the listeners; tests use it without peers.
+void initializeRouter(Router &R, RouterSettings Settings);
+
+/// Opens the HTTP and peer addresses and begins to ask for a lease.
+Status startRouter(Router &R);
+
+/// Sends to a router; a message to this node itself is delivered from a queue,
+/// after the present handler.
+void sendToNode(Router &R, const NodeId &To, PeerMessage Message);
+
+/// Handles a message of another process, or of this node to itself.
+void handlePeerMessage(Router &R, const NodeId &From, PeerMessage Message);
+void handlePeerEvent(Router &R, PeerEvent Event);
+
+/// Periodic work: renewals, deadlines, silent streams, polls.
+void tickRouter(Router &R);
+
+/// True while new work may be taken.
+bool holdsLease(const Router &R);
+
+/// Directly before a dispatch: the lease holds, the target is owned and in
+/// service, and its former owner has stopped.
+bool mayDispatchNow(const Router &R, const PoolId &Pool,
+                    const TargetId &Target);
+
+/// Begins the graceful shutdown.
+void drainRouter(Router &R);
+
+/// Time between two rounds of periodic work.
+constexpr std::int64_t TickMs = 50;
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/request/admission.cpp
@@ -0,0 +1,169 @@
+#include "process/clock.hpp"
+#include "process/router.hpp"
+#include "request/entry.hpp"
+#include "request/journal_client.hpp"
+
+namespace vanillaferry {
+
+namespace {
+
+/// Pause of a pool's queue after every owner declined a request; owners free
+/// places about that often at tens of completions per second.
+constexpr Millis BlockedPause{25};
+/// Prompt tokens for one unit of a turn in the queue.
+constexpr std::int64_t TokensPerCost = 1024;
+
+std::uint32_t weightOf(const Router &R, const AccountId &Account) {
+  auto Found = R.m_Accounts.m_Accounts.find(Account);
+  return Found == R.m_Accounts.m_Accounts.end()
+             ? 1
+             : Found->second.m_Settings.m_Weight;
+}
+
+void countWaiting(Router &R, const AccountId &Account, int Step) {
+  auto Found = R.m_Accounts.m_Accounts.find(Account);
+  if (Found == R.m_Accounts.m_Accounts.end())
+    return;
+  std::uint32_t &Waiting = Found->second.m_Waiting;
+  if (Step > 0)
+    ++Waiting;
+  else if (Waiting > 0)
+    --Waiting;
+}
+
+PoolQueue &queueOf(Router &R, const PoolId &Pool) {
+  PoolQueue &Queue = R.m_Queues[Pool];
+  Queue.m_Queue.m_Options.m_Limit = R.m_Document.m_Limits.m_QueueLength;
+  return Queue;
+}
+
+/// Returns false when the request was refused.
+bool enqueueSession(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  Millis Now = monotonicNow();
+  WaitingRequest Waiting;
+  Waiting.m_Request = S->m_Order.m_Request;
+  Waiting.m_Account = S->m_Order.m_Account;
+  Waiting.m_Priority = S->m_Order.m_Priority;
+  Waiting.m_Cost = static_cast<std::uint32_t>(
+      1 + S->m_Order.m_PromptTokens.m_Value / TokensPerCost);
+  Waiting.m_EnteredAt = S->m_ArrivedAt;
+  Waiting.m_Deadline = S->m_Deadline;
+  RefusalReason Reason =
+      enqueue(queueOf(R, S->m_Order.m_Pool).m_Queue, std::move(Waiting),
+              weightOf(R, S->m_Order.m_Account), Now);
+  if (Reason != RefusalReason::None) {
+    refuseSession(S, Reason, S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+                  Reason == RefusalReason::QueueFull
+                      ? "the queue of waiting requests is full"
+                      : "the expected wait is longer than the time left");
+    return false;
+  }
+  S->m_Step = SessionStep::Queued;
+  countWaiting(R, S->m_Order.m_Account, 1);
+  return true;
+}
+
+void startSession(const std::shared_ptr<Session> &S) {
+  startForAccount(S->m_Router.m_Accounts, S->m_Order.m_Account);
+  S->m_Counted = true;
+  if (S->m_Journaled && !S->m_Granted)
+    beginJournaledCall(S);
+  else
+    startWalk(S);
+}
+
+} // namespace
+
+void admitSession(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  Millis Now = monotonicNow();
+  RefusalReason Reason = checkAccount(R.m_Accounts, S->m_Order.m_Account, Now);
+  if (Reason != RefusalReason::None &&
+      Reason != RefusalReason::AccountConcurrency) {
+    refuseSession(S, Reason, NotRun::True,
+                  Reason == RefusalReason::AccountRate
+                      ? "the account's request rate is used up"
+                      : "the account is disabled");
+    return;
+  }
+  takeRate(R.m_Accounts, S->m_Order.m_Account, Now);
+  PoolQueue &Queue = queueOf(R, S->m_Order.m_Pool);
+  bool Free = Reason == RefusalReason::None && Queue.m_Queue.m_Size == 0 &&
+              Queue.m_BlockedUntil <= Now;
+  if (Free)
+    startSession(S);
+  else
+    enqueueSession(S);
+}
+
+void requeueSession(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  if (S->m_Counted)
+    endForAccount(R.m_Accounts, S->m_Order.m_Account);
+  S->m_Counted = false;
+  Millis Now = monotonicNow();
+  queueOf(R, S->m_Order.m_Pool).m_BlockedUntil = Now + BlockedPause;
+  addCounter(R.m_Metrics, "vanillaferry_walks_exhausted_total");
+  if (S->m_Deadline <= Now)
+    refuseSession(S, RefusalReason::DeadlinePassed,
+                  S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+                  "no target was free before the deadline");
+  else
+    enqueueSession(S);
+}
+
+void pumpQueue(Router &R, const PoolId &Pool) {
+  auto Found = R.m_Queues.find(Pool);
+  if (Found == R.m_Queues.end())
+    return;
+  while (Found->second.m_Queue.m_Size > 0 && holdsLease(R)) {
+    Millis Now = monotonicNow();
+    if (Found->second.m_BlockedUntil > Now)
+      return;
+    std::optional<WaitingRequest> Next = dequeue(
+        Found->second.m_Queue,
+        [&R](const AccountId &Account) {
+          return mayStart(R.m_Accounts, Account);
+        },
+        Now);
+    if (!Next)
+      return;
+    countWaiting(R, Next->m_Account, -1);
+    auto Open = R.m_Sessions.find(Next->m_Request);
+    if (Open == R.m_Sessions.end())
+      continue;
+    std::shared_ptr<Session> S = Open->second;
+    startSession(S);
+  }
+}
+
+void checkQueues(Router &R) {
+  Millis Now = monotonicNow();
+  std::vector<PoolId> Pools;
+  for (std::pair<const PoolId, PoolQueue> &Row : R.m_Queues)
+    Pools.push_back(Row.first);
+  for (const PoolId &Pool : Pools) {
+    for (const WaitingRequest &Expired :
+         expireWaiting(R.m_Queues[Pool].m_Queue, Now)) {
+      countWaiting(R, Expired.m_Account, -1);
+      auto Open = R.m_Sessions.find(Expired.m_Request);
+      if (Open == R.m_Sessions.end())
+        continue;
+      std::shared_ptr<Session> S = Open->second;
+      refuseSession(S, RefusalReason::DeadlineUnreachable,
+                    S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+                    "the request waited until its deadline");
+    }
+    pumpQueue(R, Pool);
+  }
+}
+
+void dropQueued(Session &S) {
+  auto Found = S.m_Router.m_Queues.find(S.m_Order.m_Pool);
+  if (Found != S.m_Router.m_Queues.end() &&
+      removeWaiting(Found->second.m_Queue, S.m_Order.m_Request))
+    countWaiting(S.m_Router, S.m_Order.m_Account, -1);
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/request/run.cpp
@@ -0,0 +1,435 @@
+#include "request/run.hpp"
+
+#include "connection/service_adapter.hpp"
+#include "process/clock.hpp"
+#include "process/poller.hpp"
+#include "process/router.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr std::size_t MedianWindow = 64;
+constexpr int HttpOk = 200;
+constexpr int HttpServerError = 500;
+
+void finishRun(Run &Work, StreamEnd How, const std::string &Detail);
+void dispatch(const std::shared_ptr<Run> &Work, bool Resume);
+
+Millis medianFirstToken(const FirstTokenWindow &Window) {
+  if (Window.m_Times.empty())
+    return Millis();
+  std::vector<Millis> Sorted(Window.m_Times.begin(), Window.m_Times.end());
+  auto Middle = Sorted.begin() + static_cast<std::ptrdiff_t>(Sorted.size() / 2);
+  std::nth_element(Sorted.begin(), Middle, Sorted.end());
+  return *Middle;
+}
+
+void noteFirstToken(Run &Work) {
+  if (Work.m_FirstToken || Work.m_Order.m_ResumeOffset > 0)
+    return;
+  Work.m_FirstToken = monotonicNow() - Work.m_StartedAt;
+  FirstTokenWindow &Window = Work.m_Router.m_FirstTokens[Work.m_Order.m_Pool];
+  Window.m_Times.push_back(*Work.m_FirstToken);
+  if (Window.m_Times.size() > MedianWindow)
+    Window.m_Times.pop_front();
+}
+
+void relay(Run &Work, std::uint32_t Count, std::string Data) {
+  ForwardChunk Chunk;
+  Chunk.m_Request = Work.m_Order.m_Request;
+  Chunk.m_Attempt = Work.m_Order.m_Attempt;
+  Chunk.m_Offset = Work.m_Next;
+  Chunk.m_Count = Count;
+  Work.m_Next += Count;
+  Work.m_Credit -= static_cast<std::int64_t>(Data.size());
+  Work.m_RelayedBytes += static_cast<std::int64_t>(Data.size());
+  Chunk.m_Data = std::move(Data);
+  if (Work.m_Credit <= 0 && Work.m_Call)
+    Work.m_Call->pause();
+  sendToNode(Work.m_Router, Work.m_From, std::move(Chunk));
+}
+
+/// Asks the engine to stop what no caller reads any more.
+void cancelAtTarget(Run &Work) {
+  if (Work.m_Kind != ServiceKind::Engine || !Work.m_EverSent)
+    return;
+  TargetCall::start(
+      Work.m_Router.m_TargetSession.get(), Work.m_Router.m_Watcher,
+      engineCancel(Work.m_Target.m_Url, Work.m_Order.m_Request),
+      {nullptr, [](const TargetHead &) {}, [](const char *, std::size_t) {},
+       [](CallEnd, const std::string &) {}});
+}
+
+/// The check directly before a dispatch. A resume is no new work, so its target
+/// need not be in service any more.
+bool mayGoOn(const Run &Work, bool Resume) {
+#ifdef VANILLAFERRY_BREAK_LEASE
+  return true;
+#endif
+  const Router &R = Work.m_Router;
+  return Resume ? mayDispatchNow(R.m_Lease, R.m_Owned, Work.m_Target.m_Id,
+                                 monotonicNow())
+                : mayDispatchNow(R, Work.m_Order.m_Pool, Work.m_Target.m_Id);
+}
+
+void tryResume(const std::shared_ptr<Run> &Work, RetryReason Why,
+               const std::string &Detail) {
+  Run &W = *Work;
+  bool Possible = W.m_Kind == ServiceKind::Engine && W.m_Target.m_Resumes &&
+                  W.m_Resumes < MaxResumes && mayGoOn(W, true);
+  if (!Possible) {
+    finishRun(W, StreamEnd::Broken, Detail);
+    return;
+  }
+  ++W.m_Resumes;
+  countRetry(W.m_Router.m_Metrics, Why);
+  logEvent(Event::StreamResumed, {{"request", W.m_Order.m_Request.m_Value},
+                                  {"target", W.m_Target.m_Id.m_Value},
+                                  {"offset", W.m_Next - W.m_Base},
+                                  {"why", retryName(Why)},
+                                  {"detail", Detail}});
+  dispatch(Work, true);
+}
+
+void onHead(Run &Work, const TargetHead &Head) {
+  noteTargetReached(Work.m_Router, Work.m_Target.m_Id);
+  noteProgress(Work.m_Progress, monotonicNow());
+  Work.m_Status = Head.m_Status;
+  Work.m_ContentType = Head.m_ContentType;
+  Work.m_Body.clear();
+  Work.m_StreamHead =
+      Work.m_Kind == ServiceKind::Engine && Work.m_Order.m_Stream &&
+      Head.m_Status == HttpOk &&
+      Head.m_ContentType.compare(0, 17, "text/event-stream") == 0;
+  // An answer to another request must not reach this caller.
+  if (!Head.m_RequestId.empty() &&
+      Head.m_RequestId != Work.m_Order.m_Request.m_Value)
+    finishRun(Work, StreamEnd::Broken, "the target answered another request");
+}
+
+void onData(Run &Work, const char *Data, std::size_t Size) {
+  if (Work.m_Done)
+    return;
+  noteProgress(Work.m_Progress, monotonicNow());
+  if (!Work.m_StreamHead) {
+    Work.m_Body.append(Data, Size);
+    if (Work.m_Body.size() >
+        static_cast<std::size_t>(
+            Work.m_Router.m_Document.m_Limits.m_MaxStream.m_Value))
+      finishRun(Work, StreamEnd::Broken, "stream_too_large");
+    return;
+  }
+  EventBatch Batch = takeBytes(Work.m_Splitter, Data, Size);
+  if (Work.m_Splitter.m_Partial.size() >
+      static_cast<std::size_t>(
+          Work.m_Router.m_Document.m_Limits.m_MaxStream.m_Value)) {
+    finishRun(Work, StreamEnd::Broken, "stream_too_large");
+    return;
+  }
+  if (Batch.m_Count == 0)
+    return;
+  Work.m_Resumes = 0;
+  Work.m_SawDone = Batch.m_Done;
+  noteFirstToken(Work);
+  relay(Work, Batch.m_Count, std::move(Batch.m_Data));
+}
+
+/// The target says that it did not run the request.
+void refusedByTarget(Run &Work) {
+  noteTargetFailed(Work.m_Router, Work.m_Target.m_Id);
+  finishRun(Work, StreamEnd::TargetRefused, Work.m_Body);
+}
+
+void endWholeAnswer(const std::shared_ptr<Run> &Work, bool Resumed) {
+  Run &W = *Work;
+  if (W.m_Status != HttpOk && statesNotRun(W.m_Body)) {
+    // A refused resume says nothing about the stream's earlier part.
+    if (Resumed)
+      finishRun(W, StreamEnd::Broken, "the target knows no such stream");
+    else
+      refusedByTarget(W);
+    return;
+  }
+  if (W.m_Kind == ServiceKind::Engine && W.m_Status >= HttpServerError) {
+    finishRun(W, StreamEnd::Broken,
+              "the engine answered " + std::to_string(W.m_Status));
+    return;
+  }
+  if (W.m_Kind == ServiceKind::Engine && W.m_Status == HttpOk)
+    noteFirstToken(W);
+  if (W.m_Kind == ServiceKind::Engine && W.m_Order.m_Stream) {
+    // The entry router has no stream to put this body into.
+    finishRun(W, StreamEnd::Complete, W.m_Body);
+    return;
+  }
+  if (!W.m_Body.empty())
+    relay(W, 1, std::move(W.m_Body));
+  finishRun(W, StreamEnd::Complete, "");
+}
+
+void onEnd(const std::shared_ptr<Run> &Work, CallEnd How, bool Resumed,
+           const std::string &Detail) {
+  Run &W = *Work;
+  W.m_Call.reset();
+  if (W.m_Done)
+    return;
+  if (How == CallEnd::NotSent)
+    noteTargetFailed(W.m_Router, W.m_Target.m_Id);
+  bool Nothing = How == CallEnd::NotSent || How == CallEnd::Forbidden;
+  if (Nothing && !W.m_EverSent) {
+    finishRun(W, StreamEnd::NotSent, Detail);
+    return;
+  }
+  if (How == CallEnd::Complete && !W.m_StreamHead) {
+    endWholeAnswer(Work, Resumed);
+    return;
+  }
+  if (How == CallEnd::Complete && W.m_SawDone) {
+    finishRun(W, StreamEnd::Complete, "");
+    return;
+  }
+  tryResume(Work, RetryReason::StreamBroken,
+            Detail.empty() ? "the connection closed" : Detail);
+}
+
+void dispatch(const std::shared_ptr<Run> &Work, bool Resume) {
+  Run &W = *Work;
+  if (W.m_Call)
+    W.m_Call->cancel();
+  W.m_Splitter.m_Partial.clear();
+  W.m_SawDone = false;
+  W.m_StreamHead = false;
+  noteProgress(W.m_Progress, monotonicNow());
+  std::optional<std::uint64_t> ResumeAt;
+  if (Resume)
+    ResumeAt = W.m_Next - W.m_Base;
+  TargetRequest Request =
+      W.m_Kind == ServiceKind::Engine
+          ? engineRequest(W.m_Target.m_Url, W.m_Order, ResumeAt)
+          : serviceRequest(W.m_Target.m_Url, W.m_Order, !W.m_Idempotent);
+  CallHandlers Handlers;
+  Handlers.m_MayDispatch = [Work, Resume] {
+    Run &Self = *Work;
+    bool May = !Self.m_Done && mayGoOn(Self, Resume);
+    Self.m_EverSent = Self.m_EverSent || May;
+    return May;
+  };
+  Handlers.m_OnHead = [Work](const TargetHead &Head) { onHead(*Work, Head); };
+  Handlers.m_OnData = [Work](const char *Data, std::size_t Size) {
+    onData(*Work, Data, Size);
+  };
+  Handlers.m_OnEnd = [Work, Resume](CallEnd How, const std::string &Detail) {
+    onEnd(Work, How, Resume, Detail);
+  };
+  addCounter(W.m_Router.m_Metrics, "vanillaferry_dispatches_total");
+  W.m_Call =
+      TargetCall::start(W.m_Router.m_TargetSession.get(), W.m_Router.m_Watcher,
+                        Request, std::move(Handlers));
+  if (W.m_Credit <= 0)
+    W.m_Call->pause();
+}
+
+/// Gives the place at the target back.
+void releasePlace(Run &Work, bool Complete) {
+  auto Pool = Work.m_Router.m_OwnerPools.find(Work.m_Order.m_Pool);
+  if (Pool == Work.m_Router.m_OwnerPools.end())
+    return;
+  EndedRequest Ended;
+  Ended.m_Target = Work.m_Target.m_Id;
+  Ended.m_Chat = Work.m_Chat;
+  Ended.m_Stage = Work.m_Stage;
+  Ended.m_Complete = Complete;
+  Ended.m_FirstToken = Work.m_FirstToken;
+  Ended.m_PoolMedian =
+      medianFirstToken(Work.m_Router.m_FirstTokens[Work.m_Order.m_Pool]);
+  // About one token an event.
+  Ended.m_Tokens = Work.m_Order.m_PromptTokens +
+                   Tokens(static_cast<std::int64_t>(Work.m_Next));
+  endAt(Pool->second, Ended, monotonicNow());
+}
+
+void finishRun(Run &Work, StreamEnd How, const std::string &Detail) {
+  if (Work.m_Done)
+    return;
+  Work.m_Done = true;
+  if (Work.m_Call)
+    Work.m_Call->cancel();
+  releasePlace(Work, How == StreamEnd::Complete);
+  if (How == StreamEnd::Cancelled || How == StreamEnd::Broken)
+    cancelAtTarget(Work);
+  ForwardEnd End;
+  End.m_Request = Work.m_Order.m_Request;
+  End.m_Attempt = Work.m_Order.m_Attempt;
+  End.m_End = How;
+  End.m_HttpStatus = Work.m_Status;
+  End.m_ContentType = Work.m_ContentType;
+  End.m_Events = Work.m_Next;
+  End.m_Detail = Detail;
+  Router &R = Work.m_Router;
+  NodeId From = Work.m_From;
+  auto Found = R.m_Runs.find(Work.m_Order.m_Request);
+  std::shared_ptr<Run> Keep;
+  if (Found != R.m_Runs.end() && Found->second.get() == &Work) {
+    Keep = Found->second;
+    R.m_Runs.erase(Found);
+  }
+  sendToNode(R, From, std::move(End));
+}
+
+void decline(Router &R, const NodeId &From, const Forward &Order,
+             RetryReason Why, const TargetId &Holder = TargetId()) {
+  ForwardDecline Decline;
+  Decline.m_Request = Order.m_Request;
+  Decline.m_Attempt = Order.m_Attempt;
+  Decline.m_Reason = Why;
+  Decline.m_Holder = Holder;
+  sendToNode(R, From, std::move(Decline));
+}
+
+bool isIdempotent(const PoolSettings &Settings, const std::string &Method) {
+  if (Settings.m_Kind == ServiceKind::Engine)
+    return true;
+  return std::find(Settings.m_IdempotentMethods.begin(),
+                   Settings.m_IdempotentMethods.end(),
+                   Method) != Settings.m_IdempotentMethods.end();
+}
+
+PlacementRequest placementOf(const Forward &Order) {
+  PlacementRequest Request;
+  Request.m_Chat = hashChat(Order.m_Chat);
+  Request.m_Target = Order.m_Target;
+  Request.m_IgnoreRedirect = Order.m_IgnoreRedirect;
+  Request.m_AnyTarget = Order.m_AnyTarget;
+  Request.m_Priority = Order.m_Priority;
+  return Request;
+}
+
+/// Where an order runs; a resume stays at its target, whose place it had.
+PlacementDecision decide(const Router &R, const OwnerPool &Pool,
+                         const Forward &Order, Millis Now) {
+  if (Order.m_ResumeOffset > 0 && Order.m_ResumeText.empty()) {
+    PlacementDecision Same;
+    Same.m_Admitted = Pool.m_Targets.count(Order.m_Target) != 0 &&
+                      mayDispatchNow(R.m_Lease, R.m_Owned, Order.m_Target, Now);
+    Same.m_Target = Order.m_Target;
+    Same.m_Why =
+        Same.m_Admitted ? PlacementWhy::Holder : PlacementWhy::NotOwner;
+    return Same;
+  }
+  return decidePlacement(Pool, placementOf(Order), Now);
+}
+
+/// Ends an earlier attempt of the same request without an answer.
+void replaceRun(Router &R, const RequestId &Request) {
+  auto Found = R.m_Runs.find(Request);
+  if (Found == R.m_Runs.end())
+    return;
+  std::shared_ptr<Run> Old = Found->second;
+  R.m_Runs.erase(Found);
+  Old->m_Done = true;
+  if (Old->m_Call)
+    Old->m_Call->cancel();
+  releasePlace(*Old, false);
+}
+
+} // namespace
+
+void startRun(Router &R, const NodeId &From, Forward Order) {
+  auto Running = R.m_Runs.find(Order.m_Request);
+  if (Running != R.m_Runs.end()) {
+    if (Order.m_Attempt <= Running->second->m_Order.m_Attempt)
+      return;
+    replaceRun(R, Order.m_Request);
+  }
+  auto Pool = R.m_OwnerPools.find(Order.m_Pool);
+  if (!holdsLease(R) || Pool == R.m_OwnerPools.end()) {
+    decline(R, From, Order, RetryReason::OwnerMoved);
+    return;
+  }
+  Millis Now = monotonicNow();
+  PlacementDecision Decision = decide(R, Pool->second, Order, Now);
+  if (!Decision.m_Admitted) {
+    decline(R, From, Order,
+            Decision.m_Why == PlacementWhy::NotOwner ? RetryReason::OwnerMoved
+                                                     : RetryReason::Declined,
+            Decision.m_Holder);
+    return;
+  }
+  std::shared_ptr<Run> Work = std::make_shared<Run>(R);
+  for (const TargetSettings &Target : Pool->second.m_Settings.m_Targets)
+    if (Target.m_Id == Decision.m_Target)
+      Work->m_Target = Target;
+  Work->m_From = From;
+  Work->m_Kind = Pool->second.m_Settings.m_Kind;
+  Work->m_Idempotent = isIdempotent(Pool->second.m_Settings, Order.m_Method);
+  Work->m_Chat = hashChat(Order.m_Chat);
+  Work->m_StartedAt = Now;
+  Work->m_Next = Order.m_ResumeOffset;
+  Work->m_Base = Order.m_ResumeText.empty() ? 0 : Order.m_ResumeOffset;
+  Work->m_Progress.m_Limit = R.m_Document.m_Limits.m_StreamSilence;
+  bool Resume = Order.m_ResumeOffset > 0 && Order.m_ResumeText.empty();
+  Work->m_EverSent = Resume;
+  Work->m_Stage = startAt(Pool->second, placementOf(Order), Decision.m_Target,
+                          Order.m_PromptTokens);
+  ForwardAccept Accept;
+  Accept.m_Request = Order.m_Request;
+  Accept.m_Attempt = Order.m_Attempt;
+  Accept.m_Target = Decision.m_Target;
+  Accept.m_Why = placementWhyName(Decision.m_Why);
+  Work->m_Order = std::move(Order);
+  R.m_Runs[Work->m_Order.m_Request] = Work;
+  sendToNode(R, From, std::move(Accept));
+  dispatch(Work, Resume);
+}
+
+void cancelRun(Router &R, const NodeId &From, const ForwardCancel &Cancel) {
+  auto Found = R.m_Runs.find(Cancel.m_Request);
+  if (Found == R.m_Runs.end() || Found->second->m_From != From ||
+      Found->second->m_Order.m_Attempt != Cancel.m_Attempt)
+    return;
+  // A call that must run at most once is not cut off: its outcome is awaited.
+  if (!Found->second->m_Idempotent)
+    return;
+  std::shared_ptr<Run> Work = Found->second;
+  finishRun(*Work, StreamEnd::Cancelled, "the caller left");
+}
+
+void creditRun(Router &R, const NodeId &From, const ForwardCredit &Credit) {
+  auto Found = R.m_Runs.find(Credit.m_Request);
+  if (Found == R.m_Runs.end() || Found->second->m_From != From ||
+      Found->second->m_Order.m_Attempt != Credit.m_Attempt)
+    return;
+  Run &Work = *Found->second;
+  Work.m_Credit += Credit.m_Bytes.m_Value;
+  if (Work.m_Credit > 0 && Work.m_Call)
+    Work.m_Call->resume();
+}
+
+void checkRuns(Router &R) {
+  Millis Now = monotonicNow();
+  std::vector<std::shared_ptr<Run>> Overdue;
+  for (const std::pair<const RequestId, std::shared_ptr<Run>> &Row : R.m_Runs) {
+    Run &Work = *Row.second;
+    if (Work.m_Credit <= 0)
+      noteProgress(Work.m_Progress, Now);
+    bool Silent = progressOverdue(Work.m_Progress, Now);
+    if (Work.m_Kind == ServiceKind::Plain)
+      Silent = Now > Work.m_StartedAt + Work.m_Order.m_TimeLeft &&
+               progressOverdue(Work.m_Progress, Now);
+    if (Silent)
+      Overdue.push_back(Row.second);
+  }
+  for (const std::shared_ptr<Run> &Work : Overdue) {
+    if (Work->m_Done)
+      continue;
+    if (Work->m_Kind == ServiceKind::Plain && !Work->m_EverSent)
+      finishRun(*Work, StreamEnd::NotSent, "no connection in time");
+    else
+      tryResume(Work, RetryReason::StreamSilent, "the target is silent");
+  }
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/request/session.cpp
@@ -0,0 +1,533 @@
+#include "request/session.hpp"
+
+#include "connection/engine_adapter.hpp"
+#include "process/clock.hpp"
+#include "process/recorder.hpp"
+#include "process/router.hpp"
+#include "request/entry.hpp"
+#include "request/journal_client.hpp"
+#include "request/run.hpp"
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr int HttpOk = 200;
+/// Credit is given back in steps, so that not every chunk costs a message.
+constexpr std::int64_t CreditStep = 64 * 1024;
+static_assert(CreditStep * 2 <= InitialCredit.m_Value);
+
+std::shared_ptr<Session> findSession(Router &R, const RequestId &Request) {
+  auto Found = R.m_Sessions.find(Request);
+  return Found == R.m_Sessions.end() ? nullptr : Found->second;
+}
+
+/// The session that an owner's message belongs to; empty when it is late,
+/// crossed or from another node than the one asked.
+std::shared_ptr<Session> findAsked(Router &R, const NodeId &From,
+                                   const RequestId &Request, Attempt Try) {
+  std::shared_ptr<Session> S = findSession(R, Request);
+  if (S && S->m_Asked.m_Owner == From && S->m_Order.m_Attempt == Try &&
+      (S->m_Step == SessionStep::Asking || S->m_Step == SessionStep::Running))
+    return S;
+  addCounter(R.m_Metrics, "vanillaferry_late_messages_total");
+  return nullptr;
+}
+
+void giveCredit(Session &S, std::int64_t Size) {
+  S.m_OwedCredit += Size;
+  if (S.m_OwedCredit < CreditStep || S.m_Caller->waiting() > CallerHighWater)
+    return;
+  ForwardCredit Credit;
+  Credit.m_Request = S.m_Order.m_Request;
+  Credit.m_Attempt = S.m_Order.m_Attempt;
+  Credit.m_Bytes = Bytes(S.m_OwedCredit);
+  S.m_OwedCredit = 0;
+  sendToNode(S.m_Router, S.m_Asked.m_Owner, std::move(Credit));
+}
+
+void cancelAtOwner(Session &S) {
+  if (S.m_Step != SessionStep::Asking && S.m_Step != SessionStep::Running)
+    return;
+  sendToNode(S.m_Router, S.m_Asked.m_Owner,
+             ForwardCancel{S.m_Order.m_Request, S.m_Order.m_Attempt});
+}
+
+void tellHome(Session &S) {
+  if (S.m_Kind != ServiceKind::Engine || S.m_Walk.m_Home.empty())
+    return;
+  auto Pool = S.m_Router.m_Pools.find(S.m_Order.m_Pool);
+  if (Pool == S.m_Router.m_Pools.end())
+    return;
+  std::size_t Home = findTarget(Pool->second.m_View, S.m_Walk.m_Home);
+  if (Home >= Pool->second.m_Owners.size())
+    return;
+  // A chat that stayed at home is known there already.
+  if (S.m_RanAt == S.m_Walk.m_Home && !S.m_Asked.m_IgnoreRedirect)
+    return;
+  sendToNode(
+      S.m_Router, Pool->second.m_Owners[Home],
+      Placed{S.m_Order.m_Chat, S.m_Order.m_Pool, S.m_Walk.m_Home, S.m_RanAt});
+}
+
+/// Sends the order to the owner of the present step.
+void ask(const std::shared_ptr<Session> &S) {
+  S->m_Step = SessionStep::Asking;
+  S->m_Order.m_Attempt = S->m_Progress.m_Attempt;
+  S->m_Order.m_Target = S->m_Asked.m_Target;
+  S->m_Order.m_IgnoreRedirect = S->m_Asked.m_IgnoreRedirect;
+  S->m_Order.m_AnyTarget = S->m_Asked.m_AnyTarget;
+  S->m_Order.m_ResumeOffset = S->m_Progress.m_Next;
+  S->m_Order.m_TimeLeft = S->m_Deadline - monotonicNow();
+  S->m_OwedCredit = 0;
+  sendToNode(S->m_Router, S->m_Asked.m_Owner, S->m_Order);
+}
+
+void relinkLater(Session &S) {
+  Millis Now = monotonicNow();
+  S.m_Step = SessionStep::Relinking;
+  S.m_NextTry = Now + RelinkPause;
+  if (S.m_RelinkUntil < Now)
+    S.m_RelinkUntil = Now + RelinkLimit;
+}
+
+/// What to do with a request that no owner took at present.
+void waitOrRefuse(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  auto Pool = R.m_Pools.find(S->m_Order.m_Pool);
+  bool Empty = Pool == R.m_Pools.end() || Pool->second.m_View.m_Targets.empty();
+  if (Empty && !S->m_Caller->streaming()) {
+    refuseSession(S, RefusalReason::NoTargetInService,
+                  S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+                  "the service has no target in service");
+    return;
+  }
+  if (S->m_Caller->streaming())
+    relinkLater(*S);
+  else
+    requeueSession(S);
+}
+
+/// Asks the retry budget; refuses the session when it says no.
+bool mayRetry(const std::shared_ptr<Session> &S, RetryReason Why,
+              bool NothingSent, const std::string &Detail) {
+  Router &R = S->m_Router;
+  FailedTry Failed;
+  Failed.m_Account = S->m_Order.m_Account;
+  Failed.m_Pool = S->m_Order.m_Pool;
+  Failed.m_Reason = Why;
+  Failed.m_Attempt = Attempt(S->m_Tries);
+  Failed.m_NothingSent = NothingSent;
+  Failed.m_Idempotent = S->m_Idempotent;
+  Failed.m_Journaled = S->m_Journaled;
+  // A running answer is not cut by its deadline.
+  Failed.m_TimeLeft = S->m_Caller->streaming()
+                          ? R.m_Document.m_Limits.m_DefaultDeadline
+                          : S->m_Deadline - monotonicNow();
+  NotRun Ran =
+      NothingSent && S->m_Sent == false ? NotRun::True : NotRun::Unknown;
+  RefusalReason Reason = RefusalReason::None;
+  switch (decideRetry(R.m_Retries, Failed, monotonicNow())) {
+  case RetryVerdict::Retry:
+    countRetry(R.m_Metrics, Why);
+    return true;
+  case RetryVerdict::Forbidden:
+    Reason = NothingSent ? RefusalReason::TargetFailed
+                         : RefusalReason::OutcomeUnknown;
+    break;
+  case RetryVerdict::BudgetSpent:
+    Reason = RefusalReason::RetryBudgetSpent;
+    break;
+  case RetryVerdict::DeadlinePassed:
+    Reason = RefusalReason::DeadlinePassed;
+    break;
+  }
+  refuseSession(S, Reason, Ran, Detail);
+  return false;
+}
+
+/// The owner asked last may take the request at any of its targets.
+void askAnyTarget(const std::shared_ptr<Session> &S) {
+  S->m_Asked.m_AnyTarget = true;
+  S->m_Asked.m_IgnoreRedirect = true;
+  ask(S);
+}
+
+/// After a try that left nothing at its target.
+void retryUnsent(const std::shared_ptr<Session> &S, RetryReason Why,
+                 const std::string &Detail) {
+  if (!mayRetry(S, Why, true, Detail))
+    return;
+  nextAttempt(S->m_Progress, monotonicNow());
+  // The owner knows by now which of its targets failed.
+  if (!S->m_Asked.m_AnyTarget) {
+    askAnyTarget(S);
+    return;
+  }
+  takeDecline(S->m_Walk, S->m_Asked);
+  askNext(S);
+}
+
+/// After a try that may have run: from the start, or where the stream broke.
+void retryBroken(const std::shared_ptr<Session> &S, RetryReason Why,
+                 const std::string &Detail) {
+  S->m_Sent = true;
+  if (!S->m_Caller->streaming()) {
+    S->m_Whole.clear();
+    S->m_Bytes = 0;
+    S->m_Progress.m_Next = 0;
+    if (mayRetry(S, Why, false, Detail)) {
+      nextAttempt(S->m_Progress, monotonicNow());
+      startWalk(S);
+    }
+    return;
+  }
+  std::string Text = S->m_KeptWhole ? textOfEvents(S->m_Kept) : "";
+  if (Text.empty()) {
+    refuseSession(S, RefusalReason::StreamBroken, NotRun::False, Detail);
+    return;
+  }
+  if (!mayRetry(S, RetryReason::StreamContinued, false, Detail))
+    return;
+  S->m_Order.m_ResumeText = std::move(Text);
+  S->m_Continued = true;
+  nextAttempt(S->m_Progress, monotonicNow());
+  startWalk(S);
+}
+
+void startCallerStream(Session &S) {
+  if (S.m_Caller->streaming())
+    return;
+  S.m_FirstEventAt = monotonicNow();
+  observe(S.m_Router.m_Metrics, "vanillaferry_first_event_seconds",
+          static_cast<double>((S.m_FirstEventAt - S.m_ArrivedAt).m_Value) /
+              1000.0);
+  std::weak_ptr<Session> Weak = S.weak_from_this();
+  S.m_Caller->startStream("text/event-stream", placementFields(S));
+  S.m_Caller->m_OnDrained = [Weak] {
+    if (std::shared_ptr<Session> Open = Weak.lock())
+      if (Open->m_Step == SessionStep::Running)
+        giveCredit(*Open, 0);
+  };
+}
+
+bool streamsToCaller(const Session &S) {
+  return S.m_Kind == ServiceKind::Engine && S.m_Order.m_Stream;
+}
+
+void respondWhole(Session &S, int Status, const std::string &ContentType,
+                  const std::string &Body) {
+  S.m_Caller->respond(
+      Status, ContentType.empty() ? "application/octet-stream" : ContentType,
+      Body, placementFields(S));
+}
+
+void completeSession(const std::shared_ptr<Session> &S, const ForwardEnd &End) {
+  Router &R = S->m_Router;
+  noteSuccess(R.m_Retries, S->m_Order.m_Account, S->m_Order.m_Pool);
+  addCounter(R.m_Metrics, "vanillaferry_completed_total");
+  recordPlacement(R, *S, "complete");
+  if (S->m_Caller->streaming()) {
+    S->m_Caller->finish();
+    closeSession(S);
+    return;
+  }
+  if (S->m_Journaled) {
+    CallAnswer Answer{End.m_HttpStatus, End.m_ContentType, S->m_Whole};
+    endJournaledCall(S, CallOutcome::Answered, Answer, [S, Answer] {
+      respondWhole(*S, Answer.m_HttpStatus, Answer.m_ContentType,
+                   Answer.m_Body);
+      closeSession(S);
+    });
+    return;
+  }
+  respondWhole(*S, End.m_HttpStatus, End.m_ContentType, S->m_Whole);
+  closeSession(S);
+}
+
+/// An answer without events to a streamed request: an error of the engine.
+bool endsWithoutStream(const Session &S, const ForwardEnd &End) {
+  return streamsToCaller(S) && !S.m_Caller->streaming() &&
+         !End.m_Detail.empty();
+}
+
+} // namespace
+
+HttpFields placementFields(const Session &S) {
+  HttpFields Fields;
+  if (!S.m_RanAt.empty())
+    Fields.emplace_back("X-Placement",
+                        S.m_RanAt.m_Value + "; " + S.m_Why +
+                            (S.m_Continued ? "; continued" : ""));
+  return Fields;
+}
+
+void startWalk(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  auto Pool = R.m_Pools.find(S->m_Order.m_Pool);
+  if (Pool == R.m_Pools.end()) {
+    S->m_Walk = Walk();
+    waitOrRefuse(S);
+    return;
+  }
+  S->m_Walk = beginWalk(Pool->second, S->m_Order.m_Chat);
+  askNext(S);
+}
+
+void askNext(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  auto Pool = R.m_Pools.find(S->m_Order.m_Pool);
+  if (Pool == R.m_Pools.end()) {
+    waitOrRefuse(S);
+    return;
+  }
+  for (;;) {
+    S->m_Asked = nextStep(S->m_Walk, Pool->second);
+    if (!S->m_Asked.m_Ask) {
+      waitOrRefuse(S);
+      return;
+    }
+    bool Reachable = S->m_Asked.m_Owner == R.m_Settings.m_Node ||
+                     R.m_Links.count(S->m_Asked.m_Owner) != 0;
+    if (Reachable)
+      break;
+    // Nothing was sent, so the walk goes on.
+    countRetry(R.m_Metrics, RetryReason::PeerLinkLost);
+    takeDecline(S->m_Walk, S->m_Asked);
+  }
+  ask(S);
+}
+
+void sessionAccept(Router &R, const NodeId &From, const ForwardAccept &Accept) {
+  std::shared_ptr<Session> S =
+      findAsked(R, From, Accept.m_Request, Accept.m_Attempt);
+  if (!S)
+    return;
+  S->m_Step = SessionStep::Running;
+  ++S->m_Tries;
+  S->m_RanAt = Accept.m_Target;
+  S->m_Why = Accept.m_Why;
+  S->m_Asked.m_Target = Accept.m_Target;
+  S->m_RelinkUntil = Millis();
+  addCounter(R.m_Metrics,
+             "vanillaferry_placements_total{why=\"" + Accept.m_Why + "\"}");
+  tellHome(*S);
+}
+
+void sessionDecline(Router &R, const NodeId &From,
+                    const ForwardDecline &Decline) {
+  std::shared_ptr<Session> S =
+      findAsked(R, From, Decline.m_Request, Decline.m_Attempt);
+  if (!S)
+    return;
+  countRetry(R.m_Metrics, Decline.m_Reason);
+  // Only the stream's own engine can go on by offset.
+  if (S->m_Progress.m_Next > 0 && !S->m_Continued) {
+    relinkLater(*S);
+    return;
+  }
+  nextAttempt(S->m_Progress, monotonicNow());
+  // The owner may have lost this target or paused it; it may have others.
+  if (Decline.m_Reason == RetryReason::OwnerMoved && !S->m_Asked.m_AnyTarget) {
+    askAnyTarget(S);
+    return;
+  }
+  takeDecline(S->m_Walk, S->m_Asked, Decline.m_Holder);
+  askNext(S);
+}
+
+void sessionChunk(Router &R, const NodeId &From, const ForwardChunk &Chunk) {
+  std::shared_ptr<Session> S =
+      findAsked(R, From, Chunk.m_Request, Chunk.m_Attempt);
+  if (!S)
+    return;
+  ChunkDecision Decision =
+      takeChunk(S->m_Progress, Chunk.m_Request, Chunk.m_Attempt, Chunk.m_Offset,
+                Chunk.m_Count, monotonicNow());
+  if (Decision.m_Verdict == ChunkVerdict::Gap) {
+    // Frames of a broken link are missing; the owner sends them again.
+    countRetry(R.m_Metrics, RetryReason::StreamBroken);
+    nextAttempt(S->m_Progress, monotonicNow());
+    ask(S);
+    return;
+  }
+  if (Decision.m_Verdict != ChunkVerdict::Accept)
+    return;
+  std::int64_t Size = static_cast<std::int64_t>(Chunk.m_Data.size());
+  S->m_Bytes += Size;
+  if (S->m_Bytes > R.m_Document.m_Limits.m_MaxStream.m_Value) {
+    cancelAtOwner(*S);
+    refuseSession(S, RefusalReason::StreamTooLarge, NotRun::False,
+                  "the answer is larger than the configured limit");
+    return;
+  }
+  bool Events = streamsToCaller(*S);
+  std::string Later;
+  if (Events && Decision.m_Skip > 0)
+    Later = skipEvents(Chunk.m_Data, Decision.m_Skip);
+  const std::string &Data = Later.empty() ? Chunk.m_Data : Later;
+  if (!Events) {
+    S->m_Whole += Data;
+    giveCredit(*S, Size);
+    return;
+  }
+  if (S->m_KeptWhole && S->m_Kept.size() + Data.size() <= MaxKeptEvents)
+    S->m_Kept += Data;
+  else
+    S->m_KeptWhole = false;
+  startCallerStream(*S);
+  S->m_Caller->append(Data);
+  if (S->m_Step == SessionStep::Running)
+    giveCredit(*S, Size);
+}
+
+void sessionEnd(Router &R, const NodeId &From, const ForwardEnd &End) {
+  std::shared_ptr<Session> S = findAsked(R, From, End.m_Request, End.m_Attempt);
+  if (!S)
+    return;
+  switch (End.m_End) {
+  case StreamEnd::Complete: {
+    if (endsWithoutStream(*S, End)) {
+      respondWhole(*S, End.m_HttpStatus, End.m_ContentType, End.m_Detail);
+      closeSession(S);
+      return;
+    }
+    EndVerdict Verdict = takeEnd(S->m_Progress, End.m_Request, End.m_Attempt,
+                                 End.m_Events, monotonicNow());
+    if (Verdict == EndVerdict::Complete)
+      completeSession(S, End);
+    else if (Verdict == EndVerdict::Incomplete)
+      retryBroken(S, RetryReason::StreamBroken,
+                  "events are missing at the answer's end");
+    return;
+  }
+  case StreamEnd::NotSent:
+    retryUnsent(S, RetryReason::ConnectFailed, End.m_Detail);
+    return;
+  case StreamEnd::TargetRefused:
+    retryUnsent(S, RetryReason::TargetRefused,
+                "the target refused the request");
+    return;
+  case StreamEnd::Broken:
+    if (End.m_Detail == "stream_too_large")
+      refuseSession(S, RefusalReason::StreamTooLarge, NotRun::False,
+                    "the answer is larger than the configured limit");
+    else
+      retryBroken(S, RetryReason::StreamBroken, End.m_Detail);
+    return;
+  case StreamEnd::Cancelled:
+    refuseSession(S, RefusalReason::StreamBroken, NotRun::Unknown,
+                  "the owner cancelled the request");
+    return;
+  }
+}
+
+void sessionLinkLost(Router &R, const NodeId &Node) {
+  std::vector<std::shared_ptr<Session>> Affected;
+  for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+       R.m_Sessions)
+    if (Row.second->m_Asked.m_Owner == Node &&
+        (Row.second->m_Step == SessionStep::Asking ||
+         Row.second->m_Step == SessionStep::Running))
+      Affected.push_back(Row.second);
+  for (const std::shared_ptr<Session> &S : Affected) {
+    // An order that was never accepted may still have reached its target.
+    if (S->m_Step == SessionStep::Asking)
+      ++S->m_Tries;
+    bool Began = S->m_Caller->streaming() && S->m_Progress.m_Next > 0;
+    if (!Began || S->m_Continued) {
+      retryBroken(S, RetryReason::PeerLinkLost,
+                  "the link to the target's owner broke");
+      continue;
+    }
+    countRetry(R.m_Metrics, RetryReason::PeerLinkLost);
+    S->m_Sent = true;
+    relinkLater(*S);
+  }
+}
+
+void tryRelink(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  Millis Now = monotonicNow();
+  if (S->m_RelinkUntil <= Now) {
+    refuseSession(S, RefusalReason::StreamBroken, NotRun::False,
+                  "no target could continue the stream");
+    return;
+  }
+  if (S->m_Continued) {
+    nextAttempt(S->m_Progress, Now);
+    startWalk(S);
+    return;
+  }
+  if (S->m_RelinkUntil - Now < RelinkSwitch) {
+    retryBroken(S, RetryReason::StreamBroken,
+                "the stream's own engine cannot be reached");
+    return;
+  }
+  std::optional<NodeId> Owner = ownerOf(R.m_Members, S->m_RanAt);
+  bool Reachable =
+      Owner && (*Owner == R.m_Settings.m_Node || R.m_Links.count(*Owner) != 0);
+  if (!Reachable) {
+    relinkLater(*S);
+    return;
+  }
+  S->m_Asked = WalkStep();
+  S->m_Asked.m_Ask = true;
+  S->m_Asked.m_Owner = *Owner;
+  S->m_Asked.m_Target = S->m_RanAt;
+  S->m_Asked.m_IgnoreRedirect = true;
+  nextAttempt(S->m_Progress, Now);
+  ask(S);
+}
+
+void closeSession(const std::shared_ptr<Session> &S) {
+  if (S->m_Step == SessionStep::Done)
+    return;
+  S->m_Step = SessionStep::Done;
+  Router &R = S->m_Router;
+  R.m_Sessions.erase(S->m_Order.m_Request);
+  if (S->m_Counted)
+    endForAccount(R.m_Accounts, S->m_Order.m_Account);
+  S->m_Counted = false;
+  pumpQueue(R, S->m_Order.m_Pool);
+}
+
+void refuseSession(const std::shared_ptr<Session> &S, RefusalReason Reason,
+                   NotRun Ran, const std::string &Message) {
+  if (S->m_Step == SessionStep::Done)
+    return;
+  countRefusal(S->m_Router.m_Metrics, Reason);
+  recordPlacement(S->m_Router, *S, refusalName(Reason));
+  if (S->m_Journaled)
+    endRefusedCall(*S, Ran);
+  Refusal Why{Reason, Ran, Message};
+  if (S->m_Caller->streaming()) {
+    logEvent(Event::StreamFailed, {{"request", S->m_Order.m_Request.m_Value},
+                                   {"reason", refusalName(Reason)},
+                                   {"detail", Message}});
+    S->m_Caller->append(errorEvent(refusalJson(Why, S->m_Caller->m_Id)));
+    S->m_Caller->finish();
+  } else {
+    S->m_Caller->refuse(Why, placementFields(*S));
+  }
+  closeSession(S);
+}
+
+void abandonSession(const std::shared_ptr<Session> &S) {
+  if (S->m_Step == SessionStep::Done)
+    return;
+  addCounter(S->m_Router.m_Metrics, "vanillaferry_callers_left_total");
+  logEvent(Event::CallerLeft, {{"request", S->m_Order.m_Request.m_Value}});
+  if (S->m_Journaled && S->m_Step != SessionStep::Queued) {
+    // The outcome is recorded for the resend.
+    S->m_CallerGone = true;
+    return;
+  }
+  if (S->m_Step == SessionStep::Queued)
+    dropQueued(*S);
+  cancelAtOwner(*S);
+  recordPlacement(S->m_Router, *S, "caller_left");
+  closeSession(S);
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/request/session.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "connection/caller.hpp"
+#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/request/placement.hpp"
+#include "vanillaferry/request/stream_progress.hpp"
+#include "vanillaferry/version/pool.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace vanillaferry {
+
+struct Router;
+
+enum class SessionStep : std::uint8_t {
+  /// Waits in the admission queue.
+  Queued,
+  /// Waits for the journal's answer.
+  Journal,
+  /// An owner was asked.
+  Asking,
+  /// A target works on it.
+  Running,
+  /// A broken stream waits for an owner that can go on with it.
+  Relinking,
+  /// The outcome is on its way to the journal.
+  Ending,
+  Done,
+};
+
+/// How long a broken stream looks for a target that goes on with it; longer
+/// than the lease time after which a lost owner's targets have a new owner.
+constexpr Millis RelinkLimit{12000};
+constexpr Millis RelinkPause{100};
+/// With less time left, another engine continues the stream.
+constexpr Millis RelinkSwitch{6000};
+
+/// Events kept for continuing at another engine; longer answers can only be
+/// resumed at their own engine.
+constexpr std::size_t MaxKeptEvents = 256 * 1024;
+/// While more than this waits for the caller, the owner gets no new credit.
+constexpr std::size_t CallerHighWater = 64 * 1024;
+
+/// One request at its entry router. Shared by the router's table and the
+/// callbacks of its caller.
+struct Session : std::enable_shared_from_this<Session> {
+  explicit Session(Router &Entry) : m_Router(Entry) {}
+
+  Router &m_Router;
+  std::shared_ptr<Caller> m_Caller;
+  /// What is sent to owners; the request id in it is unique in the fleet, the
+  /// caller's own id stands only in answers.
+  Forward m_Order;
+  ServiceKind m_Kind = ServiceKind::Engine;
+  bool m_Idempotent = true;
+  bool m_Journaled = false;
+  JournalBegin m_Begin;
+  bool m_Granted = false;
+  Millis m_ArrivedAt;
+  Millis m_Deadline;
+  SessionStep m_Step = SessionStep::Queued;
+  /// Counted as running for its account.
+  bool m_Counted = false;
+  /// The caller left a call that runs on for its outcome.
+  bool m_CallerGone = false;
+
+  Walk m_Walk;
+  WalkStep m_Asked;
+  StreamProgress m_Progress;
+  /// A try may have run, so no refusal may say "not run" any more.
+  bool m_Sent = false;
+  /// Tries that reached a target, for the retry budget.
+  std::uint32_t m_Tries = 0;
+  TargetId m_RanAt;
+  std::string m_Why;
+  bool m_Continued = false;
+  /// While Relinking: when it tries again and when it gives up.
+  Millis m_NextTry;
+  Millis m_RelinkUntil;
+
+  std::string m_Kept;
+  bool m_KeptWhole = true;
+  /// Answer that is not streamed to the caller.
+  std::string m_Whole;
+  std::int64_t m_Bytes = 0;
+  std::int64_t m_OwedCredit = 0;
+  Millis m_FirstEventAt;
+};
+
+/// Starts the walk over the owners; the account has a place for it.
+void startWalk(const std::shared_ptr<Session> &S);
+/// Sends the request to the next owner, or back to the queue.
+void askNext(const std::shared_ptr<Session> &S);
+
+void sessionAccept(Router &R, const NodeId &From, const ForwardAccept &Accept);
+void sessionDecline(Router &R, const NodeId &From,
+                    const ForwardDecline &Decline);
+void sessionChunk(Router &R, const NodeId &From, const ForwardChunk &Chunk);
+void sessionEnd(Router &R, const NodeId &From, const ForwardEnd &End);
+/// The last link to a node broke.
+void sessionLinkLost(Router &R, const NodeId &Node);
+
+/// Tries to go on with a broken stream.
+void tryRelink(const std::shared_ptr<Session> &S);
+
+/// Ends a session with a refusal, or with an error event once its stream has
+/// begun.
+void refuseSession(const std::shared_ptr<Session> &S, RefusalReason Reason,
+                   NotRun Ran, const std::string &Message);
+/// Takes the session off the router's tables and frees its place.
+void closeSession(const std::shared_ptr<Session> &S);
+/// The caller left.
+void abandonSession(const std::shared_ptr<Session> &S);
+
+/// X-Placement and its kin.
+HttpFields placementFields(const Session &S);
+
+} // namespace vanillaferry
