--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -19,6 +19,7 @@
   addCheckSettingsCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
+  addRouterCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -30,5 +30,6 @@
 void addCheckSettingsCommand(CLI::App &App, int &Code);
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
+void addRouterCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
