--- a/src/daemon/process/keeper_formation.cpp
+++ b/src/daemon/process/keeper_formation.cpp
@@ -1,12 +1,9 @@
 #include "process/keeper_formation.hpp"
 
+#include "process/file.hpp"
+
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <fcntl.h>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -16,15 +13,13 @@
 
 using nlohmann::json;
 
-constexpr const char *FileName = "/formation.json";
-constexpr const char *TemporaryName = "/formation.json.new";
+constexpr const char *FileName = "formation.json";
 
 const std::map<std::string, FormationState> &stateNames() {
   static const std::map<std::string, FormationState> Names = {
       {"forming", FormationState::Forming},
       {"formed", FormationState::Formed},
-      {"fresh", FormationState::Fresh},
-      {"lost", FormationState::Lost}};
+      {"fresh", FormationState::Fresh}};
   return Names;
 }
 
@@ -35,39 +30,6 @@
   return std::string();
 }
 
-Error fileError(const std::string &What, const std::string &Path) {
-  return makeError(ErrorCode::Io,
-                   "cannot " + What + " " + Path + ": " + strerror(errno));
-}
-
-/// Writes and syncs a whole file.
-Status writeFile(const std::string &Path, const std::string &Text) {
-  int File =
-      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (File < 0)
-    return fileError("open", Path);
-  ssize_t Written = ::write(File, Text.data(), Text.size());
-  bool Whole = Written == static_cast<ssize_t>(Text.size());
-  if (!Whole || ::fsync(File) != 0) {
-    Error Failed = fileError("write", Path);
-    ::close(File);
-    return Failed;
-  }
-  ::close(File);
-  return boost::outcome_v2::success();
-}
-
-Status syncNames(const std::string &Path) {
-  int Folder = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (Folder < 0)
-    return fileError("open", Path);
-  int Failed = ::fsync(Folder);
-  ::close(Folder);
-  if (Failed != 0)
-    return fileError("sync", Path);
-  return boost::outcome_v2::success();
-}
-
 std::string hexOf(std::uint64_t Number) {
   char Text[17];
   snprintf(Text, sizeof Text, "%016llx",
@@ -93,14 +55,14 @@
 }
 
 Result<std::optional<Formation>> loadFormation(const std::string &Folder) {
-  std::ifstream File(Folder + FileName);
-  if (!File) {
-    if (errno == ENOENT)
-      return std::optional<Formation>();
-    return fileError("open", Folder + FileName);
-  }
+  std::string Path = Folder + "/" + FileName;
+  if (::access(Path.c_str(), F_OK) != 0)
+    return std::optional<Formation>();
+  Result<std::string> Text = readFile(Path);
+  if (!Text)
+    return Text.error();
   try {
-    json Value = json::parse(File);
+    json Value = json::parse(Text.value());
     Formation Record;
     Record.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
     Record.m_Disk = numberOf(Value.at("disk").get<std::string>());
@@ -111,7 +73,7 @@
           numberOf(Claim.at("disk").get<std::string>());
     return std::optional<Formation>(Record);
   } catch (const std::exception &E) {
-    return makeError(ErrorCode::Corrupt, Folder + FileName + ": " + E.what());
+    return makeError(ErrorCode::Corrupt, Path + ": " + E.what());
   }
 }
 
@@ -125,13 +87,8 @@
                 {"state", nameOf(Record.m_State)},
                 {"initial_set", hexOf(Record.m_InitialSet)},
                 {"claims", Claims}};
-  Status Written = writeFile(Folder + TemporaryName, Value.dump(2) + "\n");
-  if (!Written)
-    return Written;
-  if (::rename((Folder + TemporaryName).c_str(), (Folder + FileName).c_str()) !=
-      0)
-    return fileError("rename", Folder + TemporaryName);
-  return syncNames(Folder);
+  return replaceFile(Folder, FileName, Value.dump(2) + "\n",
+                     [](int Descriptor) { return ::fdatasync(Descriptor); });
 }
 
 Result<Formation> createFormation(const KeeperSettings &Settings,
--- a/src/daemon/process/keeper_formation.hpp
+++ b/src/daemon/process/keeper_formation.hpp
@@ -21,8 +21,6 @@
   Formed,
   /// Drawn at random at the first start; joins as a learner.
   Fresh,
-  /// Its disk lost data that it had acknowledged; never used again.
-  Lost,
 };
 
 /// Who this keeper is, as its disk says.
