Drive the replicated log through seeded schedules of faults

The harness keeps a ground truth of committed entries and checks one leader per term, log matching, leader completeness, state machine safety, durable quorums, confirmed reads and leases after every action, with clocks that run up to 2 % fast or slow.

--- a/tests/core/Replication.tests.cpp
+++ b/tests/core/Replication.tests.cpp
@@ -49,6 +49,18 @@
                    << Total.m_Truncations << ", lease checks "
                    << Total.m_LeaseChecks << ", recovered " << Total.m_Recovered
                    << ", without quorum " << Total.m_NoQuorumLeft);
+  BOOST_TEST(Failures == 0u);
+  if (First != 0 || Count < 1000)
+    return;
+  // A harness that no longer reaches these cases would prove nothing.
+  BOOST_TEST(Total.m_Elections > Count);
+  BOOST_TEST(Total.m_Reads > Count);
+  BOOST_TEST(Total.m_DiskLosses > Count / 20);
+  BOOST_TEST(Total.m_Promotions > Count / 20);
+  BOOST_TEST(Total.m_RefusedReturns > 0u);
+  BOOST_TEST(Total.m_SnapshotsInstalled > Count / 20);
+  BOOST_TEST(Total.m_Truncations > Count / 50);
+  BOOST_TEST(Total.m_Recovered > Count * 9 / 10);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/ReplicationHarness.hpp
+++ b/tests/core/ReplicationHarness.hpp
@@ -156,6 +156,7 @@
   void checkDurableQuorum(const Keeper &At, const LogEntry &Entry);
   void checkReads(Keeper &At, const ReplicaActions &Actions);
   bool quorumIsLeft() const;
+  bool votersApplied(LogIndex Index) const;
 
   std::mt19937_64 m_Random;
   ReplicaOptions m_Options;
