--- a/src/core/process/account_shares.cpp
+++ b/src/core/process/account_shares.cpp
@@ -90,7 +90,7 @@
   const ShareHolder &Own = Ledger.m_Holders[Self];
   // The former leader kept the sum of reported shares within the limit.
   if (FormerLeases)
-    return std::min(Ledger.m_Limit, std::max(Own.m_Reported, Own.m_Running));
+    return std::min(Ledger.m_Limit, Own.m_Reported);
   std::uint64_t Others = 0;
   for (const std::pair<const ShareHolderKey, ShareHolder> &Row :
        Ledger.m_Holders)
@@ -203,9 +203,8 @@
     std::uint32_t Share = Idle ? 0 : shareFor(Ledger, Self, FormerLeases, Now);
     if (Own.m_Given.empty() || Own.m_Given.back().m_Limit != Share)
       Own.m_Given.push_back({Request.m_Sequence, Share});
-    if (Share > 0) {
-      Shares.push_back({Account, Share});
-    } else if (Idle && usableBy(Own) == 0) {
+    Shares.push_back({Account, Share});
+    if (Share == 0 && Idle && usableBy(Own) == 0) {
       Ledger.m_Holders.erase(Self);
       Table.m_Held[Self].erase(Account);
     }
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -18,6 +18,9 @@
   int Code = ExitOk;
   addKeeperCommand(App, Code);
   addCheckSettingsCommand(App, Code);
+  addGenerateTraceCommand(App, Code);
+  addReplayCommand(App, Code);
+  addRouterCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
