Tell routers that skip an epoch which nodes departed meanwhile

Cause: the lease property failed (two processes may dispatch to one target): node 0 went from epoch 4 to 6 and node 1 from 2 to 5; each counted its ownership as unbroken although the other owned the target at the epoch that it skipped. Ruled out: treating every skip as new ownership, which would stop the whole fleet's dispatch for a renewal or two when several nodes go at once; sending each membership in between, which costs one full list per change.

--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace vanillaferry {
 
@@ -20,6 +21,9 @@
   Epoch m_SafeEpoch;
   /// Epoch of the grant that began the present unbroken lease.
   Epoch m_HeldSince;
+  /// Departures that a grant reported, at the epoch of that grant, as long as
+  /// this epoch is not safe.
+  std::vector<Departure> m_Departed;
   DocumentVersion m_Version;
   std::uint64_t m_NextSequence = 1;
   /// Sequence of the newest grant taken, for Renew::m_AckedGrant.
@@ -43,8 +47,9 @@
 
 /// The check directly before a dispatch: the lease holds, the node owns the
 /// target under the members of the newest grant, and every former owner has
-/// stopped. A node whose lease was interrupted counts as a new owner, since
-/// others may have owned its targets meanwhile.
+/// stopped. A node whose lease was interrupted counts as a new owner of all its
+/// targets, and a node that skipped epochs as a new owner of those that a node
+/// which departed meanwhile may have owned.
 bool mayDispatchNow(const RouterLease &Lease, const OwnedTargets &Owned,
                     const TargetId &Target, Millis Now);
 
--- a/src/core/process/archive.hpp
+++ b/src/core/process/archive.hpp
@@ -16,7 +16,7 @@
 
 /// Writes fields into a JSON object. A struct is read and written by one
 /// function describe(Archive &, Struct &) that names each field once.
-struct FieldWriter {
+struct StateWriter {
   nlohmann::json m_Object = nlohmann::json::object();
 
   template <typename T> void operator()(const char *Name, const T &Field) {
@@ -63,7 +63,7 @@
     } else if constexpr (std::is_arithmetic_v<T>) {
       return Value;
     } else {
-      FieldWriter Inner;
+      StateWriter Inner;
       // describe() takes a mutable struct for the reader; a writer only reads.
       describe(Inner, const_cast<T &>(Value));
       return std::move(Inner.m_Object);
@@ -76,7 +76,7 @@
 
 /// Reads fields from a JSON object. The first missing or ill-typed field is
 /// named in m_Fault; what was read before stays.
-struct FieldReader {
+struct StateReader {
   const nlohmann::json &m_Object;
   std::string &m_Fault;
 
@@ -175,7 +175,7 @@
     } else if constexpr (std::is_arithmetic_v<T>) {
       return readNumber(Value, Out);
     } else {
-      FieldReader Inner{Value, m_Fault};
+      StateReader Inner{Value, m_Fault};
       describe(Inner, Out);
       return m_Fault.empty();
     }
--- a/src/core/process/ownership.cpp
+++ b/src/core/process/ownership.cpp
@@ -4,21 +4,35 @@
 
 namespace vanillaferry {
 
+namespace {
+
+std::uint64_t targetSeed(const TargetId &Target) {
+  return XXH3_64bits(Target.m_Value.data(), Target.m_Value.size());
+}
+
+std::uint64_t scoreOf(const NodeId &Node, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Node.m_Value.data(), Node.m_Value.size(), Seed);
+}
+
+/// Equal scores go to the smaller id, so that the order of the members does
+/// not matter.
+bool isBefore(std::uint64_t ScoreA, const NodeId &A, std::uint64_t ScoreB,
+              const NodeId &B) {
+  return ScoreA > ScoreB || (ScoreA == ScoreB && A < B);
+}
+
+} // namespace
+
 std::optional<NodeId> ownerOf(const Membership &Members,
                               const TargetId &Target) {
-  std::uint64_t Seed =
-      XXH3_64bits(Target.m_Value.data(), Target.m_Value.size());
+  std::uint64_t Seed = targetSeed(Target);
   const NodeId *Best = nullptr;
   std::uint64_t BestScore = 0;
   for (const Member &Candidate : Members.m_Members) {
     if (Candidate.m_Leaving)
       continue;
-    const std::string &Name = Candidate.m_Node.m_Value;
-    std::uint64_t Score = XXH3_64bits_withSeed(Name.data(), Name.size(), Seed);
-    // Equal scores go to the smaller id, so that the order of the members does
-    // not matter.
-    if (!Best || Score > BestScore ||
-        (Score == BestScore && Candidate.m_Node < *Best)) {
+    std::uint64_t Score = scoreOf(Candidate.m_Node, Seed);
+    if (!Best || isBefore(Score, Candidate.m_Node, BestScore, *Best)) {
       Best = &Candidate.m_Node;
       BestScore = Score;
     }
@@ -28,6 +42,12 @@
   return *Best;
 }
 
+bool outranks(const NodeId &First, const NodeId &Second,
+              const TargetId &Target) {
+  std::uint64_t Seed = targetSeed(Target);
+  return isBefore(scoreOf(First, Seed), First, scoreOf(Second, Seed), Second);
+}
+
 void updateOwned(OwnedTargets &Owned, const Membership &Members,
                  const std::vector<TargetId> &Targets) {
   std::map<TargetId, Epoch> Since;
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -154,12 +154,19 @@
   A("changed", J.m_ChangedAt);
 }
 
+template <typename Archive> static void describe(Archive &A, Departure &D) {
+  A("epoch", D.m_Epoch);
+  A("node", D.m_Node);
+}
+
 template <typename Archive> static void describe(Archive &A, StateMachine &S) {
   A("applied", S.m_Applied);
   A("document", S.m_Document);
   A("epoch", S.m_Epoch);
   A("members", S.m_Members);
   A("incarnations", S.m_Joined);
+  A("departures", S.m_Departures);
+  A("departures_since", S.m_DeparturesSince);
   A("journal", S.m_Journal);
   A("orders", S.m_Orders);
   A("clock", S.m_Clock);
@@ -169,7 +176,7 @@
 
 /// Reads the alternative with this index, or leaves the fault set.
 template <std::size_t I>
-void readAlternative(FieldReader &Reader, std::size_t Kind, Command &Out) {
+void readAlternative(StateReader &Reader, std::size_t Kind, Command &Out) {
   if constexpr (I < std::variant_size_v<Command>) {
     if (Kind != I) {
       readAlternative<I + 1>(Reader, Kind, Out);
@@ -186,7 +193,7 @@
 } // namespace
 
 std::string encodeCommand(const Command &Input) {
-  FieldWriter Writer;
+  StateWriter Writer;
   Writer("kind", static_cast<std::uint32_t>(Input.index()));
   std::visit([&](const auto &Typed) { Writer("command", Typed); }, Input);
   return printCbor(Writer.m_Object);
@@ -197,7 +204,7 @@
   if (!Parsed)
     return makeError(ErrorCode::Malformed, "command: " + Parsed.error().m_Text);
   std::string Fault;
-  FieldReader Reader{Parsed.value(), Fault};
+  StateReader Reader{Parsed.value(), Fault};
   std::uint32_t Kind = 0;
   Reader("kind", Kind);
   Command Out;
@@ -210,7 +217,7 @@
 }
 
 std::string encodeState(const StateMachine &State) {
-  FieldWriter Writer;
+  StateWriter Writer;
   Writer("format", StateFormat);
   Writer("state", State);
   return printCbor(Writer.m_Object);
@@ -221,7 +228,7 @@
   if (!Parsed)
     return makeError(ErrorCode::Malformed, "state: " + Parsed.error().m_Text);
   std::string Fault;
-  FieldReader Reader{Parsed.value(), Fault};
+  StateReader Reader{Parsed.value(), Fault};
   std::uint32_t Format = 0;
   Reader("format", Format);
   if (Fault.empty() && Format != StateFormat)
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -14,6 +14,14 @@
 
 UnixMillis later(UnixMillis A, UnixMillis B) { return A < B ? B : A; }
 
+void noteDeparture(StateMachine &State, const NodeId &Node) {
+  State.m_Departures.push_back({State.m_Epoch, Node});
+  while (State.m_Departures.size() > DepartureLimit) {
+    State.m_DeparturesSince = State.m_Departures.front().m_Epoch;
+    State.m_Departures.pop_front();
+  }
+}
+
 /// Notes that an incarnation joined; returns false when it was replaced.
 bool noteJoined(StateMachine &State, const Member &Joining) {
   if (isReplaced(State, Joining.m_Node, Joining.m_Incarnation))
@@ -54,8 +62,12 @@
     if (sameMember(Found->second, Joining))
       return NoAnswer();
   }
+  bool Departs = Joining.m_Leaving && Found != State.m_Members.end() &&
+                 !Found->second.m_Leaving;
   State.m_Members[Joining.m_Node] = Joining;
   State.m_Epoch = Epoch(Index.m_Value);
+  if (Departs)
+    noteDeparture(State, Joining.m_Node);
   return NoAnswer();
 }
 
@@ -68,6 +80,7 @@
     return NoAnswer();
   State.m_Members.erase(Found);
   State.m_Epoch = Epoch(Index.m_Value);
+  noteDeparture(State, Input.m_Node);
   State.m_Joined[Input.m_Node].m_ChangedAt = State.m_Clock;
   return NoAnswer();
 }
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -99,7 +99,9 @@
              {{SectionName("zones"), SectionVersion(3), "{\"zones\":[]}"}},
              {{PoolId("p"), 12, Millis(40)}},
              {{TargetId("t"), 1}},
-             {{AccountId("a"), 10}}};
+             {{AccountId("a"), 10}},
+             {{Epoch(2), NodeId("gone")}},
+             true};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
   SAME(m_Duration);
@@ -121,6 +123,9 @@
   SAME(m_Residual.at(0).m_Running);
   SAME(m_Shares.at(0).m_Account);
   SAME(m_Shares.at(0).m_Limit);
+  SAME(m_Departed.at(0).m_Epoch);
+  SAME(m_Departed.at(0).m_Node);
+  SAME(m_DepartedUnknown);
 }
 
 BOOST_AUTO_TEST_CASE(KeeperMessagesKeepEveryField) {
