Place chats without a cached copy below the mean first

Cause: new chats filled targets up to the bound, so that chats found their holder full. Change: without a copy, a ranked target takes a request only while its load is below the mean; the last part of the walk asks for any target. The replay uses the lease table, the state machine and the message codec.

--- a/include/vanillaferry/request/account_limit.hpp
+++ b/include/vanillaferry/request/account_limit.hpp
@@ -23,8 +23,8 @@
 /// One router's part of an account's limits.
 struct AccountState {
   AccountSettings m_Settings;
-  /// This router's part of the concurrency limit.
-  std::uint32_t m_Share = 1;
+  /// This router's part of the concurrency limit; 0 before the first grant.
+  std::uint32_t m_Share = 0;
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
   /// Requests that the token bucket holds.
@@ -34,7 +34,8 @@
 
 struct AccountTable {
   std::map<AccountId, AccountState> m_Accounts;
-  /// Live routers, between which limits without demand reports are split.
+  /// Live routers, between which the rate of an account without a share is
+  /// split.
   std::uint32_t m_Routers = 1;
 };
 
@@ -42,8 +43,8 @@
 void setAccounts(AccountTable &Table, const std::vector<AccountSettings> &All,
                  std::uint32_t Routers, Millis Now);
 
-/// Takes the shares of a grant. Accounts without one keep an equal part of
-/// their limit, at least 1.
+/// Takes the shares of a grant. They replace the former ones; an account that
+/// is not listed has none until the leader learns of its demand.
 void takeShares(AccountTable &Table, const std::vector<AccountShare> &Shares);
 
 /// Whether a request may start now: None, AccountDisabled, AccountRate or
@@ -65,16 +66,8 @@
 /// Running and waiting counts for a renewal.
 std::vector<AccountDemand> accountDemand(const AccountTable &Table);
 
-/// Demand of one account at one router.
-struct ShareDemand {
-  NodeId m_Node;
-  std::uint32_t m_Wanted = 0;
-};
-
-/// Splits a fleet-wide limit between routers by max-min fairness in proportion
-/// to demand; what nobody wants is spread equally. The parts never sum to more
-/// than the limit, so a router may get 0.
-std::map<NodeId, std::uint32_t> divideLimit(std::uint32_t Limit,
-                                            std::vector<ShareDemand> Demands);
+/// True when an account waits here for more than its share, so that a renewal
+/// should report the demand before it is due.
+bool demandUnmet(const AccountTable &Table);
 
 } // namespace vanillaferry
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -65,6 +65,8 @@
   TargetId m_Hint;
   bool m_HintUsed = false;
   std::vector<TargetId> m_Tried;
+  /// Owners that declined although they may have places above the mean.
+  std::vector<NodeId> m_SoftOwners;
   /// Owners that declined for all of their targets.
   std::vector<NodeId> m_FullOwners;
 };
--- a/src/core/request/account_limit.cpp
+++ b/src/core/request/account_limit.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::uint32_t equalPart(std::uint32_t Limit, std::uint32_t Routers) {
-  return std::max<std::uint32_t>(1,
-                                 Limit / std::max<std::uint32_t>(1, Routers));
-}
-
 double rateHere(const AccountTable &Table, const AccountState &Account) {
   // The rate follows the router's part of the concurrency limit, so that it
   // moves to the routers where the account's callers are.
@@ -22,12 +17,17 @@
   return Account.m_Settings.m_RequestsPerSecond * std::clamp(Part, Least, 1.0);
 }
 
+/// A second of the fleet-wide rate may arrive at one router at once; a part of
+/// it would refuse ordinary bursts of small accounts.
+double burst(const AccountState &Account) {
+  return std::max(1.0, Account.m_Settings.m_RequestsPerSecond);
+}
+
 void fillBucket(const AccountTable &Table, AccountState &Account, Millis Now) {
   double Rate = rateHere(Table, Account);
   double Elapsed =
       static_cast<double>((Now - Account.m_BucketAt).m_Value) / 1000.0;
-  // One second's worth may burst, and always one request.
-  Account.m_Bucket = std::min(std::max(1.0, Rate),
+  Account.m_Bucket = std::min(burst(Account),
                               Account.m_Bucket + Rate * std::max(0.0, Elapsed));
   Account.m_BucketAt = Now;
 }
@@ -43,14 +43,10 @@
     auto It = Table.m_Accounts.find(Settings.m_Id);
     bool New = It == Table.m_Accounts.end();
     AccountState &State = Table.m_Accounts[Settings.m_Id];
-    bool Changed =
-        New || State.m_Settings.m_MaxConcurrent != Settings.m_MaxConcurrent;
     State.m_Settings = Settings;
-    if (Changed)
-      State.m_Share = equalPart(Settings.m_MaxConcurrent, Routers);
     if (New) {
       State.m_BucketAt = Now;
-      State.m_Bucket = std::max(1.0, rateHere(Table, State));
+      State.m_Bucket = burst(State);
     }
   }
   for (auto It = Table.m_Accounts.begin(); It != Table.m_Accounts.end();) {
@@ -65,18 +61,13 @@
 }
 
 void takeShares(AccountTable &Table, const std::vector<AccountShare> &Shares) {
-  std::set<AccountId> Given;
+  for (std::pair<const AccountId, AccountState> &Pair : Table.m_Accounts)
+    Pair.second.m_Share = 0;
   for (const AccountShare &Share : Shares) {
     auto It = Table.m_Accounts.find(Share.m_Account);
-    if (It == Table.m_Accounts.end())
-      continue;
-    Given.insert(Share.m_Account);
-    It->second.m_Share = Share.m_Limit;
+    if (It != Table.m_Accounts.end())
+      It->second.m_Share = Share.m_Limit;
   }
-  for (std::pair<const AccountId, AccountState> &Pair : Table.m_Accounts)
-    if (Given.count(Pair.first) == 0)
-      Pair.second.m_Share =
-          equalPart(Pair.second.m_Settings.m_MaxConcurrent, Table.m_Routers);
 }
 
 RefusalReason checkAccount(AccountTable &Table, const AccountId &Account,
@@ -126,42 +117,20 @@
 std::vector<AccountDemand> accountDemand(const AccountTable &Table) {
   std::vector<AccountDemand> Demand;
   for (const std::pair<const AccountId, AccountState> &Pair : Table.m_Accounts)
-    if (Pair.second.m_Running > 0 || Pair.second.m_Waiting > 0)
+    if (Pair.second.m_Running > 0 || Pair.second.m_Waiting > 0 ||
+        Pair.second.m_Share > 0)
       Demand.push_back(AccountDemand{Pair.first, Pair.second.m_Running,
-                                     Pair.second.m_Waiting});
+                                     Pair.second.m_Waiting,
+                                     Pair.second.m_Share});
   return Demand;
 }
 
-std::map<NodeId, std::uint32_t> divideLimit(std::uint32_t Limit,
-                                            std::vector<ShareDemand> Demands) {
-  std::map<NodeId, std::uint32_t> Parts;
-  if (Demands.empty())
-    return Parts;
-  // Smallest demand first: what it leaves over goes to the larger ones.
-  std::sort(Demands.begin(), Demands.end(),
-            [](const ShareDemand &A, const ShareDemand &B) {
-              return A.m_Wanted != B.m_Wanted ? A.m_Wanted < B.m_Wanted
-                                              : A.m_Node < B.m_Node;
-            });
-  std::uint32_t Left = Limit;
-  std::size_t Rest = Demands.size();
-  for (const ShareDemand &Demand : Demands) {
-    // Rounded up for the last ones, so that nothing is stranded.
-    std::uint32_t Fair = static_cast<std::uint32_t>(Left / Rest);
-    std::uint32_t Part = std::min(Demand.m_Wanted, Fair);
-    Parts[Demand.m_Node] = Part;
-    Left -= Part;
-    --Rest;
-  }
-  // What nobody wants lets new callers start anywhere without a round trip.
-  for (std::size_t I = 0; Left > 0; I = (I + 1) % Demands.size()) {
-    std::uint32_t Extra = std::max<std::uint32_t>(
-        1, Left / static_cast<std::uint32_t>(Demands.size()));
-    Extra = std::min(Extra, Left);
-    Parts[Demands[Demands.size() - 1 - I].m_Node] += Extra;
-    Left -= Extra;
-  }
-  return Parts;
+bool demandUnmet(const AccountTable &Table) {
+  return std::any_of(Table.m_Accounts.begin(), Table.m_Accounts.end(),
+                     [](const std::pair<const AccountId, AccountState> &Pair) {
+                       return Pair.second.m_Waiting > 0 &&
+                              Pair.second.m_Running >= Pair.second.m_Share;
+                     });
 }
 
 } // namespace vanillaferry
--- a/src/core/request/placement.cpp
+++ b/src/core/request/placement.cpp
@@ -113,7 +113,7 @@
     const TargetId &Target = State.m_Ranked[State.m_NextRank];
     ++State.m_NextRank;
     WalkStep Step = askTarget(Pool, Target);
-    if (!Step.m_Ask || contains(State.m_FullOwners, Step.m_Owner))
+    if (!Step.m_Ask || contains(State.m_SoftOwners, Step.m_Owner))
       continue;
     Step.m_IgnoreRedirect = State.m_HintUsed;
     return Step;
@@ -133,8 +133,10 @@
       --State.m_NextRank;
     return;
   }
-  if (!contains(State.m_FullOwners, Asked.m_Owner))
-    State.m_FullOwners.push_back(Asked.m_Owner);
+  std::vector<NodeId> &Owners =
+      Asked.m_AnyTarget ? State.m_FullOwners : State.m_SoftOwners;
+  if (!contains(Owners, Asked.m_Owner))
+    Owners.push_back(Asked.m_Owner);
 }
 
 const char *placementWhyName(PlacementWhy Why) {
--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -1,6 +1,7 @@
 #include "vanillaferry/request/placement.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillaferry {
 
@@ -25,6 +26,8 @@
 struct Candidates {
   const OwnedTarget *m_Holder = nullptr;
   const OwnedTarget *m_Least = nullptr;
+  /// The mean, rounded up.
+  std::uint32_t m_MeanLimit = 0;
 };
 
 bool lessLoaded(const OwnedTarget &A, const OwnedTarget *B) {
@@ -45,6 +48,10 @@
       Pool.m_Settings, Pool.m_Mean, ownerLoad(Pool),
       targetDivisor(Pool.m_PoolTargets, Now), Request.m_Priority, Now);
   Candidates Best;
+  double Mean = (poolFloor(Pool.m_Mean, ownerLoad(Pool), Now) + 1) /
+                static_cast<double>(std::max<std::size_t>(
+                    1, targetDivisor(Pool.m_PoolTargets, Now)));
+  Best.m_MeanLimit = static_cast<std::uint32_t>(std::ceil(Mean - 1e-9));
   for (const std::pair<const TargetId, OwnedTarget> &Pair : Pool.m_Targets) {
     const OwnedTarget &Target = Pair.second;
     if (!Target.m_Dispatchable || !admits(Target.m_State, Limit, Now))
@@ -129,6 +136,11 @@
   }
   if (!Best.m_Least)
     return Decision;
+  // Without a copy to reuse, a target above the mean is left to the chats that
+  // it holds; the later walk asks for any target.
+  if (!Request.m_AnyTarget &&
+      targetLoad(Best.m_Least->m_State) >= Best.m_MeanLimit)
+    return Decision;
   bool IsAsked = Best.m_Least->m_State.m_Id == Request.m_Target;
   return admitAt(*Best.m_Least,
                  IsAsked ? PlacementWhy::Ranked : PlacementWhy::LeastLoaded);
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -43,7 +43,7 @@
   ++State.m_Measures.m_Hops;
   ReplayRouter *Owner = findRouter(All, Step.m_Owner);
   if (!Owner || !Owner->m_Joined || Owner->m_FrozenUntil > State.m_Now ||
-      Owner->m_LeaseEnds <= State.m_Now) {
+      !leaseHolds(Owner->m_Lease, State.m_Now)) {
     takeDecline(Way, Step);
     return false;
   }
@@ -180,7 +180,7 @@
 bool routerReady(const Fleet &All, const ReplayRouter &Router) {
   return Router.m_Joined && !Router.m_Leaving &&
          Router.m_FrozenUntil <= All.m_World->m_Now &&
-         Router.m_LeaseEnds > All.m_World->m_Now;
+         leaseHolds(Router.m_Lease, All.m_World->m_Now);
 }
 
 Millis medianFirstToken(const ReplayRouter &Router) {
@@ -202,13 +202,14 @@
   All.m_Settings.m_Bound = State.m_Bound;
   All.m_Settings.m_InnerMargin = Options.m_InnerMargin;
   All.m_Settings.m_Targets = Recorded.m_Engines;
-  All.m_Leader.m_Trace = &Recorded;
+  All.m_Leader = makeLeader(Recorded);
   for (std::uint32_t I = 0; I < Recorded.m_Engines.size(); ++I)
     All.m_EngineIndex[Recorded.m_Engines[I].m_Id.m_Value] = I;
   std::vector<ZoneSettings> Zones;
   for (const std::string &Zone : Recorded.m_Zones)
     Zones.push_back(ZoneSettings{ZoneId(Zone), true});
   All.m_Zones[0] = Zones;
+  editZones(All.m_Leader, Zones);
   std::vector<AccountSettings> Accounts;
   for (const TraceAccount &Account : Recorded.m_Accounts)
     Accounts.push_back(
@@ -224,7 +225,13 @@
         Random() % static_cast<std::uint64_t>(Recorded.m_ListLag.m_Value + 1)));
     Router.m_NextPoll = Millis(static_cast<std::int64_t>(Random() % 1000));
     Router.m_NextList = Millis(static_cast<std::int64_t>(Random() % 200));
-    Router.m_NextRenewal = Millis(static_cast<std::int64_t>(Random() % 200));
+    Router.m_Lease.m_Node = Router.m_Id;
+    Router.m_Lease.m_Incarnation = Incarnation(1);
+    Router.m_Lease.m_RenewInterval = Options.m_RenewInterval;
+    Router.m_Lease.m_NextRenewal =
+        Millis(static_cast<std::int64_t>(Random() % 200));
+    if (Router.m_Joined)
+      addMember(All.m_Leader, Router.m_Id);
     Router.m_Pool.m_Settings = All.m_Settings;
     Router.m_Pool.m_Mean.m_Options = Options.m_Load;
     setAccounts(Router.m_Accounts, Accounts, Recorded.m_Routers, Millis());
@@ -268,13 +275,14 @@
     All.m_World->m_Measures.m_RouterSeconds +=
         static_cast<double>(TickInterval.m_Value) / 1000.0;
     exchangeMessages(All, Router);
-    if (Router.m_LeaseEnds > Now)
+    if (leaseHolds(Router.m_Lease, Now))
       placeWaiting(All, I);
   }
   endLeases(All.m_Leader, Now);
   for (std::size_t I = 0; I < All.m_Pending.size();) {
     const PendingZoneEdit Edit = All.m_Pending[I];
-    if (!inForce(All.m_Leader, Edit.m_Version, Now)) {
+    if (!inForceEverywhere(All.m_Leader.m_Table, All.m_Leader.m_State,
+                           Edit.m_Version, Now)) {
       ++I;
       continue;
     }
--- a/src/daemon/process/replay/fleet.hpp
+++ b/src/daemon/process/replay/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "process/replay/leader.hpp"
 #include "process/replay/world.hpp"
+#include "vanillaferry/process/node_lease.hpp"
 #include "vanillaferry/request/account_limit.hpp"
 #include "vanillaferry/request/admission_queue.hpp"
 #include "vanillaferry/request/placement.hpp"
@@ -34,11 +35,8 @@
   bool m_Joined = false;
   bool m_Leaving = false;
   Millis m_FrozenUntil;
-  Millis m_LeaseEnds;
-  Millis m_NextRenewal;
+  RouterLease m_Lease;
   Membership m_Members;
-  Epoch m_SafeEpoch;
-  DocumentVersion m_Version;
   VmView m_Vms;
   Millis m_ListLag;
   Millis m_NextList;
--- a/src/daemon/process/replay/fleet_events.cpp
+++ b/src/daemon/process/replay/fleet_events.cpp
@@ -13,10 +13,9 @@
   const std::string &Zone = All.m_World->m_Trace->m_Zones[Index];
   std::vector<ZoneSettings> Zones = std::prev(All.m_Zones.end())->second;
   Zones[Index].m_InService = InService;
-  ++All.m_Leader.m_Version.m_Value;
-  All.m_Zones[All.m_Leader.m_Version.m_Value] = Zones;
-  All.m_Pending.push_back(
-      PendingZoneEdit{All.m_Leader.m_Version, Zone, InService});
+  DocumentVersion Version = editZones(All.m_Leader, Zones);
+  All.m_Zones[Version.m_Value] = Zones;
+  All.m_Pending.push_back(PendingZoneEdit{Version, Zone, InService});
   for (EngineModel &Engine : All.m_World->m_Engines) {
     if (Engine.m_Settings.m_Zone.m_Value != Zone)
       continue;
@@ -169,7 +168,7 @@
     return editZone(All, Event.m_Index, true);
   case TraceEventKind::RouterJoin:
     All.m_Routers[Event.m_Index].m_Joined = true;
-    All.m_Routers[Event.m_Index].m_NextRenewal = State.m_Now;
+    All.m_Routers[Event.m_Index].m_Lease.m_NextRenewal = State.m_Now;
     return;
   case TraceEventKind::RouterFreeze:
     watchLoss(All, static_cast<std::uint32_t>(State.m_Engines.size()),
--- a/src/daemon/process/replay/fleet_messages.cpp
+++ b/src/daemon/process/replay/fleet_messages.cpp
@@ -1,5 +1,7 @@
 #include "process/replay/fleet.hpp"
 
+#include "connection/message_codec.hpp"
+
 #include <algorithm>
 
 namespace vanillaferry {
@@ -18,8 +20,12 @@
 Renew makeRenew(const Fleet &All, ReplayRouter &Router) {
   Renew Request;
   Request.m_Node = Router.m_Id;
-  Request.m_AckedEpoch = Router.m_Members.m_Epoch;
-  Request.m_AckedVersion = Router.m_Version;
+  Request.m_Incarnation = Incarnation(1);
+  Request.m_PeerUrl = "wss://10.0.0.1:7400/peer";
+  Request.m_Zone = ZoneId("Bantala");
+  Request.m_AckedEpoch = Router.m_Lease.m_Epoch;
+  Request.m_AckedVersion = Router.m_Lease.m_Version;
+  Request.m_AckedGrant = Router.m_Lease.m_TakenSequence;
   Request.m_Leaving = Router.m_Leaving;
   Request.m_Pools.push_back(
       PoolLoad{All.m_Settings.m_Id, ownerLoad(Router.m_Pool)});
@@ -35,16 +41,20 @@
 void sendRenewal(Fleet &All, ReplayRouter &Router) {
   Millis Now = All.m_World->m_Now;
   Renew Request = makeRenew(All, Router);
+  Request.m_Sequence = renewalSent(Router.m_Lease, Now);
   std::uint32_t Own = Request.m_Pools.front().m_Running;
   GrantInFlight Answer;
   Answer.m_SentAt = Now;
   Answer.m_At = Now + MessageDelay;
   Answer.m_OwnReported = Own;
-  Answer.m_Grant = answerRenewal(All.m_Leader, Request, Now);
-  All.m_World->m_Measures.m_ControlBytes +=
-      renewalBytes(Request, Answer.m_Grant);
+  double Bytes = static_cast<double>(encodeMessage(Request).size());
+  std::optional<Grant> Granted = answerRenewal(All.m_Leader, Request, Now);
   noteReported(Router.m_Pool.m_Mean, Own, Now);
-  Router.m_NextRenewal = Now + All.m_Options.m_RenewInterval;
+  if (!Granted)
+    return;
+  Answer.m_Grant = *Granted;
+  Bytes += static_cast<double>(encodeMessage(Answer.m_Grant).size());
+  All.m_World->m_Measures.m_ControlBytes += Bytes;
   Router.m_Grants.push_back(std::move(Answer));
 }
 
@@ -54,14 +64,14 @@
     GrantInFlight Taken = std::move(Router.m_Grants.front());
     Router.m_Grants.pop_front();
     const Grant &Granted = Taken.m_Grant;
-    Router.m_LeaseEnds = Taken.m_SentAt + Granted.m_Duration;
-    bool Changed = Granted.m_Epoch != Router.m_Members.m_Epoch ||
-                   Granted.m_Version != Router.m_Version ||
-                   Granted.m_SafeEpoch != Router.m_SafeEpoch;
+    RouterLease Before = Router.m_Lease;
+    if (!takeGrant(Router.m_Lease, Granted, Now))
+      continue;
+    bool Changed = Granted.m_Epoch != Before.m_Epoch ||
+                   Granted.m_Version != Before.m_Version ||
+                   Granted.m_SafeEpoch != Before.m_SafeEpoch;
     if (!Granted.m_Members.empty())
       Router.m_Members = Membership{Granted.m_Epoch, Granted.m_Members};
-    Router.m_Version = Granted.m_Version;
-    Router.m_SafeEpoch = Granted.m_SafeEpoch;
     Router.m_Residual.clear();
     for (const TargetLoad &Load : Granted.m_Residual)
       Router.m_Residual[Load.m_Target] = Load.m_Running;
@@ -181,7 +191,7 @@
 
 void rebuildViews(Fleet &All, ReplayRouter &Router) {
   Millis Now = All.m_World->m_Now;
-  auto Zones = All.m_Zones.upper_bound(Router.m_Version.m_Value);
+  auto Zones = All.m_Zones.upper_bound(Router.m_Lease.m_Version.m_Value);
   const std::vector<ZoneSettings> &Known = std::prev(Zones)->second;
   Router.m_Routed = makeRoutedPool(
       makePoolView(All.m_Settings, Known, Router.m_Vms, Now), Router.m_Members);
@@ -203,7 +213,7 @@
     Target.m_InService = findTarget(View, It->first) < View.m_Targets.size();
     Target.m_Dispatchable =
         Target.m_InService &&
-        mayDispatch(Router.m_Owned, It->first, Router.m_SafeEpoch);
+        mayDispatchNow(Router.m_Lease, Router.m_Owned, It->first, Now);
     bool Done = !Owned && Target.m_State.m_Running == 0;
     It = Done ? Router.m_Pool.m_Targets.erase(It) : std::next(It);
   }
@@ -215,7 +225,7 @@
   takeReports(All, Router);
   readList(All, Router);
   pollTargets(All, Router);
-  if (Now >= Router.m_NextRenewal ||
+  if (renewalDue(Router.m_Lease, Now) ||
       earlyReportDue(Router.m_Pool.m_Mean, ownerLoad(Router.m_Pool), Now))
     sendRenewal(All, Router);
 }
