Test the limits towards callers, broken streams and service calls

A connection is closed only once its caller stops reading for two seconds: a slow caller lost the end of a 64 MB answer in 2 of 9 runs of a test.

--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -2,10 +2,12 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace vanillaferry {
@@ -16,6 +18,12 @@
 /// with unread input would reset the connection and could discard the answer.
 constexpr std::int64_t LingerMs = 2000;
 
+/// Bytes that the other end has not acknowledged yet.
+int unsentBytes(int Fd) {
+  int Count = 0;
+  return ioctl(Fd, SIOCOUTQ, &Count) == 0 ? Count : 0;
+}
+
 const char *statusText(int Status) {
   return soup_status_get_phrase(static_cast<guint>(Status));
 }
@@ -265,9 +273,14 @@
   ended();
   shutdown(m_Fd, SHUT_WR);
   m_Watcher.change(m_Watch, EPOLLIN | EPOLLRDHUP);
-  m_LingerTimer.start(LingerMs, [Self] {
-    Self->closeSocket();
-    return false;
+  m_LingerTimer.start(LingerMs, [Self, Unsent = unsentBytes(m_Fd)]() mutable {
+    int Left = unsentBytes(Self->m_Fd);
+    // A slow caller that goes on reading gets the rest.
+    bool Reading = Left < Unsent;
+    Unsent = Left;
+    if (!Reading)
+      Self->closeSocket();
+    return Reading;
   });
 }
 
--- a/tests/daemon/LoopbackFakes.cpp
+++ b/tests/daemon/LoopbackFakes.cpp
@@ -196,7 +196,8 @@
     if (Count <= 0)
       break;
     Raw.append(Buffer, static_cast<std::size_t>(Count));
-    if (Raw.find("Content-Length") != std::string::npos &&
+    // Only answers without chunks keep their connection open.
+    if (Raw.substr(0, 4096).find("Content-Length") != std::string::npos &&
         parseAnswer(Raw).m_Whole)
       break;
   }
--- a/tests/daemon/Streams.tests.cpp
+++ b/tests/daemon/Streams.tests.cpp
@@ -1,6 +1,9 @@
 #include "RouterFixture.hpp"
 
+#include "request/session.hpp"
+
 #include <boost/test/unit_test.hpp>
+#include <unistd.h>
 
 using namespace vanillaferry;
 using namespace vanillaferry::fakes;
@@ -46,4 +49,292 @@
   BOOST_TEST(Fixture.m_Router.m_Runs.empty());
 }
 
+// Guards against a connection that breaks losing or doubling events.
+BOOST_AUTO_TEST_CASE(ABrokenStreamIsResumedByOffsetOverANewConnection) {
+  FakeServer Engine([](Connection &Open) {
+    std::string Offset = fieldIn(Open.m_Request, "X-Resume-Offset");
+    Open.send(streamHead(idOf(Open)));
+    if (Offset.empty()) {
+      // The connection closes in the middle of event 5.
+      Open.send(chunk(tokens(0, 5)) + chunk(tokenEvent(5).substr(0, 20)));
+      return;
+    }
+    Open.send(chunk(tokens(std::stoi(Offset), 10)) + chunk(Done) + "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body == tokens(0, 10) + Done);
+  BOOST_TEST(Engine.arrivals() == 2);
+  BOOST_TEST(fieldIn(Engine.requests()[1], "X-Resume-Offset") == "5");
+  BOOST_TEST(idOf({-1, Engine.requests()[0], 1}) ==
+             idOf({-1, Engine.requests()[1], 2}));
+  BOOST_TEST(Fixture.retries(RetryReason::StreamBroken) == 1U);
+}
+
+// Guards against a stream that ends without [DONE] passing as complete.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInGoodOrderWithoutDoneIsResumed) {
+  FakeServer Engine([](Connection &Open) {
+    std::string Offset = fieldIn(Open.m_Request, "X-Resume-Offset");
+    Open.send(streamHead(idOf(Open)));
+    if (Offset.empty())
+      Open.send(chunk(tokens(0, 3)) + "0\r\n\r\n");
+    else
+      Open.send(chunk(tokens(std::stoi(Offset), 4)) + chunk(Done) +
+                "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body == tokens(0, 4) + Done);
+}
+
+// Guards against an open connection that goes silent holding the caller up.
+BOOST_AUTO_TEST_CASE(ASilentStreamIsResumedOverANewConnection) {
+  FakeServer Engine([](Connection &Open) {
+    std::string Offset = fieldIn(Open.m_Request, "X-Resume-Offset");
+    Open.send(streamHead(idOf(Open)));
+    if (Offset.empty()) {
+      Open.send(chunk(tokens(0, 7)));
+      Open.closedWithin(5000);
+      return;
+    }
+    Open.send(chunk(tokens(std::stoi(Offset), 9)) + chunk(Done) + "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {}, R"({"stream_silence_ms":150})");
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body == tokens(0, 9) + Done);
+  BOOST_TEST(Fixture.retries(RetryReason::StreamSilent) == 1U);
+}
+
+// Guards against repeating or losing text when another engine takes over.
+BOOST_AUTO_TEST_CASE(AStreamThatCannotBeResumedIsContinuedWithItsText) {
+  std::atomic<int> Chats{0};
+  std::atomic<bool> SawText{false};
+  std::function<void(Connection &)> Handler = [&](Connection &Open) {
+    if (Open.m_Request.find("POST /v1/cancel") == 0)
+      return;
+    if (!fieldIn(Open.m_Request, "X-Resume-Offset").empty()) {
+      Open.send("HTTP/1.1 404 Not Found\r\nContent-Length: 28\r\n\r\n"
+                "{\"error\":{\"not_run\":true}}\n");
+      return;
+    }
+    Open.send(streamHead(idOf(Open)));
+    if (++Chats == 1) {
+      Open.send(chunk(tokens(0, 4)));
+      return;
+    }
+    SawText = Open.m_Request.find("\"continue_text\":\"t0 t1 t2 t3 \"") !=
+              std::string::npos;
+    Open.send(chunk(tokens(4, 8)) + chunk(Done) + "0\r\n\r\n");
+  };
+  FakeServer One(Handler);
+  FakeServer Two(Handler);
+  RouterFixture Fixture;
+  Fixture.grantTargets({One.url(), Two.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body == tokens(0, 8) + Done);
+  BOOST_TEST(SawText);
+  BOOST_TEST(Fixture.retries(RetryReason::StreamContinued) == 1U);
+}
+
+// Guards against silent truncation.
+BOOST_AUTO_TEST_CASE(AStreamThatNobodyCanContinueEndsWithAnErrorEvent) {
+  std::atomic<int> Chats{0};
+  FakeServer Engine([&](Connection &Open) {
+    if (Open.m_Request.find("POST /v1/chat") != 0 || ++Chats > 1)
+      return;
+    Open.send(streamHead(idOf(Open)) + chunk(tokens(0, 4)));
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {}, R"({"retry_floor":2})");
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Status == 200);
+  BOOST_TEST(Got.m_Whole);
+  BOOST_TEST(Got.m_Body.find(tokens(0, 4)) == 0U);
+  BOOST_TEST(Got.m_Body.find("\"error\":{\"reason\":") != std::string::npos);
+  BOOST_TEST(Got.m_Body.find("[DONE]") == std::string::npos);
+}
+
+// Guards against a caller getting the answer to another request.
+BOOST_AUTO_TEST_CASE(AnAnswerToAnotherRequestNeverReachesTheCaller) {
+  std::atomic<int> Chats{0};
+  FakeServer Engine([&](Connection &Open) {
+    if (Open.m_Request.find("POST /v1/chat") != 0)
+      return;
+    bool Crossed = ++Chats == 1;
+    Open.send(streamHead(Crossed ? "another-request" : idOf(Open)));
+    Open.send(chunk(Crossed ? tokenEvent(99) : tokens(0, 3)) + chunk(Done) +
+              "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body == tokens(0, 3) + Done);
+}
+
+// Guards against two requests with the same X-Request-Id being mixed up.
+BOOST_AUTO_TEST_CASE(EqualIdsOfTwoCallersStayApartAtTheTargets) {
+  FakeServer Engine([](Connection &Open) {
+    Open.send(streamHead(idOf(Open)) + chunk(tokens(0, 2)) + chunk(Done) +
+              "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  for (int I = 0; I < 2; ++I)
+    Fixture.exchange(RouterFixture::chatText(true, {{"X-Request-Id", "same"}}));
+  BOOST_TEST(idOf({-1, Engine.requests()[0], 1}) !=
+             idOf({-1, Engine.requests()[1], 2}));
+}
+
+// Guards against an engine that works on for a caller who left.
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesCancelsTheEnginesStream) {
+  std::atomic<bool> Closed{false};
+  std::atomic<bool> Cancelled{false};
+  FakeServer Engine([&](Connection &Open) {
+    if (Open.m_Request.find("POST /v1/cancel") == 0) {
+      Cancelled = true;
+      Open.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+      return;
+    }
+    Open.send(streamHead(idOf(Open)) + chunk(tokens(0, 2)));
+    Closed = Open.closedWithin(5000);
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Connection Caller;
+  Caller.m_Fd = connectTo(Fixture.port());
+  Caller.send(RouterFixture::chatText(true));
+  BOOST_TEST(Fixture.runUntil([&] {
+    for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+         Fixture.m_Router.m_Sessions)
+      if (Row.second->m_Progress.m_Next == 2)
+        return true;
+    return false;
+  }));
+  close(Caller.m_Fd);
+  BOOST_TEST(Fixture.runUntil([&] { return Closed && Cancelled; }));
+  BOOST_TEST(Fixture.m_Router.m_Sessions.empty());
+  BOOST_TEST(Fixture.m_Router.m_Runs.empty());
+}
+
+// Guards against a caller that does not read filling the router's memory.
+BOOST_AUTO_TEST_CASE(ASlowCallerHoldsTheEngineBack) {
+  const std::string Event = "data: " + std::string(8000, 'x') + "\n\n";
+  constexpr int Events = 8000;
+  std::atomic<int> Sent{0};
+  FakeServer Engine([&](Connection &Open) {
+    if (!Open.send(streamHead(idOf(Open))))
+      return;
+    for (int I = 0; I < Events && Open.send(chunk(Event)); ++I)
+      ++Sent;
+    Open.send(chunk(Done) + "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Connection Caller;
+  Caller.m_Fd = connectTo(Fixture.port());
+  Caller.send(RouterFixture::chatText(true));
+  int Before = -1;
+  // The engine is held back once it has sent nothing for a while.
+  std::size_t MaxWaiting = 0;
+  for (int I = 0; I < 20 && Sent != Before; ++I) {
+    Before = Sent;
+    Fixture.runUntil([&] { return false; }, 200);
+    for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+         Fixture.m_Router.m_Sessions)
+      MaxWaiting = std::max(MaxWaiting, Row.second->m_Caller->waiting());
+  }
+  BOOST_TEST(Sent < Events);
+  BOOST_TEST(MaxWaiting < 1024U * 1024U);
+  std::future<Answer> Rest = std::async(
+      std::launch::async, [&Caller] { return readAnswer(Caller.m_Fd); });
+  BOOST_TEST(Fixture.runUntil(
+      [&] {
+        return Rest.wait_for(std::chrono::seconds(0)) ==
+               std::future_status::ready;
+      },
+      30000));
+  Answer Got = Rest.get();
+  BOOST_TEST(Got.m_Whole);
+  BOOST_TEST(Got.m_Body.size() ==
+             Event.size() * Events + std::string(Done).size());
+}
+
+// Guards against an answer without end.
+BOOST_AUTO_TEST_CASE(AStreamAboveTheLimitEndsWithItsOwnReason) {
+  FakeServer Engine([](Connection &Open) {
+    Open.send(streamHead(idOf(Open)));
+    for (int I = 0; I < 1000; ++I)
+      if (!Open.send(chunk(tokenEvent(I))))
+        return;
+    Open.closedWithin(3000);
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {}, R"({"max_stream_bytes":10000})");
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Body.find("stream_too_large") != std::string::npos);
+  BOOST_TEST(Got.m_Body.size() < 11000U);
+  BOOST_TEST(Fixture.refusals(RefusalReason::StreamTooLarge) == 1U);
+}
+
+// Guards against a request failing because one of several engines is down.
+BOOST_AUTO_TEST_CASE(AChatMovesOnWhenAnEngineIsUnreachable) {
+  FakeServer Engine([](Connection &Open) {
+    Open.send(streamHead(idOf(Open)) + chunk(tokens(0, 2)) + chunk(Done) +
+              "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({"http://127.0.0.1:1", Engine.url()}, {});
+  for (int I = 0; I < 6; ++I) {
+    Answer Got = Fixture.exchange(RouterFixture::chatText(
+        true, {{"X-Chat-Id", "chat-" + std::to_string(I)}}));
+    BOOST_TEST(Got.m_Body == tokens(0, 2) + Done);
+  }
+  BOOST_TEST(Fixture.retries(RetryReason::ConnectFailed) >= 1U);
+}
+
+// Guards against losing the whole answer of a caller that does not stream.
+BOOST_AUTO_TEST_CASE(AWholeAnswerIsPassedOnWithItsStatus) {
+  const std::string Body = R"({"id":"x","choices":[]})";
+  FakeServer Engine([&](Connection &Open) {
+    Open.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+              "Content-Length: " +
+              std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(false));
+  BOOST_TEST(Got.m_Status == 200);
+  BOOST_TEST(Got.m_Body == Body);
+  BOOST_TEST(Got.m_Fields["content-type"] == "application/json");
+}
+
+// Guards against an engine's own error being taken for a broken stream.
+BOOST_AUTO_TEST_CASE(AnEnginesErrorToAStreamedRequestIsPassedOn) {
+  FakeServer Engine([](Connection &Open) {
+    Open.send("HTTP/1.1 422 Unprocessable\r\nContent-Type: application/json"
+              "\r\nContent-Length: 9\r\n\r\n{\"bad\":1}");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Status == 422);
+  BOOST_TEST(Got.m_Body == "{\"bad\":1}");
+}
+
+// Guards against a dispatch after the lease ended.
+BOOST_AUTO_TEST_CASE(WithoutALeaseNothingIsDispatchedAndTheRefusalIsTrue) {
+  FakeServer Engine([](Connection &) {});
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Fixture.m_Router.m_Lease.m_Ends = Millis(1);
+  Answer Got = Fixture.exchange(RouterFixture::chatText(true));
+  BOOST_TEST(Got.m_Status == 503);
+  BOOST_TEST(Got.m_Body.find("\"name\":\"no_lease\"") != std::string::npos);
+  BOOST_TEST(Got.m_Body.find("\"not_run\":true") != std::string::npos);
+  BOOST_TEST(Engine.arrivals() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
