Check document edits by the core's section rules only

Cause: the keeper and the core each defined sectionNames() with another result type, which is one symbol to the linker. Change: the keeper's copy is gone; edits are also checked against the other sections.

--- a/src/daemon/process/keeper_api_document.cpp
+++ b/src/daemon/process/keeper_api_document.cpp
@@ -1,8 +1,9 @@
 #include "process/clock.hpp"
 #include "process/internal/keeper_api.hpp"
 #include "process/log.hpp"
-#include "process/section_schema.hpp"
+#include "vanillaferry/version/section.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -109,10 +110,31 @@
     answerConflict(*Exchange, *Answer);
 }
 
+bool isSection(const std::string &Name) {
+  std::vector<SectionName> Names = sectionNames();
+  return std::find(Names.begin(), Names.end(), SectionName(Name)) !=
+         Names.end();
+}
+
+/// Checks an edit against the document as it is now; the log may still hold
+/// edits of other sections that come first.
+std::vector<std::string> editFaults(const Keeper &Self, const std::string &Name,
+                                    const std::string &Text) {
+  std::map<SectionName, std::string> Current;
+  for (const std::pair<const SectionName, Section> &Row :
+       Self.m_State.m_Document.m_Sections)
+    Current[Row.first] = Row.second.m_Json;
+  std::vector<std::string> Faults;
+  for (const SectionFault &Fault :
+       checkEdit(Current, SectionName(Name), Text).m_Errors)
+    Faults.push_back(faultText(Fault));
+  return Faults;
+}
+
 /// Reads and checks an edit; answers the operator when it is invalid.
-std::optional<EditSection> readEdit(HttpExchange &Exchange,
+std::optional<EditSection> readEdit(const Keeper &Self, HttpExchange &Exchange,
                                     const std::string &Name) {
-  if (!sectionSchema(Name)) {
+  if (!isSection(Name)) {
     answerError(Exchange, 404, "unknown_section",
                 "there is no section \"" + Name + "\"");
     return std::nullopt;
@@ -127,7 +149,7 @@
     return std::nullopt;
   }
   std::string Text = Exchange.body();
-  std::vector<std::string> Faults = sectionFaults(Name, Text);
+  std::vector<std::string> Faults = editFaults(Self, Name, Text);
   if (!Faults.empty()) {
     Exchange.answer(422, {{"error", "invalid_section"},
                           {"message", "the section's content is invalid"},
@@ -195,7 +217,7 @@
                 const std::string &Name, const OperatorId &Operator) {
   if (!leads(Self))
     return answerNotLeader(Self, *Exchange);
-  std::optional<EditSection> Input = readEdit(*Exchange, Name);
+  std::optional<EditSection> Input = readEdit(Self, *Exchange, Name);
   if (!Input)
     return;
   Input->m_Operator = Operator;
