Let waiting requests walk one by one, continue begun answers without budget

Cause: the first load run on a fleet of cold engines showed three faults. 50 waiting requests repeated their walks every 25 ms, together: 34,649 declined asks in 9 s. Broken streams beyond the retry budget ended with an error event: 14 of 200. An engine that fell over got new work until the next load report. Ruled out: a longer fixed pause alone, since it also delays a place that is free. A larger budget, since it does not grow with the streams that one engine carries. Change: while a pool is congested one request walks at a time, with a pause that doubles from 25 to 200 ms and is skipped when a request of this router ends. The first continuation of a begun answer takes nothing from the budget. A broken stream pauses its target and asks for a load report at once. Emulated cold engines are slow to the first token. Conclusion: asks under congestion no longer grow with the queue.

--- a/include/vanillaferry/request/retry.hpp
+++ b/include/vanillaferry/request/retry.hpp
@@ -44,6 +44,8 @@
   bool m_Idempotent = false;
   /// The call has a begin in the journal.
   bool m_Journaled = false;
+  /// The caller already has a part of the answer.
+  bool m_AnswerBegan = false;
   Millis m_TimeLeft;
 };
 
@@ -60,7 +62,9 @@
 
 /// Decides on a retry and takes it from the budget. Moving on after a decline
 /// or an owner change is part of the walk, which is bounded by itself, and
-/// costs nothing.
+/// costs nothing. Nor does the first continuation of an answer that has begun:
+/// it takes the place of a stream that ended with its target, so that a lost
+/// zone adds no more tries than it had streams.
 RetryVerdict decideRetry(RetryTable &Table, const FailedTry &Failed,
                          Millis Now);
 
--- a/src/core/request/retry.cpp
+++ b/src/core/request/retry.cpp
@@ -55,6 +55,8 @@
     return RetryVerdict::DeadlinePassed;
   if (costsNothing(Failed.m_Reason) && Failed.m_NothingSent)
     return RetryVerdict::Retry;
+  if (Failed.m_AnswerBegan && Failed.m_Attempt.m_Value <= 1)
+    return RetryVerdict::Retry;
   if (Failed.m_Attempt.m_Value >= Table.m_Options.m_MaxAttempts)
     return RetryVerdict::BudgetSpent;
   RetryBudget &Budget = Table.m_Budgets[{Failed.m_Account, Failed.m_Pool}];
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -107,6 +107,14 @@
   updateDispatchable(R);
 }
 
+void noteStreamBroken(Router &R, const TargetId &Target) {
+  TargetPoll &Poll = R.m_Polls[Target];
+  Millis Now = monotonicNow();
+  Poll.m_Next = Now;
+  Poll.m_FailedUntil = std::max(Poll.m_FailedUntil, Now + Millis(FirstPauseMs));
+  updateDispatchable(R);
+}
+
 void noteTargetReached(Router &R, const TargetId &Target) {
   auto Poll = R.m_Polls.find(Target);
   if (Poll != R.m_Polls.end())
--- a/src/daemon/process/poller.hpp
+++ b/src/daemon/process/poller.hpp
@@ -17,6 +17,9 @@
 
 /// Keeps new work away from a target that could not be reached.
 void noteTargetFailed(Router &R, const TargetId &Target);
+/// Pauses a target whose stream broke until a load report, asked for at once,
+/// has shown whether it restarted and is cold.
+void noteStreamBroken(Router &R, const TargetId &Target);
 /// Ends the growth of its pauses.
 void noteTargetReached(Router &R, const TargetId &Target);
 
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -41,6 +41,13 @@
   /// After a walk that every owner declined, no request leaves the queue before
   /// this time.
   Millis m_BlockedUntil;
+  /// Present pause between two walks; zero after an accepted one.
+  Millis m_Pause;
+  /// Set from the first declined walk until the queue is empty. Requests then
+  /// walk one by one, since every walk asks up to nine owners.
+  bool m_Congested = false;
+  /// The one request that walks while the pool is congested.
+  RequestId m_Probe;
 };
 
 /// Connection to the keepers' leader.
--- a/src/daemon/request/admission.cpp
+++ b/src/daemon/request/admission.cpp
@@ -3,13 +3,18 @@
 #include "request/entry.hpp"
 #include "request/journal_client.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry {
 
 namespace {
 
-/// Pause of a pool's queue after every owner declined a request; owners free
-/// places about that often at tens of completions per second.
-constexpr Millis BlockedPause{25};
+/// Pause of a pool's queue after every owner declined a request, doubled from
+/// the first to the last while declines go on. A request that ends here lets
+/// the next one go at once, so the pause only serves places that other routers
+/// free.
+constexpr Millis FirstPause{25};
+constexpr Millis LastPause{200};
 /// Prompt tokens for one unit of a turn in the queue.
 constexpr std::int64_t TokensPerCost = 1024;
 
@@ -64,6 +69,29 @@
   return true;
 }
 
+/// After a walk that every owner declined.
+void blockQueue(PoolQueue &Queue, const RequestId &Request, Millis Now) {
+  bool WasProbe = Queue.m_Probe == Request;
+  if (WasProbe || !Queue.m_Congested)
+    Queue.m_Pause =
+        std::clamp(Queue.m_Pause + Queue.m_Pause, FirstPause, LastPause);
+  if (WasProbe)
+    Queue.m_Probe = RequestId();
+  Queue.m_Congested = true;
+  Queue.m_BlockedUntil = Now + Queue.m_Pause;
+}
+
+/// True when the next request may walk.
+bool mayWalk(PoolQueue &Queue, Millis Now) {
+  if (Queue.m_Queue.m_Size == 0) {
+    Queue.m_Congested = false;
+    Queue.m_Pause = Millis();
+    return false;
+  }
+  return Queue.m_BlockedUntil <= Now &&
+         (!Queue.m_Congested || Queue.m_Probe.empty());
+}
+
 void startSession(const std::shared_ptr<Session> &S) {
   startForAccount(S->m_Router.m_Accounts, S->m_Order.m_Account);
   S->m_Counted = true;
@@ -103,7 +131,7 @@
     endForAccount(R.m_Accounts, S->m_Order.m_Account);
   S->m_Counted = false;
   Millis Now = monotonicNow();
-  queueOf(R, S->m_Order.m_Pool).m_BlockedUntil = Now + BlockedPause;
+  blockQueue(queueOf(R, S->m_Order.m_Pool), S->m_Order.m_Request, Now);
   addCounter(R.m_Metrics, "vanillaferry_walks_exhausted_total");
   if (S->m_Deadline <= Now)
     refuseSession(S, RefusalReason::DeadlinePassed,
@@ -117,10 +145,8 @@
   auto Found = R.m_Queues.find(Pool);
   if (Found == R.m_Queues.end())
     return;
-  while (Found->second.m_Queue.m_Size > 0 && holdsLease(R)) {
+  while (holdsLease(R) && mayWalk(Found->second, monotonicNow())) {
     Millis Now = monotonicNow();
-    if (Found->second.m_BlockedUntil > Now)
-      return;
     std::optional<WaitingRequest> Next = dequeue(
         Found->second.m_Queue,
         [&R](const AccountId &Account) {
@@ -134,10 +160,28 @@
     if (Open == R.m_Sessions.end())
       continue;
     std::shared_ptr<Session> S = Open->second;
+    if (Found->second.m_Congested)
+      Found->second.m_Probe = Next->m_Request;
     startSession(S);
   }
 }
 
+void noteWalkEnded(Router &R, const PoolId &Pool, const RequestId &Request,
+                   bool Ran) {
+  auto Found = R.m_Queues.find(Pool);
+  if (Found == R.m_Queues.end())
+    return;
+  PoolQueue &Queue = Found->second;
+  if (Queue.m_Probe == Request) {
+    Queue.m_Probe = RequestId();
+    Queue.m_Pause = Millis();
+  }
+  // A place was or becomes free.
+  if (Ran)
+    Queue.m_BlockedUntil = Millis();
+  pumpQueue(R, Pool);
+}
+
 void checkQueues(Router &R) {
   Millis Now = monotonicNow();
   std::vector<PoolId> Pools;
--- a/src/daemon/request/entry.hpp
+++ b/src/daemon/request/entry.hpp
@@ -22,6 +22,10 @@
 
 /// Starts waiting requests of a pool while places are free.
 void pumpQueue(Router &R, const PoolId &Pool);
+/// Lets the pool's next request walk after this one was accepted or has ended;
+/// Ran says that it held a place at a target.
+void noteWalkEnded(Router &R, const PoolId &Pool, const RequestId &Request,
+                   bool Ran);
 
 /// Refuses waiting requests whose deadline has passed and pumps all queues.
 void checkQueues(Router &R);
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -191,6 +191,7 @@
     finishRun(W, StreamEnd::Complete, "");
     return;
   }
+  noteStreamBroken(W.m_Router, W.m_Target.m_Id);
   tryResume(Work, RetryReason::StreamBroken,
             Detail.empty() ? "the connection closed" : Detail);
 }
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -120,6 +120,7 @@
   Failed.m_NothingSent = NothingSent;
   Failed.m_Idempotent = S->m_Idempotent;
   Failed.m_Journaled = S->m_Journaled;
+  Failed.m_AnswerBegan = S->m_Caller->streaming();
   // A running answer is not cut by its deadline.
   Failed.m_TimeLeft = S->m_Caller->streaming()
                           ? R.m_Document.m_Limits.m_DefaultDeadline
@@ -312,6 +313,7 @@
   addCounter(R.m_Metrics,
              "vanillaferry_placements_total{why=\"" + Accept.m_Why + "\"}");
   tellHome(*S);
+  noteWalkEnded(R, S->m_Order.m_Pool, S->m_Order.m_Request, true);
 }
 
 void sessionDecline(Router &R, const NodeId &From,
@@ -489,7 +491,8 @@
   if (S->m_Counted)
     endForAccount(R.m_Accounts, S->m_Order.m_Account);
   S->m_Counted = false;
-  pumpQueue(R, S->m_Order.m_Pool);
+  noteWalkEnded(R, S->m_Order.m_Pool, S->m_Order.m_Request,
+                !S->m_RanAt.empty());
 }
 
 void refuseSession(const std::shared_ptr<Session> &S, RefusalReason Reason,
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -56,6 +56,8 @@
   Work->m_FirstTokenUs = Engine.m_Options.m_FirstTokenMs * gint64(1000) +
                          gint64(Engine.m_Options.m_PrefillUsPerToken) *
                              (Work->m_PromptTokens - Work->m_CachedTokens);
+  if (isCold(Engine))
+    Work->m_FirstTokenUs *= Engine.m_Options.m_ColdSlowdown;
   Engine.m_Stats.m_PromptTokens += Work->m_PromptTokens;
   Engine.m_Stats.m_CachedTokens += Work->m_CachedTokens;
   ++Engine.m_Runs[RequestId];
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -20,6 +20,8 @@
   std::uint32_t m_ColdLimit = 0;
   /// Completed requests after which the engine is warm.
   std::uint32_t m_WarmAfter = 10;
+  /// First tokens take this many times longer while cold.
+  std::uint32_t m_ColdSlowdown = 6;
   bool m_ChecksFencing = true;
   /// Reports by /load are this old.
   std::uint32_t m_ReportLagMs = 0;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -24,6 +24,8 @@
                       "Requests borne while cold; 0 for no cold start");
   Command->add_option("--warm-after", Options.m_WarmAfter,
                       "Completed requests until warm");
+  Command->add_option("--cold-slowdown", Options.m_ColdSlowdown,
+                      "Factor of the first-token time while cold");
   Command->add_option("--checks-fencing", Options.m_ChecksFencing,
                       "Refuse orders with an old fencing token");
   Command->add_option("--report-lag-ms", Options.m_ReportLagMs,
--- /dev/null
+++ b/tests/core/Retry.tests.cpp
@@ -0,0 +1,56 @@
+#include "vanillaferry/request/retry.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillaferry;
+
+namespace {
+
+FailedTry brokenStream(std::uint32_t Attempt) {
+  FailedTry Failed;
+  Failed.m_Account = AccountId("a");
+  Failed.m_Pool = PoolId("p");
+  Failed.m_Reason = RetryReason::StreamBroken;
+  Failed.m_Attempt = vanillaferry::Attempt(Attempt);
+  Failed.m_Idempotent = true;
+  Failed.m_AnswerBegan = true;
+  Failed.m_TimeLeft = Millis(1000);
+  return Failed;
+}
+
+bool isRetried(RetryTable &Table, const FailedTry &Failed) {
+  return decideRetry(Table, Failed, Millis(0)) == RetryVerdict::Retry;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RetryBudgets)
+
+// Guards against answers that are cut because an engine lost more streams at
+// once than its account's retry budget holds.
+BOOST_AUTO_TEST_CASE(EveryBegunAnswerIsContinuedOnceWithoutBudget) {
+  RetryTable Table;
+  Table.m_Options.m_Floor = 0;
+  for (int I = 0; I < 50; ++I)
+    BOOST_TEST(isRetried(Table, brokenStream(1)));
+}
+
+// Guards against a storm of continuations when every target fails.
+BOOST_AUTO_TEST_CASE(FurtherContinuationsTakeFromTheBudget) {
+  RetryTable Table;
+  Table.m_Options.m_Floor = 2;
+  int Retried = 0;
+  for (int I = 0; I < 50; ++I)
+    Retried += isRetried(Table, brokenStream(2)) ? 1 : 0;
+  BOOST_TEST(Retried == 2);
+}
+
+// Guards against a second run of a journaled call by the free continuation.
+BOOST_AUTO_TEST_CASE(AJournaledCallIsNeverTriedAgain) {
+  RetryTable Table;
+  FailedTry Failed = brokenStream(1);
+  Failed.m_Journaled = true;
+  BOOST_TEST(!isRetried(Table, Failed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
