--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -165,6 +165,8 @@
     return "no_such_keeper";
   case ProposeError::LastVoter:
     return "last_voter";
+  case ProposeError::QuorumAtRisk:
+    return "quorum_at_risk";
   }
   return "unknown";
 }
