--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -16,6 +16,7 @@
   App.set_version_flag("--version", VANILLAFERRY_VERSION);
   App.require_subcommand(1);
   int Code = ExitOk;
+  addBenchCommand(App, Code);
   addKeeperCommand(App, Code);
   addCheckSettingsCommand(App, Code);
   addGenerateTraceCommand(App, Code);
