--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -66,6 +67,8 @@
     /// The leader's check of its leadership, without entries.
     Confirm,
     ConfirmAnswer,
+    /// How much of a snapshot has arrived; m_Match names the snapshot.
+    SnapshotAnswer,
   };
   Kind m_Kind = Kind::Append;
   KeeperId m_From;
@@ -85,7 +88,11 @@
   LogIndex m_Acked;
   /// Answers: the sender's disk lost data or was re-created; it must not count.
   bool m_Regressed = false;
+  /// InstallSnapshot: its data is the part at m_Offset of m_SnapshotSize bytes.
   std::optional<Snapshot> m_Snapshot;
+  std::uint64_t m_SnapshotSize = 0;
+  /// InstallSnapshot: where the part belongs; SnapshotAnswer: bytes received.
+  std::uint64_t m_Offset = 0;
 };
 
 struct ReplicaOptions {
@@ -101,8 +108,11 @@
   /// Entries kept in memory behind a snapshot, so that a keeper that is
   /// slightly behind needs no snapshot.
   std::uint64_t m_RetainedEntries = 1024;
-  /// A snapshot without an answer is sent again after this time.
-  Millis m_SnapshotResend{5000};
+  /// Snapshots travel in parts of this size, well below the peers' frame limit;
+  /// each waits for the answer to the one before.
+  Bytes m_SnapshotPart{512 * 1024};
+  /// A part without an answer is sent again after this time.
+  Millis m_SnapshotResend{1000};
 };
 
 enum class ReplicaRole : std::uint8_t { Follower, Candidate, Leader, Learner };
@@ -116,7 +126,9 @@
   /// When the newest message that it answered was sent; empty before the first
   /// answer.
   std::optional<Millis> m_ConfirmedAt;
-  bool m_SnapshotPending = false;
+  /// The snapshot on its way to the keeper; later ones do not replace it.
+  std::shared_ptr<const Snapshot> m_Sending;
+  std::uint64_t m_SendingOffset = 0;
   Millis m_SnapshotSentAt;
   /// Its disk lost data that it had acknowledged; it counts in no quorum.
   bool m_Regressed = false;
@@ -156,7 +168,9 @@
   LogIndex m_SnapshotIndex;
   Term m_SnapshotTerm;
   /// The newest snapshot, kept for members that are too far behind.
-  std::optional<Snapshot> m_Snapshot;
+  std::shared_ptr<const Snapshot> m_Snapshot;
+  /// Parts of a snapshot received from this term's leader.
+  std::optional<Snapshot> m_Receiving;
   /// Committed sets by index, for truncation of uncommitted changes.
   std::map<LogIndex, KeeperSet> m_SetHistory;
   LogIndex m_Commit;
--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -23,7 +23,7 @@
     State.m_BaseTerm = State.m_SnapshotTerm = Taken.m_LastTerm;
     State.m_SetHistory.clear();
     State.m_SetHistory[Taken.m_LastIndex] = Taken.m_Set;
-    State.m_Snapshot = std::move(Taken);
+    State.m_Snapshot = std::make_shared<const Snapshot>(std::move(Taken));
   }
   State.m_Commit = State.m_Applied = State.m_BaseIndex;
   for (LogEntry &Entry : Recovery.m_Entries) {
@@ -90,6 +90,7 @@
     break;
   case ReplicaMessage::Kind::AppendAnswer:
   case ReplicaMessage::Kind::ConfirmAnswer:
+  case ReplicaMessage::Kind::SnapshotAnswer:
     receiveAnswer(State, Actions, Message, Now);
     break;
   }
@@ -195,7 +196,7 @@
       State.m_SetHistory.upper_bound(State.m_BaseIndex);
   if (Keep != State.m_SetHistory.begin())
     State.m_SetHistory.erase(State.m_SetHistory.begin(), std::prev(Keep));
-  State.m_Snapshot = std::move(Taken);
+  State.m_Snapshot = std::make_shared<const Snapshot>(std::move(Taken));
 }
 
 bool holdsQuorumLease(const Replica &State, Millis Now) {
--- a/src/core/process/replication_codec.cpp
+++ b/src/core/process/replication_codec.cpp
@@ -16,7 +16,7 @@
 
 constexpr unsigned LastEntryKind = static_cast<unsigned>(EntryKind::KeeperSet);
 constexpr unsigned LastMessageKind =
-    static_cast<unsigned>(ReplicaMessage::Kind::ConfirmAnswer);
+    static_cast<unsigned>(ReplicaMessage::Kind::SnapshotAnswer);
 
 Json binary(const std::string &Data) {
   return Json::binary(Json::binary_t::container_type(Data.begin(), Data.end()));
@@ -133,12 +133,13 @@
          Message.m_PreviousIndex.m_Value < Limit &&
          Message.m_Commit.m_Value < Limit && Message.m_Match.m_Value < Limit &&
          Message.m_Sequence < Limit && Message.m_Acked.m_Value < Limit &&
+         Message.m_SnapshotSize < Limit && Message.m_Offset < Limit &&
          (!Message.m_Snapshot ||
           Message.m_Snapshot->m_LastIndex.m_Value < Limit);
 }
 
 bool readMessage(const Json &Item, ReplicaMessage &Out) {
-  if (!Item.is_array() || Item.size() != 14 || !readHead(Item, Out) ||
+  if (!Item.is_array() || Item.size() != 16 || !readHead(Item, Out) ||
       !Item[12].is_array())
     return false;
   Out.m_Entries.resize(Item[12].size());
@@ -150,7 +151,8 @@
     if (!readSnapshot(Item[13], *Out.m_Snapshot))
       return false;
   }
-  return isPlausible(Out);
+  return readNumber(Item[14], Out.m_SnapshotSize) &&
+         readNumber(Item[15], Out.m_Offset) && isPlausible(Out);
 }
 
 } // namespace
@@ -205,7 +207,8 @@
        Message.m_Sequence, Message.m_Acked.m_Value, Message.m_Regressed,
        std::move(Entries),
        Message.m_Snapshot ? snapshotToJson(*Message.m_Snapshot)
-                          : nlohmann::json()}));
+                          : nlohmann::json(),
+       Message.m_SnapshotSize, Message.m_Offset}));
 }
 
 Result<ReplicaMessage> decodeReplicaMessage(const std::string &Data) {
--- a/src/core/process/replication_election.cpp
+++ b/src/core/process/replication_election.cpp
@@ -44,6 +44,7 @@
   State.m_Hard.m_VotedFor = State.m_Self;
   State.m_LeaderMatch = LogIndex(0);
   State.m_LeaderSequence = 0;
+  State.m_Receiving.reset();
   persistHard(State, Actions);
   State.m_Votes = {State.m_Self};
   resetElectionDeadline(State, Now);
@@ -86,6 +87,7 @@
     State.m_Hard.m_VotedFor = KeeperId();
     State.m_LeaderMatch = LogIndex(0);
     State.m_LeaderSequence = 0;
+    State.m_Receiving.reset();
     persistHard(State, Actions);
   }
   if (State.m_Role == ReplicaRole::Leader) {
--- a/src/core/process/replication_follower.cpp
+++ b/src/core/process/replication_follower.cpp
@@ -116,25 +116,57 @@
   State.m_SetHistory[Taken.m_LastIndex] = Taken.m_Set;
   useNewestSet(State);
   State.m_LeaderMatch = std::max(State.m_LeaderMatch, Taken.m_LastIndex);
+  State.m_Receiving.reset();
   Actions.m_InstallSnapshot = Taken;
-  State.m_Snapshot = std::move(Taken);
+  State.m_Snapshot = std::make_shared<const Snapshot>(std::move(Taken));
+}
+
+/// Adds a part; true when the snapshot is complete in m_Receiving.
+bool collectPart(Replica &State, ReplicaActions &Actions,
+                 ReplicaMessage &Message) {
+  Snapshot &Part = *Message.m_Snapshot;
+  std::optional<Snapshot> &Partial = State.m_Receiving;
+  bool Known = Partial && Partial->m_LastIndex == Part.m_LastIndex &&
+               Partial->m_LastTerm == Part.m_LastTerm;
+  std::uint64_t Expected = Known ? Partial->m_Data.size() : 0;
+  if (Message.m_Offset == Expected) {
+    if (Known)
+      Partial->m_Data += Part.m_Data;
+    else
+      Partial = std::move(Part);
+    Expected = Partial->m_Data.size();
+    if (Expected == Message.m_SnapshotSize)
+      return true;
+  }
+  ReplicaMessage Answer =
+      makeMessage(State, ReplicaMessage::Kind::SnapshotAnswer, Message.m_From);
+  Answer.m_Granted = true;
+  Answer.m_Match = Message.m_Snapshot->m_LastIndex;
+  Answer.m_Offset = Expected;
+  Answer.m_Sequence = State.m_LeaderSequence;
+  Answer.m_Regressed = !State.m_VotingAllowed;
+  sendAnswer(Actions, std::move(Answer));
+  return false;
 }
 
 void receiveSnapshot(Replica &State, ReplicaActions &Actions,
                      ReplicaMessage &Message) {
-  if (!Message.m_Snapshot)
+  if (!Message.m_Snapshot ||
+      Message.m_Offset + Message.m_Snapshot->m_Data.size() >
+          Message.m_SnapshotSize)
     return;
-  Snapshot &Taken = *Message.m_Snapshot;
-  if (Taken.m_LastIndex > State.m_Commit &&
-      termAt(State, Taken.m_LastIndex) !=
-          std::optional<Term>(Taken.m_LastTerm)) {
-    install(State, Actions, std::move(Taken));
+  LogIndex Last = Message.m_Snapshot->m_LastIndex;
+  Term LastTerm = Message.m_Snapshot->m_LastTerm;
+  if (Last > State.m_Commit &&
+      termAt(State, Last) != std::optional<Term>(LastTerm)) {
+    if (collectPart(State, Actions, Message))
+      install(State, Actions, std::move(*State.m_Receiving));
     return;
   }
   // The own log already has all of it; entries behind it may be acknowledged
   // and must stay.
-  State.m_LeaderMatch = std::max(State.m_LeaderMatch, Taken.m_LastIndex);
-  advanceCommitTo(State, Actions, Taken.m_LastIndex);
+  State.m_LeaderMatch = std::max(State.m_LeaderMatch, Last);
+  advanceCommitTo(State, Actions, Last);
   sendAnswer(Actions, appendAnswer(State));
 }
 
--- a/src/core/process/replication_leader.cpp
+++ b/src/core/process/replication_leader.cpp
@@ -17,19 +17,47 @@
   return Message;
 }
 
+/// Sends the part of the snapshot that the keeper lacks next.
 void sendSnapshot(Replica &State, ReplicaActions &Actions, const KeeperId &To,
                   PeerProgress &Peer, Millis Now) {
-  if (!State.m_Snapshot)
-    return;
+  if (!Peer.m_Sending) {
+    if (!State.m_Snapshot)
+      return;
+    Peer.m_Sending = State.m_Snapshot;
+    Peer.m_SendingOffset = 0;
+    Peer.m_Next = LogIndex(Peer.m_Sending->m_LastIndex.m_Value + 1);
+  }
+  const Snapshot &Whole = *Peer.m_Sending;
   ReplicaMessage Message =
       makeLeaderMessage(State, ReplicaMessage::Kind::InstallSnapshot, To, Peer);
-  Message.m_Snapshot = State.m_Snapshot;
-  Peer.m_SnapshotPending = true;
+  Snapshot Part;
+  Part.m_LastIndex = Whole.m_LastIndex;
+  Part.m_LastTerm = Whole.m_LastTerm;
+  Part.m_Set = Whole.m_Set;
+  Part.m_Data = Whole.m_Data.substr(
+      Peer.m_SendingOffset,
+      static_cast<std::size_t>(State.m_Options.m_SnapshotPart.m_Value));
+  Message.m_Snapshot = std::move(Part);
+  Message.m_SnapshotSize = Whole.m_Data.size();
+  Message.m_Offset = Peer.m_SendingOffset;
   Peer.m_SnapshotSentAt = Now;
-  Peer.m_Next = LogIndex(State.m_Snapshot->m_LastIndex.m_Value + 1);
   Actions.m_Send.push_back(std::move(Message));
 }
 
+/// Continues with the next part, or from the start when the keeper restarted.
+void continueSnapshot(Replica &State, ReplicaActions &Actions,
+                      const ReplicaMessage &Message, PeerProgress &Peer,
+                      Millis Now) {
+  if (!Peer.m_Sending || Message.m_Match != Peer.m_Sending->m_LastIndex ||
+      Message.m_Offset > Peer.m_Sending->m_Data.size())
+    return;
+  bool Restarted = Message.m_Offset == 0 && Peer.m_SendingOffset > 0;
+  if (Message.m_Offset <= Peer.m_SendingOffset && !Restarted)
+    return;
+  Peer.m_SendingOffset = Message.m_Offset;
+  sendSnapshot(State, Actions, Message.m_From, Peer, Now);
+}
+
 /// Sends one Append with what follows m_Next; it may be empty.
 void sendAppend(Replica &State, ReplicaActions &Actions, const KeeperId &To,
                 PeerProgress &Peer) {
@@ -52,7 +80,7 @@
 }
 
 bool canSendEntries(const Replica &State, const PeerProgress &Peer) {
-  return !Peer.m_Regressed && !Peer.m_SnapshotPending &&
+  return !Peer.m_Regressed && !Peer.m_Sending &&
          Peer.m_Next <= lastIndex(State) &&
          Peer.m_Next.m_Value <=
              Peer.m_Match.m_Value + State.m_Options.m_MaxUnacknowledged;
@@ -95,11 +123,11 @@
   if (Message.m_Granted) {
     Peer.m_Match = std::max(Peer.m_Match, std::min(Message.m_Match, Last));
     Peer.m_Next = std::max(Peer.m_Next, LogIndex(Peer.m_Match.m_Value + 1));
-    if (Peer.m_Match.m_Value + 1 >= Peer.m_Next.m_Value)
-      Peer.m_SnapshotPending = false;
+    if (Peer.m_Sending && Peer.m_Match >= Peer.m_Sending->m_LastIndex)
+      Peer.m_Sending.reset();
     return;
   }
-  if (Peer.m_SnapshotPending)
+  if (Peer.m_Sending)
     return;
   // The hint of a delayed answer may lie below what is already acknowledged.
   LogIndex Hint = std::max(Message.m_Match, Peer.m_Match);
@@ -158,15 +186,12 @@
     return;
   for (std::pair<const KeeperId, PeerProgress> &Entry : State.m_Peers) {
     PeerProgress &Peer = Entry.second;
-    if (Peer.m_SnapshotPending &&
-        Now - Peer.m_SnapshotSentAt >= State.m_Options.m_SnapshotResend) {
-      Peer.m_SnapshotPending = false;
-      Peer.m_Next = LogIndex(Peer.m_Match.m_Value + 1);
-    }
-    if (Peer.m_Regressed || Peer.m_SnapshotPending)
+    bool Repeat = Peer.m_Sending && Now - Peer.m_SnapshotSentAt >=
+                                        State.m_Options.m_SnapshotResend;
+    if (Peer.m_Regressed || (Peer.m_Sending && !Repeat))
       Actions.m_Send.push_back(makeLeaderMessage(
           State, ReplicaMessage::Kind::Confirm, Entry.first, Peer));
-    else if (Peer.m_Next <= State.m_BaseIndex)
+    else if (Repeat || Peer.m_Next <= State.m_BaseIndex)
       sendSnapshot(State, Actions, Entry.first, Peer, Now);
     else
       sendAppend(State, Actions, Entry.first, Peer);
@@ -205,6 +230,8 @@
   if (Message.m_Kind == ReplicaMessage::Kind::AppendAnswer) {
     noteMatch(State, Peer, Message);
     sendEntriesTo(State, Actions, Message.m_From, Peer, Now);
+  } else if (Message.m_Kind == ReplicaMessage::Kind::SnapshotAnswer) {
+    continueSnapshot(State, Actions, Message, Peer, Now);
   }
   commitByQuorum(State, Actions, Now);
 }
--- a/tests/core/ReplicationCodec.tests.cpp
+++ b/tests/core/ReplicationCodec.tests.cpp
@@ -31,6 +31,8 @@
   Message.m_Sequence = 3;
   Message.m_Acked = LogIndex(2);
   Message.m_Regressed = true;
+  Message.m_SnapshotSize = 11;
+  Message.m_Offset = 10;
   LogEntry Entry;
   Entry.m_Index = LogIndex(9);
   Entry.m_Term = Term(7);
@@ -64,6 +66,8 @@
   BOOST_TEST(Got.m_Sequence == In.m_Sequence);
   BOOST_TEST(Got.m_Acked == In.m_Acked);
   BOOST_TEST(Got.m_Regressed == In.m_Regressed);
+  BOOST_TEST(Got.m_SnapshotSize == In.m_SnapshotSize);
+  BOOST_TEST(Got.m_Offset == In.m_Offset);
   BOOST_REQUIRE_EQUAL(Got.m_Entries.size(), 1u);
   BOOST_TEST(Got.m_Entries[0].m_Data == In.m_Entries[0].m_Data);
   BOOST_TEST(Got.m_Entries[0].m_Index == In.m_Entries[0].m_Index);
--- a/tests/core/ReplicationHarness.cpp
+++ b/tests/core/ReplicationHarness.cpp
@@ -54,7 +54,8 @@
   m_Options.m_MaxUnacknowledged = static_cast<std::uint64_t>(pick(1, 32));
   m_Options.m_RetainedEntries = static_cast<std::uint64_t>(pick(0, 8));
   m_Options.m_LearnerLag = static_cast<std::uint64_t>(pick(0, 4));
-  m_Options.m_SnapshotResend = Millis(400);
+  m_Options.m_SnapshotResend = Millis(200);
+  m_Options.m_SnapshotPart = Bytes(pick(2, 24));
   KeeperSet Initial;
   for (std::size_t I = 0; I < Voters; ++I)
     Initial.m_Voters.push_back({KeeperId("k" + std::to_string(I + 1)), ""});
--- a/tests/core/ReplicationTraps.tests.cpp
+++ b/tests/core/ReplicationTraps.tests.cpp
@@ -203,7 +203,7 @@
   compact(Leader,
           takeSnapshot(Leader, std::to_string(Keepers.leader().m_StateHash)));
   ReplicaRecovery Recovery;
-  Recovery.m_Snapshot = Leader.m_Snapshot;
+  Recovery.m_Snapshot = *Leader.m_Snapshot;
   Recovery.m_Hard = Leader.m_Hard;
   Replica Restarted = makeReplica(Leader.m_Self, ReplicaOptions(),
                                   std::move(Recovery), 1, Millis(0));
