Refuse grants for renewals of a lease that has ended since

Cause: a property run found account shares of 150 for a limit of 100: a renewal from before a lease ended reached a new leader after the former one had given the shares to another node; the new leader granted them again. Ruled out: marking shares with the term, since the renewal carries none. Change: the router drops such a grant and renews at once.

--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -37,9 +37,9 @@
 std::uint64_t renewalSent(RouterLease &Lease, Millis Now);
 
 /// Takes a grant; returns false when its sequence is unknown or older than one
-/// already taken, or its epoch or version is below the one held, in which case
-/// nothing changes. The caller takes over members, sections and shares before
-/// its next dispatch.
+/// already taken, its epoch or version is below the one held, or its renewal
+/// was sent under a lease that has ended since; then nothing changes. The
+/// caller takes over members, sections and shares before its next dispatch.
 bool takeGrant(RouterLease &Lease, const Grant &Granted, Millis Now);
 
 /// True while new work may be taken. Checked again directly before a dispatch.
--- a/src/core/process/node_lease.cpp
+++ b/src/core/process/node_lease.cpp
@@ -68,8 +68,16 @@
       Granted.m_Sequence <= Lease.m_TakenSequence ||
       Granted.m_Epoch < Lease.m_Epoch || Granted.m_Version < Lease.m_Version)
     return false;
-  if (!leaseHolds(Lease, Now))
+  if (!leaseHolds(Lease, Now)) {
+    // The renewal reported the shares of a lease that ended meanwhile; the
+    // former leader may have given them away, which a new one cannot know.
+    if (Sent->second < Lease.m_Ends) {
+      Lease.m_Sent.erase(Sent);
+      Lease.m_NextRenewal = std::min(Lease.m_NextRenewal, Now);
+      return false;
+    }
     Lease.m_HeldSince = Granted.m_Epoch;
+  }
   Lease.m_Ends = Sent->second + usableDuration(Granted.m_Duration,
                                                Lease.m_Options.m_DriftPerMille);
   Lease.m_TakenSequence = Granted.m_Sequence;
--- a/tests/core/Lease.tests.cpp
+++ b/tests/core/Lease.tests.cpp
@@ -163,6 +163,22 @@
   BOOST_TEST(!takeGrant(Held, Granted, Millis(2600)));
 }
 
+// Guards against shares that the former leader gave away after the lease ended
+// and that a new leader grants again, in answer to a renewal from before.
+BOOST_AUTO_TEST_CASE(GrantForARenewalOfAnEndedLeaseIsNotTaken) {
+  RouterLease Held;
+  Grant Granted;
+  Granted.m_Duration = Millis(3000);
+  Granted.m_Sequence = renewalSent(Held, Millis(0));
+  BOOST_TEST(takeGrant(Held, Granted, Millis(10)));
+  Granted.m_Sequence = renewalSent(Held, Millis(2900));
+  BOOST_TEST(!takeGrant(Held, Granted, Millis(3100)));
+  BOOST_TEST(!leaseHolds(Held, Millis(3100)));
+  BOOST_TEST(renewalDue(Held, Millis(3100)));
+  Granted.m_Sequence = renewalSent(Held, Millis(3100));
+  BOOST_TEST(takeGrant(Held, Granted, Millis(3110)));
+}
+
 // Guards against late messages of a process that was replaced.
 BOOST_AUTO_TEST_CASE(ReplacedIncarnationGetsNoGrantAndCannotComeBack) {
   LeaseWorld World = makeWorld(2, DriftWithinBound);
