--- /dev/null
+++ b/tests/core/StateCodec.tests.cpp
@@ -0,0 +1,164 @@
+#include "Property.hpp"
+#include "process/cbor.hpp"
+#include "vanillaferry/process/state_machine.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillaferry;
+
+namespace {
+
+std::vector<Command> everyCommand() {
+  EditSection Edit;
+  Edit.m_Edit = EditId("e");
+  Edit.m_Operator = OperatorId("o");
+  Edit.m_Section = SectionName("zones");
+  Edit.m_Expected = SectionVersion(7);
+  Edit.m_Json = std::string("{\"a\":\"\xff\0\"}", 10);
+  Edit.m_At = UnixMillis(-5);
+  Member Joining{NodeId("n"), Incarnation(~0ULL), "ws://[::1]:1",
+                 ZoneId("Cayambe"), true};
+  JournalBegin Begin{RequestId("q"), AccountId("a"),        IdempotencyKey("k"),
+                     "hash",         UnixMillis(1LL << 50), NodeId("n"),
+                     Incarnation(3), UnixMillis(9)};
+  JournalEnd End{RequestId("q"),
+                 AccountId("a"),
+                 IdempotencyKey("k"),
+                 NodeId("n"),
+                 Incarnation(3),
+                 CallOutcome::NotRun,
+                 {503, "text/plain", std::string("\0\x80", 2)}};
+  EngineOrder Order;
+  Order.m_OrderId = "order";
+  Order.m_Target = TargetId("t");
+  Order.m_Action = "load_model";
+  Order.m_Argument = "m@2";
+  return {Edit,
+          AddMember{Joining},
+          RemoveMember{NodeId("n"), Incarnation(3)},
+          Begin,
+          End,
+          BeginOrder{Order},
+          EndOrder{"order", "done"},
+          AdvanceClock{UnixMillis(12)}};
+}
+
+StateMachine busyState() {
+  StateMachine State;
+  std::uint64_t Index = 0;
+  Member Joining{NodeId("n"), Incarnation(3), "u", ZoneId("z"), false};
+  applyCommand(State, LogIndex(++Index), AddMember{Joining});
+  for (const Command &Input : everyCommand())
+    applyCommand(State, LogIndex(++Index), Input);
+  return State;
+}
+
+void decodeAll(const std::string &Data) {
+  (void)decodeCommand(Data);
+  (void)decodeState(Data);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StateCodec)
+
+// Guards against a field that is lost between a leader and its followers.
+BOOST_AUTO_TEST_CASE(EveryCommandSurvivesEncoding) {
+  std::vector<Command> All = everyCommand();
+  BOOST_TEST(All.size() == std::variant_size_v<Command>);
+  for (const Command &Input : All) {
+    std::string Data = encodeCommand(Input);
+    Result<Command> Decoded = decodeCommand(Data);
+    BOOST_REQUIRE(Decoded.has_value());
+    BOOST_TEST(Decoded.value().index() == Input.index());
+    BOOST_TEST(encodeCommand(Decoded.value()) == Data);
+  }
+}
+
+// Guards against a snapshot that loses part of the state: equal logs give equal
+// states, also when one of them went through a snapshot after each command.
+BOOST_AUTO_TEST_CASE(StateThroughSnapshotsEqualsTheStateOfTheLog) {
+  StateMachine Direct;
+  StateMachine Copied;
+  std::uint64_t Index = 0;
+  for (int Round = 0; Round < 3; ++Round)
+    for (const Command &Input : everyCommand()) {
+      ++Index;
+      applyCommand(Direct, LogIndex(Index), Input);
+      applyCommand(Copied, LogIndex(Index), Input);
+      Result<StateMachine> Again = decodeState(encodeState(Copied));
+      BOOST_REQUIRE(Again.has_value());
+      Copied = Again.value();
+      BOOST_TEST(encodeState(Direct) == encodeState(Copied));
+    }
+}
+
+// Guards against a crash of a keeper that reads damaged records.
+BOOST_AUTO_TEST_CASE(RandomBytesGiveErrors) {
+  requireProperty("random bytes", 20000, [] {
+    std::vector<std::uint8_t> Bytes =
+        *rc::gen::arbitrary<std::vector<std::uint8_t>>();
+    decodeAll(std::string(Bytes.begin(), Bytes.end()));
+  });
+}
+
+// Guards against a crash on damage that leaves most of a record intact.
+BOOST_AUTO_TEST_CASE(DamagedRecordsGiveErrorsOrOtherValues) {
+  std::vector<std::string> Valid{encodeState(busyState())};
+  for (const Command &Input : everyCommand())
+    Valid.push_back(encodeCommand(Input));
+  std::uint64_t Refused = 0;
+  requireProperty("damaged records", 20000, [&] {
+    std::string Data = Valid[*rc::gen::inRange<std::size_t>(0, Valid.size())];
+    std::size_t At = *rc::gen::inRange<std::size_t>(0, Data.size());
+    int Kind = *rc::gen::inRange(0, 3);
+    if (Kind == 0)
+      Data.resize(At);
+    else if (Kind == 1)
+      Data[At] = static_cast<char>(*rc::gen::arbitrary<std::uint8_t>());
+    else
+      Data.insert(At, 1,
+                  static_cast<char>(*rc::gen::arbitrary<std::uint8_t>()));
+    decodeAll(Data);
+    Refused += decodeCommand(Data) ? 0 : 1;
+  });
+  BOOST_TEST(Refused > 0U);
+}
+
+// Guards against a stack overflow in the CBOR reader, which recurses for each
+// level, and against memory taken for a length that is not there.
+BOOST_AUTO_TEST_CASE(DeepAndOversizedCborIsRefused) {
+  BOOST_TEST(!decodeState(std::string(3000000, '\x81')).has_value());
+  BOOST_TEST(!decodeState(std::string(3000000, '\x9f')).has_value());
+  BOOST_TEST(!decodeState(std::string(3000000, '\x7f')).has_value());
+  BOOST_TEST(!decodeState(std::string(3000000, '\xc1')).has_value());
+  BOOST_TEST(
+      !decodeState(std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9))
+           .has_value());
+  BOOST_TEST(
+      !decodeState(std::string("\x7b\xff\xff\xff\xff\xff\xff\xff\xff", 9))
+           .has_value());
+  std::string Deep(MaxCborDepth, '\x81');
+  BOOST_TEST(isPlainCbor(Deep + "\x01"));
+  BOOST_TEST(!isPlainCbor(Deep + "\x81\x01"));
+  BOOST_TEST(!isPlainCbor("\x01\x01"));
+  BOOST_TEST(!isPlainCbor(""));
+}
+
+// Guards against numbers that change their value when they do not fit.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreRefused) {
+  nlohmann::json Value = {{"kind", 7}, {"command", {{"now", 1ULL << 63}}}};
+  BOOST_TEST(!decodeCommand(printCbor(Value)).has_value());
+  Value["command"]["now"] = 5;
+  BOOST_TEST(decodeCommand(printCbor(Value)).has_value());
+  Value["command"]["now"] = 5.5;
+  BOOST_TEST(!decodeCommand(printCbor(Value)).has_value());
+  Value["kind"] = 8;
+  BOOST_TEST(!decodeCommand(printCbor(Value)).has_value());
+  Value["kind"] = -1;
+  Result<Command> Refused = decodeCommand(printCbor(Value));
+  BOOST_REQUIRE(!Refused.has_value());
+  BOOST_TEST(Refused.error().m_Text == "command: missing or wrong field kind");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
