--- /dev/null
+++ b/src/core/process/history_register.cpp
@@ -0,0 +1,408 @@
+#include "process/history_register.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_set>
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr HistoryTime Never = std::numeric_limits<HistoryTime>::infinity();
+
+/// An edit or a read of one section.
+struct RegisterOperation {
+  std::size_t m_Line = 0;
+  HistoryTime m_Start = 0;
+  HistoryTime m_End = Never;
+  const HistoryEdit *m_Edit = nullptr;
+  const HistoryRead *m_Read = nullptr;
+  /// Not ended at the moment to which the history was cut.
+  bool m_Pending = false;
+  /// Another operation has the same edit id.
+  bool m_IdRepeated = false;
+
+  bool mayBeLeftOut() const {
+    return m_Pending || (m_Edit && m_Edit->m_Outcome == EditOutcome::Unknown);
+  }
+  /// True when leaving the operation out of a correct history leaves a correct
+  /// one, because it changes nothing.
+  bool isObservation() const {
+    return m_Read ||
+           (m_Edit->m_Outcome == EditOutcome::Conflict && !m_IdRepeated);
+  }
+};
+
+/// The first answer to an edit id that other operations have too.
+struct KnownEdit {
+  std::uint64_t m_Expected = 0;
+  std::string m_Content;
+  EditOutcome m_Outcome = EditOutcome::Accepted;
+  std::uint64_t m_Version = 0;
+};
+
+struct RegisterState {
+  /// Without a value the state is free: any first operation fits. Used for
+  /// parts of a history that begin at a moment without operations.
+  std::optional<std::uint64_t> m_Version;
+  /// Without a value the content is not known.
+  std::optional<std::string> m_Content;
+  std::map<std::string, KnownEdit> m_Edits;
+};
+
+bool applyRead(RegisterState &State, const HistoryRead &Read) {
+  if (State.m_Version && *State.m_Version != Read.m_Version)
+    return false;
+  if (State.m_Content && *State.m_Content != Read.m_Content)
+    return false;
+  State.m_Version = Read.m_Version;
+  State.m_Content = Read.m_Content;
+  return true;
+}
+
+bool applyKnownEdit(const KnownEdit &Known, const HistoryEdit &Edit) {
+  bool SameEdit =
+      Known.m_Expected == Edit.m_Expected && Known.m_Content == Edit.m_Content;
+  switch (Edit.m_Outcome) {
+  case EditOutcome::Unknown:
+    return true;
+  case EditOutcome::IdReused:
+    return !SameEdit;
+  default:
+    return SameEdit && Known.m_Outcome == Edit.m_Outcome &&
+           Known.m_Version == Edit.m_Version;
+  }
+}
+
+void keepAnswer(RegisterState &State, const RegisterOperation &One,
+                EditOutcome Outcome, std::uint64_t Version) {
+  if (One.m_IdRepeated)
+    State.m_Edits[One.m_Edit->m_EditId] = {
+        One.m_Edit->m_Expected, One.m_Edit->m_Content, Outcome, Version};
+}
+
+void accept(RegisterState &State, const RegisterOperation &One) {
+  State.m_Version = One.m_Edit->m_Expected + 1;
+  State.m_Content = One.m_Edit->m_Content;
+  keepAnswer(State, One, EditOutcome::Accepted, *State.m_Version);
+}
+
+bool applyEdit(RegisterState &State, const RegisterOperation &One) {
+  const HistoryEdit &Edit = *One.m_Edit;
+  std::map<std::string, KnownEdit>::const_iterator Known =
+      State.m_Edits.find(Edit.m_EditId);
+  if (Known != State.m_Edits.end())
+    return applyKnownEdit(Known->second, Edit);
+  bool Fits = !State.m_Version || *State.m_Version == Edit.m_Expected;
+  switch (Edit.m_Outcome) {
+  case EditOutcome::Accepted:
+    if (!Fits || Edit.m_Version != Edit.m_Expected + 1)
+      return false;
+    accept(State, One);
+    return true;
+  case EditOutcome::Conflict:
+    if (Edit.m_Version == Edit.m_Expected ||
+        (State.m_Version && *State.m_Version != Edit.m_Version))
+      return false;
+    State.m_Version = Edit.m_Version;
+    keepAnswer(State, One, EditOutcome::Conflict, Edit.m_Version);
+    return true;
+  case EditOutcome::IdReused:
+    return false;
+  case EditOutcome::Unknown:
+    break;
+  }
+  if (Fits) {
+    accept(State, One);
+    return true;
+  }
+  // Without a resend, an edit that conflicted unseen is simply left out.
+  keepAnswer(State, One, EditOutcome::Conflict, *State.m_Version);
+  return One.m_IdRepeated;
+}
+
+std::string keyOf(const std::vector<bool> &Done, const RegisterState &State) {
+  std::string Key;
+  // A history in order of time is done up to some operation; only the rest
+  // needs to be written out.
+  std::size_t First = static_cast<std::size_t>(
+      std::find(Done.begin(), Done.end(), false) - Done.begin());
+  Key += std::to_string(First) + ":";
+  for (std::size_t I = First; I < Done.size(); ++I)
+    if (Done[I])
+      Key += std::to_string(I) + ",";
+  Key += State.m_Version ? std::to_string(*State.m_Version) : "-";
+  Key += "/" + (State.m_Content ? *State.m_Content : std::string("?"));
+  for (const std::pair<const std::string, KnownEdit> &Row : State.m_Edits)
+    if (Row.second.m_Outcome == EditOutcome::Conflict)
+      Key += "|" + Row.first + std::to_string(Row.second.m_Version);
+  return Key;
+}
+
+enum class SearchResult { Found, None, Undecided };
+
+/// Search for an order (Wing and Gong 1993, with the visited states kept as by
+/// Lowe 2017). The depth is the number of operations, so the search keeps its
+/// own stack.
+struct OrderSearch {
+  const std::vector<RegisterOperation> &m_Operations;
+  std::uint64_t m_StepsLeft;
+  std::unordered_set<std::string> m_Visited;
+
+  struct Frame {
+    std::vector<bool> m_Done;
+    RegisterState m_State;
+  };
+
+  bool complete(const std::vector<bool> &Done) const {
+    for (std::size_t I = 0; I < Done.size(); ++I)
+      if (!Done[I] && !m_Operations[I].mayBeLeftOut())
+        return false;
+    return true;
+  }
+
+  /// Pushes each operation that may come next: one that began before the
+  /// first end of those that are not done.
+  void expand(const Frame &Current, std::vector<Frame> &Stack) {
+    HistoryTime FirstEnd = Never;
+    for (std::size_t I = 0; I < m_Operations.size(); ++I)
+      if (!Current.m_Done[I])
+        FirstEnd = std::min(FirstEnd, m_Operations[I].m_End);
+    std::vector<Frame> Next;
+    std::vector<Frame> Optional;
+    for (std::size_t I = 0; I < m_Operations.size(); ++I) {
+      const RegisterOperation &Candidate = m_Operations[I];
+      if (Candidate.m_Start > FirstEnd)
+        break;
+      if (Current.m_Done[I])
+        continue;
+      RegisterState State = Current.m_State;
+      bool Fits = Candidate.m_Read ? applyRead(State, *Candidate.m_Read)
+                                   : applyEdit(State, Candidate);
+      if (!Fits)
+        continue;
+      std::vector<bool> Done = Current.m_Done;
+      Done[I] = true;
+      if (m_Visited.insert(keyOf(Done, State)).second)
+        (Candidate.mayBeLeftOut() ? Optional : Next)
+            .push_back({std::move(Done), std::move(State)});
+    }
+    // Operations that must have happened are tried first, in the order in
+    // which they began; the rest only when these lead nowhere.
+    for (std::size_t I = Optional.size(); I > 0; --I)
+      Stack.push_back(std::move(Optional[I - 1]));
+    for (std::size_t I = Next.size(); I > 0; --I)
+      Stack.push_back(std::move(Next[I - 1]));
+  }
+
+  SearchResult run(RegisterState Initial) {
+    std::vector<Frame> Stack;
+    Stack.push_back({std::vector<bool>(m_Operations.size()), Initial});
+    while (!Stack.empty()) {
+      Frame Current = std::move(Stack.back());
+      Stack.pop_back();
+      if (complete(Current.m_Done))
+        return SearchResult::Found;
+      if (m_StepsLeft == 0)
+        return SearchResult::Undecided;
+      --m_StepsLeft;
+      expand(Current, Stack);
+    }
+    return SearchResult::None;
+  }
+};
+
+SearchResult search(const std::vector<RegisterOperation> &Operations,
+                    bool FreeStart, std::uint64_t Limit) {
+  RegisterState Initial;
+  if (!FreeStart) {
+    Initial.m_Version = 0;
+    Initial.m_Content = std::string();
+  }
+  OrderSearch Search{Operations, Limit, {}};
+  return Search.run(Initial);
+}
+
+/// The operations as known at a moment: later ones are cut off, and those that
+/// have not ended may have happened or not.
+std::vector<RegisterOperation>
+untilEnd(const std::vector<RegisterOperation> &Operations, HistoryTime End) {
+  std::vector<RegisterOperation> Part;
+  for (const RegisterOperation &One : Operations) {
+    if (End < One.m_Start)
+      break;
+    Part.push_back(One);
+    if (End < One.m_End) {
+      Part.back().m_Pending = true;
+      Part.back().m_End = Never;
+    }
+  }
+  return Part;
+}
+
+/// True when an edit id of the part was used before it: its resend would look
+/// like a first edit.
+bool dependsOnEarlier(const std::vector<RegisterOperation> &Operations,
+                      HistoryTime Start) {
+  std::set<std::string> Earlier;
+  for (const RegisterOperation &One : Operations) {
+    if (!One.m_Edit)
+      continue;
+    if (One.m_Start < Start)
+      Earlier.insert(One.m_Edit->m_EditId);
+    else if (Earlier.count(One.m_Edit->m_EditId) != 0)
+      return true;
+  }
+  return false;
+}
+
+/// Moments at which no operation is under way, in descending order.
+std::vector<HistoryTime>
+quietMoments(const std::vector<RegisterOperation> &Operations) {
+  std::vector<HistoryTime> Quiet;
+  HistoryTime LastEnd = -Never;
+  for (const RegisterOperation &One : Operations) {
+    if (LastEnd < One.m_Start)
+      Quiet.push_back(One.m_Start);
+    LastEnd = std::max(LastEnd, One.m_End);
+  }
+  std::reverse(Quiet.begin(), Quiet.end());
+  return Quiet;
+}
+
+/// Shortens a faulty history in ways that cannot make a correct one faulty:
+/// cutting its end, cutting its start at a quiet moment (with a free initial
+/// state), and removing operations that change nothing.
+std::vector<RegisterOperation>
+shorten(std::vector<RegisterOperation> Operations, std::uint64_t Limit) {
+  std::vector<HistoryTime> Ends;
+  for (const RegisterOperation &One : Operations)
+    if (One.m_End != Never)
+      Ends.push_back(One.m_End);
+  std::sort(Ends.begin(), Ends.end());
+  // The shortest faulty beginning: a longer one stays faulty.
+  std::size_t Low = 0;
+  std::size_t High = Ends.size();
+  while (Low < High) {
+    std::size_t Middle = (Low + High) / 2;
+    if (search(untilEnd(Operations, Ends[Middle]), false, Limit) ==
+        SearchResult::None)
+      High = Middle;
+    else
+      Low = Middle + 1;
+  }
+  if (Low < Ends.size())
+    Operations = untilEnd(Operations, Ends[Low]);
+  bool FreeStart = false;
+  for (HistoryTime Quiet : quietMoments(Operations)) {
+    if (dependsOnEarlier(Operations, Quiet))
+      continue;
+    std::vector<RegisterOperation> Part;
+    for (const RegisterOperation &One : Operations)
+      if (One.m_Start >= Quiet)
+        Part.push_back(One);
+    if (search(Part, true, Limit) == SearchResult::None) {
+      Operations = std::move(Part);
+      FreeStart = true;
+      break;
+    }
+  }
+  for (std::size_t I = Operations.size(); I > 0; --I) {
+    const RegisterOperation &One = Operations[I - 1];
+    if (!One.isObservation())
+      continue;
+    std::vector<RegisterOperation> Part = Operations;
+    Part.erase(Part.begin() + static_cast<std::ptrdiff_t>(I - 1));
+    if (search(Part, FreeStart, Limit) == SearchResult::None)
+      Operations = std::move(Part);
+  }
+  return Operations;
+}
+
+/// Marks repeated edit ids, and removes edits that were refused because another
+/// section had their id: they say nothing about this one.
+void markRepeatedIds(
+    const std::map<std::string, std::set<std::string>> &SectionsOfId,
+    std::vector<RegisterOperation> &Operations) {
+  Operations.erase(
+      std::remove_if(Operations.begin(), Operations.end(),
+                     [&](const RegisterOperation &One) {
+                       return One.m_Edit &&
+                              One.m_Edit->m_Outcome == EditOutcome::IdReused &&
+                              SectionsOfId.at(One.m_Edit->m_EditId).size() > 1;
+                     }),
+      Operations.end());
+  std::map<std::string, int> Uses;
+  for (const RegisterOperation &One : Operations)
+    if (One.m_Edit)
+      ++Uses[One.m_Edit->m_EditId];
+  for (RegisterOperation &One : Operations)
+    One.m_IdRepeated = One.m_Edit && Uses[One.m_Edit->m_EditId] > 1;
+}
+
+std::map<std::string, std::vector<RegisterOperation>>
+operationsBySection(const History &Lines) {
+  std::map<std::string, std::vector<RegisterOperation>> Sections;
+  std::map<std::string, std::set<std::string>> SectionsOfId;
+  for (std::size_t I = 0; I < Lines.size(); ++I) {
+    RegisterOperation One;
+    One.m_Line = I;
+    if (const HistoryEdit *Edit = std::get_if<HistoryEdit>(&Lines[I].m_Event)) {
+      One.m_Edit = Edit;
+      One.m_Start = Edit->m_Start;
+      if (Edit->m_Outcome != EditOutcome::Unknown)
+        One.m_End = Edit->m_End;
+      SectionsOfId[Edit->m_EditId].insert(Edit->m_Section);
+      Sections[Edit->m_Section].push_back(One);
+    } else if (const HistoryRead *Read =
+                   std::get_if<HistoryRead>(&Lines[I].m_Event)) {
+      One.m_Read = Read;
+      One.m_Start = Read->m_Start;
+      One.m_End = Read->m_End;
+      Sections[Read->m_Section].push_back(One);
+    }
+  }
+  for (std::pair<const std::string, std::vector<RegisterOperation>> &Row :
+       Sections) {
+    markRepeatedIds(SectionsOfId, Row.second);
+    std::stable_sort(
+        Row.second.begin(), Row.second.end(),
+        [](const RegisterOperation &A, const RegisterOperation &B) {
+          return A.m_Start < B.m_Start;
+        });
+  }
+  return Sections;
+}
+
+} // namespace
+
+void checkRegisters(const History &Lines, const HistoryOptions &Options,
+                    std::vector<HistoryFault> &Faults) {
+  for (const std::pair<const std::string, std::vector<RegisterOperation>> &Row :
+       operationsBySection(Lines)) {
+    SearchResult Outcome = search(Row.second, false, Options.m_SearchLimit);
+    if (Outcome == SearchResult::Found)
+      continue;
+    HistoryFault Fault;
+    Fault.m_Rule = HistoryRule::SectionRegister;
+    std::vector<RegisterOperation> Part = Row.second;
+    if (Outcome == SearchResult::None) {
+      Fault.m_Text = "section " + Row.first +
+                     ": no order of these operations is that of a "
+                     "compare-and-set register";
+      Part = shorten(Row.second, Options.m_SearchLimit);
+    } else {
+      Fault.m_Text = "section " + Row.first + ": not decided within " +
+                     std::to_string(Options.m_SearchLimit) + " search steps";
+    }
+    for (const RegisterOperation &One : Part)
+      Fault.m_Lines.push_back(One.m_Line);
+    std::sort(Fault.m_Lines.begin(), Fault.m_Lines.end());
+    Faults.push_back(std::move(Fault));
+  }
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/process/history_register.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "vanillaferry/process/history.hpp"
+
+namespace vanillaferry {
+
+/// Checks that each section behaves as one compare-and-set register.
+void checkRegisters(const History &Lines, const HistoryOptions &Options,
+                    std::vector<HistoryFault> &Faults);
+
+} // namespace vanillaferry
