--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -39,6 +39,11 @@
     State.m_Log.push_back(std::move(Entry));
   }
   State.m_Synced = lastIndex(State);
+  // A snapshot may have become durable just before the term in which it came.
+  if (lastTerm(State) > State.m_Hard.m_Term) {
+    State.m_Hard.m_Term = lastTerm(State);
+    State.m_Hard.m_VotedFor = KeeperId();
+  }
   useNewestSet(State);
   // The keeper may have answered a leader just before it restarted, and that
   // answer is part of the leader's lease.
@@ -54,7 +59,7 @@
     if (State.m_Role == ReplicaRole::Leader && Now >= State.m_NextHeartbeat)
       sendHeartbeats(State, Actions, Now);
   } else if (Now >= State.m_ElectionDeadline) {
-    if (State.m_VotingAllowed && isVoter(State.m_Set, State.m_Self))
+    if (mayStand(State))
       startPreVote(State, Actions, Now);
     else
       resetElectionDeadline(State, Now);
@@ -98,7 +103,7 @@
   // A leader that was frozen may wake with proposals in its queue.
   if (State.m_Role == ReplicaRole::Leader)
     checkQuorumContact(State, Actions, Now);
-  if (State.m_Role != ReplicaRole::Leader)
+  if (State.m_Role != ReplicaRole::Leader || awaitsOwnVote(State))
     return ProposeError::NotLeader;
   for (std::string &Command : Commands) {
     LogEntry Entry;
@@ -125,11 +130,13 @@
     ++Position;
   if (Position == State.m_PendingSyncs.size())
     return Actions;
+  bool AwaitedVote = awaitsOwnVote(State);
   for (std::size_t I = 0; I <= Position; ++I) {
     if (State.m_PendingSyncs.front().m_Valid > State.m_Synced)
       State.m_Synced = State.m_PendingSyncs.front().m_Valid;
     State.m_PendingSyncs.pop_front();
   }
+  Actions.m_BecameLeader = AwaitedVote && !awaitsOwnVote(State);
   if (State.m_Role == ReplicaRole::Leader) {
     sendEntries(State, Actions, Now);
     commitByQuorum(State, Actions, Now);
@@ -144,7 +151,7 @@
                  Millis Now) {
   if (State.m_Role == ReplicaRole::Leader)
     checkQuorumContact(State, Actions, Now);
-  if (State.m_Role != ReplicaRole::Leader) {
+  if (State.m_Role != ReplicaRole::Leader || awaitsOwnVote(State)) {
     Actions.m_FailedReads.push_back(Token);
     return;
   }
--- a/src/daemon/process/keeper_formation.cpp
+++ b/src/daemon/process/keeper_formation.cpp
@@ -1,12 +1,9 @@
 #include "process/keeper_formation.hpp"
 
+#include "process/file.hpp"
+
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
-#include <fcntl.h>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -16,15 +13,13 @@
 
 using nlohmann::json;
 
-constexpr const char *FileName = "/formation.json";
-constexpr const char *TemporaryName = "/formation.json.new";
+constexpr const char *FileName = "formation.json";
 
 const std::map<std::string, FormationState> &stateNames() {
   static const std::map<std::string, FormationState> Names = {
       {"forming", FormationState::Forming},
       {"formed", FormationState::Formed},
-      {"fresh", FormationState::Fresh},
-      {"lost", FormationState::Lost}};
+      {"fresh", FormationState::Fresh}};
   return Names;
 }
 
@@ -35,39 +30,6 @@
   return std::string();
 }
 
-Error fileError(const std::string &What, const std::string &Path) {
-  return makeError(ErrorCode::Io,
-                   "cannot " + What + " " + Path + ": " + strerror(errno));
-}
-
-/// Writes and syncs a whole file.
-Status writeFile(const std::string &Path, const std::string &Text) {
-  int File =
-      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  if (File < 0)
-    return fileError("open", Path);
-  ssize_t Written = ::write(File, Text.data(), Text.size());
-  bool Whole = Written == static_cast<ssize_t>(Text.size());
-  if (!Whole || ::fsync(File) != 0) {
-    Error Failed = fileError("write", Path);
-    ::close(File);
-    return Failed;
-  }
-  ::close(File);
-  return boost::outcome_v2::success();
-}
-
-Status syncNames(const std::string &Path) {
-  int Folder = ::open(Path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (Folder < 0)
-    return fileError("open", Path);
-  int Failed = ::fsync(Folder);
-  ::close(Folder);
-  if (Failed != 0)
-    return fileError("sync", Path);
-  return boost::outcome_v2::success();
-}
-
 std::string hexOf(std::uint64_t Number) {
   char Text[17];
   snprintf(Text, sizeof Text, "%016llx",
@@ -93,25 +55,28 @@
 }
 
 Result<std::optional<Formation>> loadFormation(const std::string &Folder) {
-  std::ifstream File(Folder + FileName);
-  if (!File) {
-    if (errno == ENOENT)
-      return std::optional<Formation>();
-    return fileError("open", Folder + FileName);
-  }
+  std::string Path = Folder + "/" + FileName;
+  if (::access(Path.c_str(), F_OK) != 0)
+    return std::optional<Formation>();
+  Result<std::string> Text = readFile(Path);
+  if (!Text)
+    return Text.error();
   try {
-    json Value = json::parse(File);
+    json Value = json::parse(Text.value());
     Formation Record;
     Record.m_Keeper = KeeperId(Value.at("keeper").get<std::string>());
     Record.m_Disk = numberOf(Value.at("disk").get<std::string>());
     Record.m_State = stateNames().at(Value.at("state").get<std::string>());
-    Record.m_InitialSet = numberOf(Value.at("initial_set").get<std::string>());
+    for (const json::iterator::value_type &Member : Value.at("members"))
+      Record.m_Members.push_back(
+          {KeeperId(Member.at("keeper").get<std::string>()),
+           Member.at("peer_url").get<std::string>()});
     for (const json::iterator::value_type &Claim : Value.at("claims"))
       Record.m_Claims[KeeperId(Claim.at("keeper").get<std::string>())] =
           numberOf(Claim.at("disk").get<std::string>());
     return std::optional<Formation>(Record);
   } catch (const std::exception &E) {
-    return makeError(ErrorCode::Corrupt, Folder + FileName + ": " + E.what());
+    return makeError(ErrorCode::Corrupt, Path + ": " + E.what());
   }
 }
 
@@ -120,25 +85,23 @@
   for (const std::pair<const KeeperId, std::uint64_t> &Claim : Record.m_Claims)
     Claims.push_back(
         {{"keeper", Claim.first.m_Value}, {"disk", hexOf(Claim.second)}});
+  json Members = json::array();
+  for (const InitialKeeper &Member : Record.m_Members)
+    Members.push_back(
+        {{"keeper", Member.m_Keeper.m_Value}, {"peer_url", Member.m_PeerUrl}});
   json Value = {{"keeper", Record.m_Keeper.m_Value},
                 {"disk", hexOf(Record.m_Disk)},
                 {"state", nameOf(Record.m_State)},
-                {"initial_set", hexOf(Record.m_InitialSet)},
+                {"members", Members},
                 {"claims", Claims}};
-  Status Written = writeFile(Folder + TemporaryName, Value.dump(2) + "\n");
-  if (!Written)
-    return Written;
-  if (::rename((Folder + TemporaryName).c_str(), (Folder + FileName).c_str()) !=
-      0)
-    return fileError("rename", Folder + TemporaryName);
-  return syncNames(Folder);
+  return replaceFile(Folder, FileName, Value.dump(2) + "\n",
+                     [](int Descriptor) { return ::fdatasync(Descriptor); });
 }
 
 Result<Formation> createFormation(const KeeperSettings &Settings,
                                   bool Initialize, std::uint64_t Random) {
   Formation Record;
   Record.m_Disk = Random;
-  Record.m_InitialSet = hashInitialSet(Settings.m_InitialKeepers);
   if (!Initialize) {
     Record.m_Keeper =
         KeeperId(Settings.m_Keeper.m_Value + "-" + hexOf(Random).substr(0, 8));
@@ -155,6 +118,7 @@
                          " is not in initial_keepers");
   Record.m_Keeper = Settings.m_Keeper;
   Record.m_State = FormationState::Forming;
+  Record.m_Members = Settings.m_InitialKeepers;
   Record.m_Claims[Record.m_Keeper] = Record.m_Disk;
   return Record;
 }
@@ -180,7 +144,7 @@
                     Claim.m_Keeper.m_Value + "; start without --initialize";
     return Verdict;
   }
-  if (Own.m_InitialSet != Claim.m_InitialSet) {
+  if (hashInitialSet(Own.m_Members) != Claim.m_InitialSet) {
     Verdict.m_Why = "initial_keepers differ between the settings of " +
                     Own.m_Keeper.m_Value + " and " + Claim.m_Keeper.m_Value;
     return Verdict;
@@ -192,12 +156,11 @@
 }
 
 bool noteAcceptance(Formation &Own, std::set<KeeperId> &Accepted,
-                    const KeeperId &From, const IdentityVerdict &Verdict,
-                    const std::vector<InitialKeeper> &Keepers) {
+                    const KeeperId &From, const IdentityVerdict &Verdict) {
   if (Own.m_Claims.emplace(From, Verdict.m_Disk).first->second ==
       Verdict.m_Disk)
     Accepted.insert(From);
-  return std::all_of(Keepers.begin(), Keepers.end(),
+  return std::all_of(Own.m_Members.begin(), Own.m_Members.end(),
                      [&](const InitialKeeper &Keeper) {
                        return Keeper.m_Keeper == Own.m_Keeper ||
                               Accepted.count(Keeper.m_Keeper) != 0;
