--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -18,6 +18,7 @@
   int Code = ExitOk;
   addKeeperCommand(App, Code);
   addCheckSettingsCommand(App, Code);
+  addCheckHistoryCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -28,6 +28,7 @@
 
 /// Each adds its subcommands; the callback stores the exit code.
 void addCheckSettingsCommand(CLI::App &App, int &Code);
+void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
