--- a/src/core/process/archive.hpp
+++ b/src/core/process/archive.hpp
@@ -14,59 +14,89 @@
 
 namespace vanillaferry {
 
-/// Writes fields into a JSON object. A struct is read and written by one
+/// Counts the fields of a struct, for the head of its CBOR map.
+struct FieldCounter {
+  std::uint64_t m_Count = 0;
+
+  template <typename T> void operator()(const char *, T &) { ++m_Count; }
+};
+
+/// Writes fields as CBOR (RFC 8949) without a tree in between: a snapshot may
+/// hold 100,000 and more journal entries. A struct is read and written by one
 /// function describe(Archive &, Struct &) that names each field once.
 struct StateWriter {
-  nlohmann::json m_Object = nlohmann::json::object();
+  std::string &m_Data;
 
   template <typename T> void operator()(const char *Name, const T &Field) {
-    m_Object[Name] = valueOf(Field);
+    text(Name, std::char_traits<char>::length(Name));
+    write(Field);
   }
 
-  static nlohmann::json valueOf(const std::string &Value) { return Value; }
-  template <typename Tag>
-  static nlohmann::json valueOf(const StringId<Tag> &Value) {
-    return Value.m_Value;
+  /// Writes the head of an item: its major type and its value or length.
+  void head(std::uint8_t Major, std::uint64_t Value) {
+    std::uint8_t Type = static_cast<std::uint8_t>(Major << 5);
+    constexpr std::uint64_t LargestInHead = 23;
+    if (Value <= LargestInHead) {
+      m_Data.push_back(static_cast<char>(Type | Value));
+      return;
+    }
+    std::uint8_t Power = Value <= 0xFF         ? 0
+                         : Value <= 0xFFFF     ? 1
+                         : Value <= 0xFFFFFFFF ? 2
+                                               : 3;
+    m_Data.push_back(static_cast<char>(Type | (24 + Power)));
+    for (int Shift = (8 << Power) - 8; Shift >= 0; Shift -= 8)
+      m_Data.push_back(static_cast<char>(Value >> Shift));
+  }
+  void text(const char *Start, std::size_t Length) {
+    head(3, Length);
+    m_Data.append(Start, Length);
+  }
+  void write(const std::string &Value) { text(Value.data(), Value.size()); }
+  template <typename Tag> void write(const StringId<Tag> &Value) {
+    write(Value.m_Value);
   }
   template <typename Tag, typename Number>
-  static nlohmann::json valueOf(const Quantity<Tag, Number> &Value) {
-    return Value.m_Value;
+  void write(const Quantity<Tag, Number> &Value) {
+    write(Value.m_Value);
   }
-  template <typename T> static nlohmann::json listOf(const T &List) {
-    nlohmann::json Out = nlohmann::json::array();
+  template <typename T> void writeList(const T &List) {
+    head(4, List.size());
     for (const typename T::value_type &Item : List)
-      Out.push_back(valueOf(Item));
-    return Out;
-  }
-  template <typename T>
-  static nlohmann::json valueOf(const std::vector<T> &List) {
-    return listOf(List);
-  }
-  template <typename T>
-  static nlohmann::json valueOf(const std::deque<T> &List) {
-    return listOf(List);
-  }
-  template <typename A, typename B>
-  static nlohmann::json valueOf(const std::pair<A, B> &Value) {
-    nlohmann::json Out = nlohmann::json::array();
-    Out.push_back(valueOf(Value.first));
-    Out.push_back(valueOf(Value.second));
-    return Out;
-  }
-  template <typename K, typename V>
-  static nlohmann::json valueOf(const std::map<K, V> &Rows) {
-    return listOf(Rows);
-  }
-  template <typename T> static nlohmann::json valueOf(const T &Value) {
-    if constexpr (std::is_enum_v<T>) {
-      return static_cast<std::uint64_t>(Value);
-    } else if constexpr (std::is_arithmetic_v<T>) {
-      return Value;
+      write(Item);
+  }
+  template <typename T> void write(const std::vector<T> &List) {
+    writeList(List);
+  }
+  template <typename T> void write(const std::deque<T> &List) {
+    writeList(List);
+  }
+  template <typename K, typename V> void write(const std::map<K, V> &Rows) {
+    writeList(Rows);
+  }
+  template <typename A, typename B> void write(const std::pair<A, B> &Value) {
+    head(4, 2);
+    write(Value.first);
+    write(Value.second);
+  }
+  template <typename T> void write(const T &Value) {
+    if constexpr (std::is_same_v<T, bool>) {
+      m_Data.push_back(static_cast<char>(Value ? 0xF5 : 0xF4));
+    } else if constexpr (std::is_enum_v<T>) {
+      head(0, static_cast<std::uint64_t>(Value));
+    } else if constexpr (std::is_integral_v<T>) {
+      std::int64_t Signed = static_cast<std::int64_t>(Value);
+      if (std::is_signed_v<T> && Signed < 0)
+        head(1, static_cast<std::uint64_t>(-1 - Signed));
+      else
+        head(0, static_cast<std::uint64_t>(Value));
     } else {
-      StateWriter Inner;
       // describe() takes a mutable struct for the reader; a writer only reads.
-      describe(Inner, const_cast<T &>(Value));
-      return std::move(Inner.m_Object);
+      T &Fields = const_cast<T &>(Value);
+      FieldCounter Counter;
+      describe(Counter, Fields);
+      head(5, Counter.m_Count);
+      describe(*this, Fields);
     }
   }
 };
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -193,10 +193,12 @@
 } // namespace
 
 std::string encodeCommand(const Command &Input) {
-  StateWriter Writer;
+  std::string Data;
+  StateWriter Writer{Data};
+  Writer.head(5, 2);
   Writer("kind", static_cast<std::uint32_t>(Input.index()));
   std::visit([&](const auto &Typed) { Writer("command", Typed); }, Input);
-  return printCbor(Writer.m_Object);
+  return Data;
 }
 
 Result<Command> decodeCommand(const std::string &Data) {
@@ -217,10 +219,12 @@
 }
 
 std::string encodeState(const StateMachine &State) {
-  StateWriter Writer;
+  std::string Data;
+  StateWriter Writer{Data};
+  Writer.head(5, 2);
   Writer("format", StateFormat);
   Writer("state", State);
-  return printCbor(Writer.m_Object);
+  return Data;
 }
 
 Result<StateMachine> decodeState(const std::string &Data) {
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -45,6 +45,10 @@
   Renewal.m_Leaving = R.m_Draining;
   addPoolLoads(R, Renewal, Now);
   Renewal.m_Accounts = accountDemand(R.m_Accounts);
+  // The leader may have given the shares of an ended lease to others.
+  if (!leaseHolds(R.m_Lease, Now))
+    for (AccountDemand &Demand : Renewal.m_Accounts)
+      Demand.m_Share = 0;
   R.m_Keeper.m_SentAt[Renewal.m_Sequence] = Now;
   R.m_Keeper.m_LastRenew = Now;
   while (R.m_Keeper.m_SentAt.size() > 64) {
