--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -19,6 +19,7 @@
   addBenchCommand(App, Code);
   addKeeperCommand(App, Code);
   addCheckSettingsCommand(App, Code);
+  addCheckHistoryCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
