Add the operators' commands

Cause: operators need the document, zones, status, drain and the keeper set without writing HTTP by hand.

--- a/src/daemon/connection/engine_adapter.cpp
+++ b/src/daemon/connection/engine_adapter.cpp
@@ -104,8 +104,7 @@
   }
   if (Batch.m_Count == 0)
     return Batch;
-  Batch.m_Done =
-      Text.compare(Last, std::strlen(DoneEvent), DoneEvent) == 0;
+  Batch.m_Done = Text.compare(Last, std::strlen(DoneEvent), DoneEvent) == 0;
   if (Whole == Text.size()) {
     Batch.m_Data = std::move(Text);
     Text.clear();
@@ -156,8 +155,7 @@
       "X-Priority",
       Order.m_Priority == Priority::Latency ? "latency" : "batch");
   if (ResumeAt)
-    Request.m_Fields.emplace_back("X-Resume-Offset",
-                                  std::to_string(*ResumeAt));
+    Request.m_Fields.emplace_back("X-Resume-Offset", std::to_string(*ResumeAt));
   Request.m_Body = Order.m_Body;
   if (!Order.m_ResumeText.empty()) {
     json Body = json::parse(Order.m_Body, nullptr, false);
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -17,6 +17,10 @@
   App.require_subcommand(1);
   int Code = ExitOk;
   addKeeperCommand(App, Code);
+  addDocumentCommands(App, Code);
+  addZoneCommands(App, Code);
+  addFleetCommands(App, Code);
+  addKeeperSetCommands(App, Code);
   addCheckSettingsCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -29,6 +29,10 @@
 /// Each adds its subcommands; the callback stores the exit code.
 void addCheckSettingsCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
+void addDocumentCommands(CLI::App &App, int &Code);
+void addZoneCommands(CLI::App &App, int &Code);
+void addFleetCommands(CLI::App &App, int &Code);
+void addKeeperSetCommands(CLI::App &App, int &Code);
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -163,6 +163,8 @@
     return "identity_removed";
   case ProposeError::NoSuchKeeper:
     return "no_such_keeper";
+  case ProposeError::QuorumAtRisk:
+    return "quorum_at_risk";
   case ProposeError::LastVoter:
     return "last_voter";
   }
