--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -167,8 +167,6 @@
     return "quorum_at_risk";
   case ProposeError::LastVoter:
     return "last_voter";
-  case ProposeError::QuorumAtRisk:
-    return "quorum_at_risk";
   }
   return "unknown";
 }
--- /dev/null
+++ b/tests/process/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE process
+#include <boost/test/unit_test.hpp>
