Let requests wait briefly for the target that holds their prefix

Cause: with a bound near the mean most lost reuse came from full holders, and a stale lower bound of the mean makes them look full earlier. Change: the owner parks such a request for 300 ms per 1,000 tokens held, at most 800 ms (batch 10 s); the lower bound assumes the expected completions plus three standard deviations.

--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -16,7 +16,10 @@
   /// pool's own completion rate is known.
   double m_DeclinePerSecond = 0.1;
   /// The measured completion rate is multiplied by this.
-  double m_DeclineSafety = 1.5;
+  double m_DeclineSafety = 1.0;
+  /// Completions within the age of a total vary like a Poisson number; this
+  /// many standard deviations more than expected are assumed.
+  double m_DeclineSigmas = 3.0;
   /// A router renews early when a pool's count fell by more than this share.
   double m_ReportFall = 0.02;
   /// Smallest time between two early renewals.
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -127,29 +127,51 @@
   bool m_Dispatchable = false;
 };
 
+struct PlacementRequest {
+  std::uint64_t m_Chat = 0;
+  /// The target asked for.
+  TargetId m_Target;
+  bool m_IgnoreRedirect = false;
+  bool m_AnyTarget = false;
+  /// Decide now, without waiting for a full holder.
+  bool m_NoWait = false;
+  Priority m_Priority = Priority::Latency;
+};
+
+struct PlacementOptions {
+  /// How long a request waits for a place at the target that holds its prefix:
+  /// this long for each 1,000 tokens held, up to a limit.
+  Millis m_HolderWaitPerThousand{300};
+  Millis m_HolderWaitLatency{800};
+  Millis m_HolderWaitBatch{10000};
+  /// Requests that wait in this way at one owner and pool.
+  std::size_t m_MaxParked = 256;
+};
+
+/// A request that waits at the owner for a place at its holder.
+struct ParkedRequest {
+  RequestId m_Request;
+  PlacementRequest m_Asked;
+  Millis m_Until;
+};
+
 /// Everything one owner knows of one pool.
 struct OwnerPool {
+  PlacementOptions m_Options;
   PoolSettings m_Settings;
   /// Targets of the pool in service, over all owners, as the mean's divisor.
   TargetCount m_PoolTargets;
   PoolMean m_Mean;
   std::map<TargetId, OwnedTarget> m_Targets;
   RedirectTable m_Redirects;
+  /// In order of arrival.
+  std::list<ParkedRequest> m_Parked;
 };
 
 /// Own running requests at targets in service, as reported in renewals.
 /// Residual ones are left out, because their former owner reports them.
 std::uint32_t ownerLoad(const OwnerPool &Pool);
 
-struct PlacementRequest {
-  std::uint64_t m_Chat = 0;
-  /// The target asked for.
-  TargetId m_Target;
-  bool m_IgnoreRedirect = false;
-  bool m_AnyTarget = false;
-  Priority m_Priority = Priority::Latency;
-};
-
 enum class PlacementWhy : std::uint8_t {
   /// The target holds the chat's prefix.
   Holder,
@@ -161,6 +183,9 @@
   Declined,
   /// Not placed: another owner's target holds the prefix.
   HeldElsewhere,
+  /// Not placed yet: the target that holds the prefix is full. The caller parks
+  /// the request, or decides again with m_NoWait.
+  HolderBusy,
   /// Not placed: the node does not own the target or may not dispatch yet.
   NotOwner,
 };
@@ -182,6 +207,24 @@
 PlacementDecision decidePlacement(const OwnerPool &Pool,
                                   const PlacementRequest &Request, Millis Now);
 
+/// Keeps a request that got HolderBusy.
+void parkRequest(OwnerPool &Pool, const RequestId &Request,
+                 const PlacementRequest &Asked, Millis Now);
+
+/// Forgets a parked request whose caller went away; false when unknown.
+bool unparkRequest(OwnerPool &Pool, const RequestId &Request);
+
+/// A parked request that is decided: admitted, or declined after its wait.
+struct ParkedDecision {
+  ParkedRequest m_Parked;
+  PlacementDecision m_Decision;
+};
+
+/// Takes the next parked request that can be decided now. The caller asks again
+/// after each one that it started, after requests end, after grants and load
+/// reports, and at least every 100 ms while m_Parked is not empty.
+std::optional<ParkedDecision> nextParked(OwnerPool &Pool, Millis Now);
+
 /// Counts an admitted request and notes the chat in the target's prefix table
 /// and, when it runs elsewhere than at the target asked for, in the redirects;
 /// returns the stage for endAt. The entry router sends Placed to the home only
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -89,8 +89,10 @@
                        ? Mean.m_CompletionRate * Options.m_DeclineSafety
                        : Options.m_DeclinePerSecond;
   double Age = static_cast<double>((Now - Mean.m_OthersAt).m_Value) / 1000.0;
-  double Kept = (1 - Options.m_ReportFall) * (1 - Decline * Age);
-  return OwnRunning + Mean.m_Others * std::clamp(Kept, 0.0, 1.0);
+  double Reported = Mean.m_Others * (1 - Options.m_ReportFall);
+  double Ended = Reported * Decline * std::max(0.0, Age);
+  double Floor = Reported - Ended - Options.m_DeclineSigmas * std::sqrt(Ended);
+  return OwnRunning + std::max(0.0, Floor);
 }
 
 std::uint32_t boundLimit(const PoolSettings &Settings, const PoolMean &Mean,
--- a/src/core/request/placement.cpp
+++ b/src/core/request/placement.cpp
@@ -151,6 +151,8 @@
     return "declined";
   case PlacementWhy::HeldElsewhere:
     return "held_elsewhere";
+  case PlacementWhy::HolderBusy:
+    return "holder_busy";
   case PlacementWhy::NotOwner:
     return "not_owner";
   }
--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -26,6 +26,8 @@
 struct Candidates {
   const OwnedTarget *m_Holder = nullptr;
   const OwnedTarget *m_Least = nullptr;
+  /// A target that holds the prefix and is full, but otherwise well.
+  bool m_FullHolder = false;
   /// The mean, rounded up.
   std::uint32_t m_MeanLimit = 0;
 };
@@ -54,8 +56,14 @@
   Best.m_MeanLimit = static_cast<std::uint32_t>(std::ceil(Mean - 1e-9));
   for (const std::pair<const TargetId, OwnedTarget> &Pair : Pool.m_Targets) {
     const OwnedTarget &Target = Pair.second;
-    if (!Target.m_Dispatchable || !admits(Target.m_State, Limit, Now))
+    if (!Target.m_Dispatchable)
       continue;
+    if (!admits(Target.m_State, Limit, Now)) {
+      Best.m_FullHolder |=
+          !isCold(Target.m_State) &&
+          heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0;
+      continue;
+    }
     if (lessLoaded(Target, Best.m_Holder) &&
         heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0)
       Best.m_Holder = &Target;
@@ -134,6 +142,11 @@
       return Decision;
     }
   }
+  if (Best.m_FullHolder && !Request.m_NoWait && !Request.m_AnyTarget &&
+      Pool.m_Parked.size() < Pool.m_Options.m_MaxParked) {
+    Decision.m_Why = PlacementWhy::HolderBusy;
+    return Decision;
+  }
   if (!Best.m_Least)
     return Decision;
   // Without a copy to reuse, a target above the mean is left to the chats that
@@ -146,6 +159,47 @@
                  IsAsked ? PlacementWhy::Ranked : PlacementWhy::LeastLoaded);
 }
 
+void parkRequest(OwnerPool &Pool, const RequestId &Request,
+                 const PlacementRequest &Asked, Millis Now) {
+  const PlacementOptions &Options = Pool.m_Options;
+  Tokens Held;
+  for (const std::pair<const TargetId, OwnedTarget> &Pair : Pool.m_Targets)
+    Held = std::max(Held, heldTokens(Pair.second.m_Prefixes, Asked.m_Chat));
+  Millis Wait(Options.m_HolderWaitPerThousand.m_Value * Held.m_Value / 1000);
+  Wait = std::min(Wait, Options.m_HolderWaitLatency);
+  if (Asked.m_Priority == Priority::Batch)
+    Wait = Options.m_HolderWaitBatch;
+  Pool.m_Parked.push_back(ParkedRequest{Request, Asked, Now + Wait});
+}
+
+bool unparkRequest(OwnerPool &Pool, const RequestId &Request) {
+  auto It = std::find_if(Pool.m_Parked.begin(), Pool.m_Parked.end(),
+                         [&Request](const ParkedRequest &Parked) {
+                           return Parked.m_Request == Request;
+                         });
+  if (It == Pool.m_Parked.end())
+    return false;
+  Pool.m_Parked.erase(It);
+  return true;
+}
+
+std::optional<ParkedDecision> nextParked(OwnerPool &Pool, Millis Now) {
+  for (auto It = Pool.m_Parked.begin(); It != Pool.m_Parked.end(); ++It) {
+    PlacementRequest Asked = It->m_Asked;
+    Asked.m_NoWait = It->m_Until <= Now;
+    PlacementDecision Decision = decidePlacement(Pool, Asked, Now);
+    // A decision still counts the others that wait, but not this one.
+    if (Decision.m_Why == PlacementWhy::HolderBusy ||
+        (!Decision.m_Admitted && !Asked.m_NoWait &&
+         Pool.m_Parked.size() >= Pool.m_Options.m_MaxParked))
+      continue;
+    ParkedDecision Taken{*It, Decision};
+    Pool.m_Parked.erase(It);
+    return Taken;
+  }
+  return std::nullopt;
+}
+
 std::uint32_t startAt(OwnerPool &Pool, const PlacementRequest &Request,
                       const TargetId &Target, Tokens PromptTokens) {
   OwnedTarget &At = Pool.m_Targets[Target];
--- a/src/daemon/process/replay/command.cpp
+++ b/src/daemon/process/replay/command.cpp
@@ -21,6 +21,9 @@
   bool m_Json = false;
   FleetOptions m_Options;
   std::int64_t m_RenewMillis = 1000;
+  std::int64_t m_WaitPerThousand = 300;
+  std::int64_t m_WaitLatency = 800;
+  std::int64_t m_WaitBatch = 10000;
 };
 
 struct GenerateArguments {
@@ -91,6 +94,12 @@
     return ExitInvalidInput;
   }
   Arguments.m_Options.m_RenewInterval = Millis(Arguments.m_RenewMillis);
+  Arguments.m_Options.m_Placement.m_HolderWaitLatency =
+      Millis(Arguments.m_WaitLatency);
+  Arguments.m_Options.m_Placement.m_HolderWaitPerThousand =
+      Millis(Arguments.m_WaitPerThousand);
+  Arguments.m_Options.m_Placement.m_HolderWaitBatch =
+      Millis(Arguments.m_WaitBatch);
   Json Results = replayResults(Recorded.value(), *Policy, Arguments.m_Bound,
                                Arguments.m_Options);
   print(Results, Arguments.m_Json);
@@ -148,6 +157,10 @@
   Command->add_option("--decline", Options.m_Load.m_DeclinePerSecond);
   Command->add_option("--report-fall", Options.m_Load.m_ReportFall);
   Command->add_option("--renew-ms", Arguments->m_RenewMillis);
+  Command->add_option("--decline-sigmas", Options.m_Load.m_DeclineSigmas);
+  Command->add_option("--wait-per-thousand", Arguments->m_WaitPerThousand);
+  Command->add_option("--wait-latency", Arguments->m_WaitLatency);
+  Command->add_option("--wait-batch", Arguments->m_WaitBatch);
   Command->add_option("--export", Options.m_Export,
                       "Chats exported from each leaving engine");
   Command->callback([Arguments, &Code] { Code = runReplay(*Arguments); });
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -18,6 +18,12 @@
   return nullptr;
 }
 
+AccountId accountOf(const Fleet &All, std::uint32_t Index) {
+  return AccountId(
+      "account-" +
+      std::to_string(All.m_World->m_Trace->m_Requests[Index].m_Account));
+}
+
 /// Dispatches at the owner after its decision.
 void dispatchAt(Fleet &All, ReplayRouter &Entry, ReplayRouter &Owner,
                 std::uint32_t Index, const PlacementRequest &Asked,
@@ -36,25 +42,12 @@
                   AccountId("account-" + std::to_string(Request.m_Account)));
 }
 
-/// Asks one owner; true when the request runs.
-bool askOwner(Fleet &All, ReplayRouter &Entry, std::uint32_t Index, Walk &Way,
-              const WalkStep &Step) {
+/// Acts on an owner's decision; true when the request runs.
+bool takeDecision(Fleet &All, ReplayRouter &Entry, ReplayRouter &Owner,
+                  std::uint32_t Index, Walk &Way, const WalkStep &Step,
+                  const PlacementRequest &Asked,
+                  const PlacementDecision &Decision) {
   World &State = *All.m_World;
-  ++State.m_Measures.m_Hops;
-  ReplayRouter *Owner = findRouter(All, Step.m_Owner);
-  if (!Owner || !Owner->m_Joined || Owner->m_FrozenUntil > State.m_Now ||
-      !leaseHolds(Owner->m_Lease, State.m_Now)) {
-    takeDecline(Way, Step);
-    return false;
-  }
-  PlacementRequest Asked;
-  Asked.m_Chat = Way.m_Chat;
-  Asked.m_Target = Step.m_Target;
-  Asked.m_IgnoreRedirect = Step.m_IgnoreRedirect;
-  Asked.m_AnyTarget = Step.m_AnyTarget;
-  Asked.m_Priority = State.m_Trace->m_Requests[Index].m_Priority;
-  PlacementDecision Decision =
-      decidePlacement(Owner->m_Pool, Asked, State.m_Now);
   if (!Decision.m_Admitted) {
     takeDecline(Way, Step, Decision.m_Holder);
     return false;
@@ -62,16 +55,16 @@
   const EngineModel &Engine =
       State.m_Engines[All.m_EngineIndex.at(Decision.m_Target.m_Value)];
   if (!Engine.m_Up) {
-    noteUnreachable(Owner->m_Pool.m_Targets[Decision.m_Target].m_State,
+    noteUnreachable(Owner.m_Pool.m_Targets[Decision.m_Target].m_State,
                     State.m_Now);
     takeDecline(Way, Step);
     return false;
   }
-  dispatchAt(All, Entry, *Owner, Index, Asked, Decision.m_Target);
+  dispatchAt(All, Entry, Owner, Index, Asked, Decision.m_Target);
   std::size_t Home = findTarget(Entry.m_Routed.m_View, Way.m_Home);
   const NodeId &HomeOwner = Entry.m_Routed.m_Owners[Home];
   ReplayRouter *Told = findRouter(All, HomeOwner);
-  if (Told && Told != Owner && Told->m_FrozenUntil <= State.m_Now) {
+  if (Told && Told != &Owner && Told->m_FrozenUntil <= State.m_Now) {
     notePlaced(Told->m_Pool.m_Redirects, Way.m_Chat, Way.m_Home,
                Decision.m_Target);
     State.m_Measures.m_ControlBytes += PlacedBytes;
@@ -79,10 +72,37 @@
   return true;
 }
 
-bool tryPlace(Fleet &All, ReplayRouter &Entry, std::uint32_t Index) {
-  const TraceRequest &Request = All.m_World->m_Trace->m_Requests[Index];
-  Walk Way =
-      beginWalk(Entry.m_Routed, chatName(Request.m_Chat), All.m_Options.m_Walk);
+/// Asks one owner; true when the request runs or is parked there.
+bool askOwner(Fleet &All, ReplayRouter &Entry, std::uint32_t Index, Walk &Way,
+              const WalkStep &Step) {
+  World &State = *All.m_World;
+  ++State.m_Measures.m_Hops;
+  ReplayRouter *Owner = findRouter(All, Step.m_Owner);
+  if (!Owner || !Owner->m_Joined || Owner->m_FrozenUntil > State.m_Now ||
+      !leaseHolds(Owner->m_Lease, State.m_Now)) {
+    takeDecline(Way, Step);
+    return false;
+  }
+  PlacementRequest Asked;
+  Asked.m_Chat = Way.m_Chat;
+  Asked.m_Target = Step.m_Target;
+  Asked.m_IgnoreRedirect = Step.m_IgnoreRedirect;
+  Asked.m_AnyTarget = Step.m_AnyTarget;
+  Asked.m_Priority = State.m_Trace->m_Requests[Index].m_Priority;
+  PlacementDecision Decision =
+      decidePlacement(Owner->m_Pool, Asked, State.m_Now);
+  if (Decision.m_Why == PlacementWhy::HolderBusy) {
+    parkRequest(Owner->m_Pool, RequestId(std::to_string(Index)), Asked,
+                State.m_Now);
+    All.m_Parked[Index] = ParkedWalk{
+        static_cast<std::uint32_t>(&Entry - All.m_Routers.data()), Way, Step};
+    startForAccount(Entry.m_Accounts, accountOf(All, Index));
+    return true;
+  }
+  return takeDecision(All, Entry, *Owner, Index, Way, Step, Asked, Decision);
+}
+bool continueWalk(Fleet &All, ReplayRouter &Entry, std::uint32_t Index,
+                  Walk Way) {
   for (WalkStep Step = nextStep(Way, Entry.m_Routed); Step.m_Ask;
        Step = nextStep(Way, Entry.m_Routed))
     if (askOwner(All, Entry, Index, Way, Step))
@@ -90,6 +110,13 @@
   return false;
 }
 
+bool tryPlace(Fleet &All, ReplayRouter &Entry, std::uint32_t Index) {
+  const TraceRequest &Request = All.m_World->m_Trace->m_Requests[Index];
+  return continueWalk(All, Entry, Index,
+                      beginWalk(Entry.m_Routed, chatName(Request.m_Chat),
+                                All.m_Options.m_Walk));
+}
+
 void refuse(Fleet &All, std::uint32_t Index, RefusalReason Reason) {
   Measures &Counts = All.m_World->m_Measures;
   RequestState &Request = All.m_World->m_Requests[Index];
@@ -234,12 +261,32 @@
       addMember(All.m_Leader, Router.m_Id);
     Router.m_Pool.m_Settings = All.m_Settings;
     Router.m_Pool.m_Mean.m_Options = Options.m_Load;
+    Router.m_Pool.m_Options = Options.m_Placement;
     setAccounts(Router.m_Accounts, Accounts, Recorded.m_Routers, Millis());
     All.m_Routers.push_back(std::move(Router));
   }
   return All;
 }
 
+void placeParked(Fleet &All, std::uint32_t RouterIndex) {
+  ReplayRouter &Owner = All.m_Routers[RouterIndex];
+  for (std::optional<ParkedDecision> Next =
+           nextParked(Owner.m_Pool, All.m_World->m_Now);
+       Next; Next = nextParked(Owner.m_Pool, All.m_World->m_Now)) {
+    std::uint32_t Index = static_cast<std::uint32_t>(
+        std::stoul(Next->m_Parked.m_Request.m_Value));
+    ParkedWalk Parked = std::move(All.m_Parked[Index]);
+    All.m_Parked.erase(Index);
+    ReplayRouter &Entry = All.m_Routers[Parked.m_Entry];
+    endForAccount(Entry.m_Accounts, accountOf(All, Index));
+    if (takeDecision(All, Entry, Owner, Index, Parked.m_Walk, Parked.m_Step,
+                     Next->m_Parked.m_Asked, Next->m_Decision))
+      continue;
+    if (!continueWalk(All, Entry, Index, std::move(Parked.m_Walk)))
+      enter(All, Parked.m_Entry, Index);
+  }
+}
+
 void placeWaiting(Fleet &All, std::uint32_t RouterIndex) {
   ReplayRouter &Router = All.m_Routers[RouterIndex];
   Millis Now = All.m_World->m_Now;
@@ -275,6 +322,7 @@
     All.m_World->m_Measures.m_RouterSeconds +=
         static_cast<double>(TickInterval.m_Value) / 1000.0;
     exchangeMessages(All, Router);
+    placeParked(All, I);
     if (leaseHolds(Router.m_Lease, Now))
       placeWaiting(All, I);
   }
--- a/src/daemon/process/replay/fleet.hpp
+++ b/src/daemon/process/replay/fleet.hpp
@@ -62,6 +62,13 @@
   bool m_InService = true;
 };
 
+/// A request parked at an owner, with its way so far.
+struct ParkedWalk {
+  std::uint32_t m_Entry = 0;
+  Walk m_Walk;
+  WalkStep m_Step;
+};
+
 /// Chats that could be found at their engine before a loss.
 struct LossWatch {
   Millis m_CheckAt;
@@ -71,6 +78,7 @@
 
 struct FleetOptions {
   WalkOptions m_Walk;
+  PlacementOptions m_Placement;
   LoadBoundOptions m_Load;
   Millis m_RenewInterval{1000};
   double m_InnerMargin = 0.05;
@@ -91,6 +99,7 @@
   std::map<std::string, std::uint32_t> m_EngineIndex;
   std::map<std::uint32_t, std::uint32_t> m_LastEngine;
   std::vector<LossWatch> m_Watches;
+  std::map<std::uint32_t, ParkedWalk> m_Parked;
 };
 
 Fleet makeFleet(World &State, const FleetOptions &Options);
@@ -107,6 +116,8 @@
 void rebuildViews(Fleet &All, ReplayRouter &Router);
 /// Renewals, grants, reports and the VM list of one router.
 void exchangeMessages(Fleet &All, ReplayRouter &Router);
+/// Decides parked requests of one owner.
+void placeParked(Fleet &All, std::uint32_t Router);
 /// Places waiting requests of one router until none finds a place.
 void placeWaiting(Fleet &All, std::uint32_t Router);
 /// Takes the requests of a crashed engine off their owners and places them
--- a/src/daemon/process/replay/results.cpp
+++ b/src/daemon/process/replay/results.cpp
@@ -71,6 +71,10 @@
           {"retries", Counts.m_Retries},
           {"hops_per_request", ratio(static_cast<double>(Counts.m_Hops),
                                      static_cast<double>(Counts.m_Dispatched))},
+          {"first_token_p50_ms", percentile(Counts.m_FirstToken, 0.5)},
+          {"first_token_p95_ms", percentile(Counts.m_FirstToken, 0.95)},
+          {"first_token_p99_ms", percentile(Counts.m_FirstToken, 0.99)},
+          {"queued_p95_ms", percentile(Counts.m_Queued, 0.95)},
           {"others_first_token_p99_ms",
            percentile(Counts.m_OthersFirstToken, 0.99)},
           {"others_queued_p99_ms", percentile(Counts.m_OthersQueued, 0.99)}};
@@ -144,6 +148,7 @@
         {"cache_reuse", One["cache_reuse"]},
         {"load_max_over_mean", One["load_max_over_mean"]},
         {"violations", One["violations"]},
+        {"first_token_p95_ms", One["first_token_p95_ms"]},
         {"share_of_time_above_bound", One["share_of_time_above_bound"]},
         {"cold_violations", One["cold_violations"]}};
   }
--- a/src/daemon/process/replay/world.cpp
+++ b/src/daemon/process/replay/world.cpp
@@ -130,6 +130,13 @@
   ++Request.m_Attempt;
   Request.m_StartedAt = State.m_Now;
   Request.m_FirstToken = Millis(static_cast<std::int64_t>(First));
+  if (Request.m_Attempt == 1 && Asked.m_At >= State.m_Trace->m_Warmup &&
+      !Asked.m_Surge && Asked.m_Priority == Priority::Latency) {
+    Millis Queued = State.m_Now - Asked.m_At;
+    State.m_Measures.m_Queued.push_back(Queued.m_Value);
+    State.m_Measures.m_FirstToken.push_back(
+        (Queued + Request.m_FirstToken).m_Value);
+  }
   if (Request.m_Attempt == 1 && State.m_SurgeEnd.m_Value > 0 &&
       Asked.m_At >= State.m_SurgeStart && Asked.m_At <= State.m_SurgeEnd &&
       Asked.m_Account + 1 != State.m_Trace->m_Accounts.size()) {
--- a/src/daemon/process/replay/world.hpp
+++ b/src/daemon/process/replay/world.hpp
@@ -76,6 +76,9 @@
   /// Time to the first token of accounts that do not surge, while one does.
   std::vector<std::int64_t> m_OthersFirstToken;
   std::vector<std::int64_t> m_OthersQueued;
+  /// Of all latency-critical requests after the warm-up.
+  std::vector<std::int64_t> m_FirstToken;
+  std::vector<std::int64_t> m_Queued;
   double m_MovedShare = 0;
   double m_MovedExcess = 0;
 };
