--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -16,9 +16,11 @@
   App.set_version_flag("--version", VANILLAFERRY_VERSION);
   App.require_subcommand(1);
   int Code = ExitOk;
+  addKeeperCommand(App, Code);
   addCheckSettingsCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
+  addRouterCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
