Take first-token times as evidence when they are known

Cause: with one engine in twenty restarting each minute the ramp by completed requests took a minute. Change: the first token of a request counts as soon as it is known, up to twice the pool's median; a full pool is asked again after 100 ms, because the replay showed 626 forwards per request when waiting requests walked every 20 ms in a pool that had lost its capacity.

--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -83,8 +83,10 @@
 
 struct WarmthOptions {
   /// A first-token time above this multiple of the pool's median is a sign of
-  /// a cold target, and no evidence for a higher limit.
+  /// a cold target.
   double m_SlowMultiple = 4.0;
+  /// Up to this multiple it is evidence for a higher limit.
+  double m_WarmMultiple = 2.0;
   /// That many slow first tokens in a row make a warm target cold.
   std::uint32_t m_SlowInRow = 3;
   /// A reported load below this share of the owner's own count, when that is
@@ -155,6 +157,12 @@
 /// Counts a request; returns the stage to hand back in endRequest.
 std::uint32_t startRequest(TargetState &State);
 
+/// Takes the time to the first token of a request as soon as it is known; a
+/// request dispatched in an earlier stage says nothing. Returns true when the
+/// target was found cold.
+bool noteFirstToken(TargetState &State, std::uint32_t Stage, Millis FirstToken,
+                    Millis PoolMedian);
+
 /// Ends a request. FirstToken is empty when there was none; PoolMedian is the
 /// pool's median first-token time (0 while unknown). Returns true when the
 /// target was found cold.
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -239,6 +239,7 @@
   /// From startAt.
   std::uint32_t m_Stage = 0;
   bool m_Complete = true;
+  /// Empty when noteFirstTokenAt took it before.
   std::optional<Millis> m_FirstToken;
   /// Pool's median first-token time; 0 while unknown.
   Millis m_PoolMedian;
@@ -246,6 +247,12 @@
   Tokens m_Tokens;
 };
 
+/// Takes a first-token time at once; better than with the end of the request,
+/// because a cold target is found while its first requests still run.
+void noteFirstTokenAt(OwnerPool &Pool, const TargetId &Target,
+                      std::uint32_t Stage, Millis FirstToken,
+                      Millis PoolMedian);
+
 /// Ends a request; a target found cold loses its prefixes and redirects.
 void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now);
 
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -146,21 +146,17 @@
   return State.m_Stage;
 }
 
-bool endRequest(TargetState &State, std::uint32_t Stage, bool Complete,
-                std::optional<Millis> FirstToken, Millis PoolMedian) {
-  if (State.m_Running > 0)
-    --State.m_Running;
-  if (!FirstToken)
-    return false;
-  bool Slow =
-      PoolMedian.m_Value > 0 && static_cast<double>(FirstToken->m_Value) >
-                                    State.m_Options.m_SlowMultiple *
-                                        static_cast<double>(PoolMedian.m_Value);
+bool noteFirstToken(TargetState &State, std::uint32_t Stage, Millis FirstToken,
+                    Millis PoolMedian) {
   if (Stage != State.m_Stage)
     return false;
-  if (!Slow) {
+  double Multiple = PoolMedian.m_Value > 0
+                        ? static_cast<double>(FirstToken.m_Value) /
+                              static_cast<double>(PoolMedian.m_Value)
+                        : 0;
+  if (Multiple <= State.m_Options.m_SlowMultiple) {
     State.m_SlowRun = 0;
-    if (Complete && isCold(State))
+    if (Multiple <= State.m_Options.m_WarmMultiple && isCold(State))
       growRamp(State);
     return false;
   }
@@ -172,6 +168,14 @@
   return !Lowest;
 }
 
+bool endRequest(TargetState &State, std::uint32_t Stage, bool Complete,
+                std::optional<Millis> FirstToken, Millis PoolMedian) {
+  if (State.m_Running > 0)
+    --State.m_Running;
+  return Complete && FirstToken &&
+         noteFirstToken(State, Stage, *FirstToken, PoolMedian);
+}
+
 void restartRamp(TargetState &State) {
   State.m_RampLimit = State.m_ColdLimit;
   State.m_Evidence = 0;
--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -36,14 +36,6 @@
   return !B || targetLoad(A.m_State) < targetLoad(B->m_State);
 }
 
-/// A cold target is taken only where no warm one admits, so that it is not
-/// filled to its limit in preference to warm ones with more running requests.
-bool betterLeast(const OwnedTarget &A, const OwnedTarget *B) {
-  if (B && isCold(A.m_State) != isCold(B->m_State))
-    return isCold(B->m_State);
-  return lessLoaded(A, B);
-}
-
 Candidates findCandidates(const OwnerPool &Pool,
                           const PlacementRequest &Request, Millis Now) {
   std::uint32_t Limit = boundLimit(
@@ -67,7 +59,7 @@
     if (lessLoaded(Target, Best.m_Holder) &&
         heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0)
       Best.m_Holder = &Target;
-    if (betterLeast(Target, Best.m_Least))
+    if (lessLoaded(Target, Best.m_Least))
       Best.m_Least = &Target;
   }
   return Best;
@@ -209,6 +201,15 @@
   return startRequest(At.m_State);
 }
 
+void noteFirstTokenAt(OwnerPool &Pool, const TargetId &Target,
+                      std::uint32_t Stage, Millis FirstToken,
+                      Millis PoolMedian) {
+  auto It = Pool.m_Targets.find(Target);
+  if (It != Pool.m_Targets.end() &&
+      noteFirstToken(It->second.m_State, Stage, FirstToken, PoolMedian))
+    clearPrefixes(It->second.m_Prefixes);
+}
+
 void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now) {
   auto It = Pool.m_Targets.find(Ended.m_Target);
   if (It == Pool.m_Targets.end())
--- a/src/daemon/process/replay/command.cpp
+++ b/src/daemon/process/replay/command.cpp
@@ -20,7 +20,7 @@
   double m_Bound = 1.25;
   bool m_Json = false;
   FleetOptions m_Options;
-  std::int64_t m_RenewMillis = 1000;
+  std::int64_t m_RenewMillis = 500;
   std::int64_t m_WaitPerThousand = 300;
   std::int64_t m_WaitLatency = 800;
   std::int64_t m_WaitBatch = 10000;
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -10,6 +10,8 @@
 constexpr double PlacedBytes = 110;
 constexpr std::size_t FirstTokenWindow = 64;
 constexpr Millis TickInterval{20};
+/// A full pool is asked again only after this time.
+constexpr Millis WalkPause{100};
 
 ReplayRouter *findRouter(Fleet &All, const NodeId &Id) {
   for (ReplayRouter &Router : All.m_Routers)
@@ -141,7 +143,10 @@
   Waiting.m_Cost =
       1 + static_cast<std::uint32_t>(Request.m_Prompt.m_Value / 4000);
   Waiting.m_EnteredAt = All.m_World->m_Now;
-  Waiting.m_Deadline = Request.m_At + Request.m_Deadline;
+  // The deadline is for the start of the answer; a broken stream gets it anew.
+  bool Started = All.m_World->m_Requests[Index].m_Attempt > 0;
+  Waiting.m_Deadline =
+      (Started ? All.m_World->m_Now : Request.m_At) + Request.m_Deadline;
   return Waiting;
 }
 
@@ -183,16 +188,8 @@
   Ended.m_Chat = chatKey(Request.m_Chat);
   Ended.m_Stage = Kept.m_Stage;
   Ended.m_Complete = Complete;
-  if (Complete)
-    Ended.m_FirstToken = Kept.m_FirstToken;
-  Ended.m_PoolMedian = medianFirstToken(Owner);
   Ended.m_Tokens = Request.m_Prompt + Request.m_Answer;
   endAt(Owner.m_Pool, Ended, All.m_World->m_Now);
-  if (!Complete)
-    return;
-  Owner.m_FirstTokens.push_back(Kept.m_FirstToken.m_Value);
-  if (Owner.m_FirstTokens.size() > FirstTokenWindow)
-    Owner.m_FirstTokens.pop_front();
 }
 
 void wake(Fleet &All, ReplayRouter &Router) {
@@ -298,15 +295,17 @@
   auto May = [&Router](const AccountId &Account) {
     return mayStart(Router.m_Accounts, Account);
   };
-  while (Router.m_Queue.m_Size > 0) {
+  while (Router.m_Queue.m_Size > 0 && Router.m_NextWalk <= Now) {
     std::optional<WaitingRequest> Next = dequeue(Router.m_Queue, May, Now);
     if (!Next)
       return;
     AccountId Account = Next->m_Account;
     std::uint32_t Index =
         static_cast<std::uint32_t>(std::stoul(Next->m_Request.m_Value));
-    if (!tryPlace(All, Router, Index))
+    if (!tryPlace(All, Router, Index)) {
+      Router.m_NextWalk = Now + WalkPause;
       return requeue(Router.m_Queue, std::move(*Next), 1);
+    }
     --Router.m_Accounts.m_Accounts[Account].m_Waiting;
   }
 }
@@ -356,6 +355,20 @@
   enter(All, *Entry, Index);
 }
 
+void fleetFirstToken(Fleet &All, std::uint32_t Index) {
+  const RequestState &Kept = All.m_World->m_Requests[Index];
+  ReplayRouter &Owner = All.m_Routers[Kept.m_Owner];
+  if (Kept.m_Phase != RequestPhase::Running ||
+      Owner.m_FrozenUntil > All.m_World->m_Now)
+    return;
+  noteFirstTokenAt(Owner.m_Pool,
+                   All.m_World->m_Engines[Kept.m_Engine].m_Settings.m_Id,
+                   Kept.m_Stage, Kept.m_FirstToken, medianFirstToken(Owner));
+  Owner.m_FirstTokens.push_back(Kept.m_FirstToken.m_Value);
+  if (Owner.m_FirstTokens.size() > FirstTokenWindow)
+    Owner.m_FirstTokens.pop_front();
+}
+
 void fleetFinish(Fleet &All, std::uint32_t Index) {
   const TraceRequest &Request = All.m_World->m_Trace->m_Requests[Index];
   const RequestState &Kept = All.m_World->m_Requests[Index];
@@ -389,7 +402,7 @@
     Failed.m_Reason = RetryReason::StreamContinued;
     Failed.m_Attempt = Attempt(Kept.m_Attempt);
     Failed.m_Idempotent = true;
-    Failed.m_TimeLeft = Request.m_At + Request.m_Deadline - State.m_Now;
+    Failed.m_TimeLeft = Request.m_Deadline;
     endForAccount(Entry.m_Accounts, Failed.m_Account);
     if (decideRetry(Entry.m_Retries, Failed, State.m_Now) !=
         RetryVerdict::Retry) {
--- a/src/daemon/process/replay/fleet.hpp
+++ b/src/daemon/process/replay/fleet.hpp
@@ -47,6 +47,8 @@
   OwnerPool m_Pool;
   AccountTable m_Accounts;
   AdmissionQueue m_Queue;
+  /// No walk for waiting requests before this time, after one that failed.
+  Millis m_NextWalk;
   RetryTable m_Retries;
   std::deque<std::int64_t> m_FirstTokens;
   std::deque<GrantInFlight> m_Grants;
@@ -105,6 +107,7 @@
 Fleet makeFleet(World &State, const FleetOptions &Options);
 void fleetTick(Fleet &All);
 void fleetArrive(Fleet &All, std::uint32_t Request);
+void fleetFirstToken(Fleet &All, std::uint32_t Request);
 void fleetFinish(Fleet &All, std::uint32_t Request);
 void fleetEvent(Fleet &All, const TraceEvent &Event);
 
--- a/src/daemon/process/replay/generate.cpp
+++ b/src/daemon/process/replay/generate.cpp
@@ -164,8 +164,10 @@
   double End = static_cast<double>(Gen.m_Trace.m_Duration.m_Value);
   for (std::size_t I = 0; I < Active; ++I) {
     Gen.m_Chats.push_back(newChat(Gen));
-    Gen.m_Turns.push(Turn{uniform(Gen.m_Random) * Gen.m_Shape.m_MeanPause,
-                          static_cast<std::uint32_t>(I)});
+    // The first requests come when routers have their leases.
+    Gen.m_Turns.push(
+        Turn{1000 + uniform(Gen.m_Random) * Gen.m_Shape.m_MeanPause,
+             static_cast<std::uint32_t>(I)});
   }
   while (!Gen.m_Turns.empty() && Gen.m_Turns.top().m_At < End) {
     Turn Next = Gen.m_Turns.top();
--- a/src/daemon/process/replay/replay.cpp
+++ b/src/daemon/process/replay/replay.cpp
@@ -76,6 +76,11 @@
   case WorldEventKind::Arrive:
     return State.m_Fleet ? fleetArrive(*State.m_Fleet, Event.m_Index)
                          : dispatchDirectly(State, Event.m_Index);
+  case WorldEventKind::FirstToken:
+    if (State.m_Fleet &&
+        W.m_Requests[Event.m_Index].m_Attempt == Event.m_Attempt)
+      fleetFirstToken(*State.m_Fleet, Event.m_Index);
+    return;
   case WorldEventKind::Finish: {
     const RequestState &Request = W.m_Requests[Event.m_Index];
     if (Request.m_Phase != RequestPhase::Running ||
--- a/src/daemon/process/replay/world.cpp
+++ b/src/daemon/process/replay/world.cpp
@@ -148,6 +148,8 @@
   ++Engine.m_Running;
   Engine.m_Requests.insert(Index);
   rememberChat(Engine.m_Cache, Chat, Asked.m_Prompt);
+  scheduleEvent(State, {State.m_Now + Request.m_FirstToken, 0,
+                        WorldEventKind::FirstToken, Index, Request.m_Attempt});
   scheduleEvent(State, {State.m_Now + Millis(static_cast<std::int64_t>(Run)), 0,
                         WorldEventKind::Finish, Index, Request.m_Attempt});
 }
--- a/src/daemon/process/replay/world.hpp
+++ b/src/daemon/process/replay/world.hpp
@@ -83,7 +83,13 @@
   double m_MovedExcess = 0;
 };
 
-enum class WorldEventKind : std::uint8_t { Arrive, Finish, Trace, EngineUp };
+enum class WorldEventKind : std::uint8_t {
+  Arrive,
+  FirstToken,
+  Finish,
+  Trace,
+  EngineUp,
+};
 
 struct WorldEvent {
   Millis m_At;
