--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -27,10 +27,18 @@
   pids+=($!)
 }
 
+# Another process on one of the ports would otherwise answer in place of ours.
+all_run() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -0 "$pid" 2>/dev/null || { echo "demo: a process ended early; see $run/*.log" >&2; exit 1; }
+  done
+}
+
 wait_for() {
   local what=$1 tries=100
   shift
-  until "$@" >/dev/null 2>&1; do
+  until all_run && "$@" >/dev/null 2>&1; do
     tries=$((tries - 1))
     if [ "$tries" -eq 0 ]; then
       echo "demo: $what did not become ready; see $run/*.log" >&2
@@ -51,7 +59,7 @@
 
 section "the document, section by section"
 for name in zones services model_versions accounts limits; do
-  "$ferry" document edit "$name" "examples/document/$name.json" --expect 0 "${operator[@]}"
+  "$ferry" document edit "$name" "examples/document/$name.json" --expected-version 0 "${operator[@]}"
 done
 for i in 1 2; do start "router-$i" "$ferry" router --settings "examples/router-$i.json"; done
 for i in 1 2; do wait_for "router-$i" curl -sf "http://127.0.0.1:1860$i/readyz"; done
