Write histories from the load generator and the emulated targets

Change: the load generator writes call lines and the emulated targets run lines in the format of docs/history.md, so that check-history can judge a run.

--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -61,6 +61,8 @@
   Engine.m_Stats.m_PromptTokens += Work->m_PromptTokens;
   Engine.m_Stats.m_CachedTokens += Work->m_CachedTokens;
   ++Engine.m_Runs[RequestId];
+  recordRun(Engine.m_Options.m_Record, Engine.m_Options.m_Name,
+            Body.value("user", RequestId), "");
   Engine.m_Generations[RequestId] = Work;
   return Work;
 }
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -25,6 +25,8 @@
   bool m_ChecksFencing = true;
   /// Reports by /load are this old.
   std::uint32_t m_ReportLagMs = 0;
+  /// File for "run" lines of a history; empty for none.
+  std::string m_Record;
   /// A stream without a connection is cancelled after this time.
   std::uint32_t m_ResumeWindowMs = 10000;
 };
--- a/src/standin/http_server.cpp
+++ b/src/standin/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.hpp"
 
+#include <fstream>
 #include <glib-unix.h>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -80,6 +81,20 @@
                                    SOUP_MEMORY_COPY, Text.data(), Text.size());
 }
 
+void recordRun(const std::string &File, const std::string &Target,
+               const std::string &Request, const std::string &Key) {
+  if (File.empty())
+    return;
+  nlohmann::json Line = {
+      {"op", "run"},
+      {"target", Target},
+      {"request", Request},
+      {"time", static_cast<double>(g_get_monotonic_time()) / 1000}};
+  if (!Key.empty())
+    Line["key"] = Key;
+  std::ofstream(File, std::ios_base::app) << Line << "\n";
+}
+
 void dropConnection(SoupServerMessage *Message) {
   GSocket *Socket = soup_server_message_get_socket(Message);
   if (Socket)
--- a/src/standin/http_server.hpp
+++ b/src/standin/http_server.hpp
@@ -20,6 +20,9 @@
 std::string queryValue(SoupServerMessage *Message, const char *Name);
 void answerJson(SoupServerMessage *Message, int HttpStatus,
                 const nlohmann::json &Body);
+/// Appends a "run" line of docs/history.md to a file; nothing without a file.
+void recordRun(const std::string &File, const std::string &Target,
+               const std::string &Request, const std::string &Key);
 /// Closes the connection without an answer.
 void dropConnection(SoupServerMessage *Message);
 
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <xxhash.h>
 
 namespace vanillaferry::standin {
 
@@ -70,6 +71,15 @@
   std::uint32_t m_Try = 0;
 };
 
+/// How a call ended, for the history.
+struct CallOutcome {
+  const char *m_Kind = "answer";
+  bool m_Whole = false;
+  bool m_NotRun = false;
+  /// What came is a part of the expected answer.
+  bool m_OwnText = true;
+};
+
 using CallPtr = std::shared_ptr<Call>;
 
 void sendCall(const CallPtr &Self);
@@ -115,20 +125,31 @@
   return Parsed;
 }
 
-void writeHistory(const Call &Ended, const std::string &Outcome) {
+std::string hashOf(const std::string &Text) {
+  return std::to_string(XXH3_64bits(Text.data(), Text.size()));
+}
+
+/// One "call" line of docs/history.md.
+void writeHistory(const Call &Ended, const CallOutcome &Outcome) {
   std::ofstream &Out = Ended.m_Load->m_History;
   if (!Out.is_open())
     return;
-  Out << json({{"kind", "answer"},
+  Out << json({{"op", "call"},
                {"request", Ended.m_RequestId},
-               {"chat", Ended.m_Load->m_Chats[Ended.m_Chat].m_Id},
-               {"outcome", Outcome},
-               {"start_ms", Ended.m_SentUs / 1000},
-               {"end_ms", g_get_monotonic_time() / 1000}})
+               {"start", static_cast<double>(Ended.m_SentUs) / 1000},
+               {"end", static_cast<double>(g_get_monotonic_time()) / 1000},
+               {"outcome", Outcome.m_Kind},
+               {"complete", Outcome.m_Whole},
+               {"not_run", Outcome.m_NotRun},
+               {"sent", hashOf(answerText(Ended.m_Expected))},
+               {"received", Outcome.m_OwnText
+                                ? hashOf(answerText(Ended.m_Expected))
+                                : hashOf(Ended.m_Received)}})
       << "\n";
 }
 
-void endCall(const CallPtr &Self, const std::string &Outcome, bool Whole) {
+void endCall(const CallPtr &Self, const CallOutcome &Outcome) {
+  bool Whole = Outcome.m_Whole;
   Load &L = *Self->m_Load;
   Chat &C = L.m_Chats[Self->m_Chat];
   writeHistory(*Self, Outcome);
@@ -148,25 +169,42 @@
     g_main_loop_quit(L.m_Loop);
 }
 
-std::string refusalOf(const std::string &Body) {
+struct ParsedRefusal {
+  std::string m_Name = "unnamed";
+  bool m_NotRun = false;
+};
+
+ParsedRefusal parseRefusal(const std::string &Body) {
+  ParsedRefusal Parsed;
   json Value = json::parse(Body, nullptr, false);
   if (!Value.is_object() || !Value.contains("error"))
-    return "";
-  return Value["error"].value("name", std::string("unnamed"));
+    return Parsed;
+  Parsed.m_Name = Value["error"].value("name", Parsed.m_Name);
+  Parsed.m_NotRun = Value["error"].contains("not_run") &&
+                    Value["error"]["not_run"] == json(true);
+  return Parsed;
+}
+
+void checkRefusal(const CallPtr &Self) {
+  Load &L = *Self->m_Load;
+  ParsedRefusal Parsed = parseRefusal(Self->m_Received);
+  CallOutcome Outcome;
+  Outcome.m_Kind = "refused";
+  Outcome.m_NotRun = Parsed.m_NotRun;
+  if (Parsed.m_NotRun && Self->m_Try < L.m_Options.m_Retries) {
+    ++Self->m_Try;
+    sendCall(Self);
+    return;
+  }
+  ++L.m_Result.m_Refused[Parsed.m_Name];
+  endCall(Self, Outcome);
 }
 
 void checkAnswer(const CallPtr &Self) {
   Load &L = *Self->m_Load;
   LoadResult &R = L.m_Result;
   if (soup_message_get_status(Self->m_Message) != SOUP_STATUS_OK) {
-    std::string Name = refusalOf(Self->m_Received);
-    if (Self->m_Try < L.m_Options.m_Retries) {
-      ++Self->m_Try;
-      sendCall(Self);
-      return;
-    }
-    ++R.m_Refused[Name.empty() ? "unnamed" : Name];
-    endCall(Self, "refused:" + Name, false);
+    checkRefusal(Self);
     return;
   }
   ParsedStream Parsed = parseStream(Self->m_Received);
@@ -180,7 +218,9 @@
     const char *Placement = soup_message_headers_get_one(
         soup_message_get_response_headers(Self->m_Message), "X-Placement");
     ++R.m_ByPlacement[Placement ? Placement : "none"];
-    endCall(Self, "whole", true);
+    CallOutcome Outcome;
+    Outcome.m_Whole = true;
+    endCall(Self, Outcome);
     return;
   }
   bool Prefix = Expected.compare(0, Parsed.m_Text.size(), Parsed.m_Text) == 0;
@@ -190,11 +230,10 @@
     ++R.m_ExplicitErrors;
   else
     ++R.m_Lost;
-  endCall(Self,
-          !Prefix          ? "wrong"
-          : Parsed.m_Error ? "error_event"
-                           : "lost",
-          false);
+  CallOutcome Outcome;
+  Outcome.m_Kind = Parsed.m_Error ? "refused" : "answer";
+  Outcome.m_OwnText = Prefix;
+  endCall(Self, Outcome);
 }
 
 void releaseCall(const CallPtr &Self) {
@@ -204,7 +243,9 @@
 
 void failCall(const CallPtr &Self) {
   ++Self->m_Load->m_Result.m_Lost;
-  endCall(Self, "lost", false);
+  CallOutcome Outcome;
+  Outcome.m_Kind = "nothing";
+  endCall(Self, Outcome);
 }
 
 void readMore(const CallPtr &Self);
@@ -300,6 +341,8 @@
   Self->m_Load = &L;
   Self->m_Chat = Index;
   Self->m_RequestId = "load-" + std::to_string(L.m_Random());
+  // Engines record it, whatever request id the router sends.
+  Body["user"] = Self->m_RequestId;
   Self->m_Body = Body.dump();
   std::bernoulli_distribution IsBatch(L.m_Options.m_BatchShare);
   Self->m_Priority = IsBatch(L.m_Random) ? "batch" : "latency";
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -30,6 +30,8 @@
                       "Refuse orders with an old fencing token");
   Command->add_option("--report-lag-ms", Options.m_ReportLagMs,
                       "Age of load reports");
+  Command->add_option("--record", Options.m_Record,
+                      "File for run lines of a history");
   Command->add_option("--resume-window-ms", Options.m_ResumeWindowMs,
                       "How long a broken stream can be resumed");
   Command->callback([&Options, &Code] { Code = runEngine(Options); });
@@ -40,6 +42,8 @@
   Command->add_option("--name", Options.m_Name, "Name in answers");
   Command->add_option("--port", Options.m_Port, "Port")->required();
   Command->add_option("--delay-ms", Options.m_DelayMs, "Time for each call");
+  Command->add_option("--record", Options.m_Record,
+                      "File for run lines of a history");
   Command->callback([&Options, &Code] { Code = runService(Options); });
 }
 
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -79,6 +79,9 @@
   if (Key.empty())
     Key = requestHeader(Message, "X-Request-Id");
   ++Service.m_Runs[Key];
+  recordRun(Service.m_Options.m_Record, Service.m_Options.m_Name,
+            requestHeader(Message, "X-Request-Id"),
+            requestHeader(Message, "Idempotency-Key"));
   std::uint64_t Run = Service.m_NextRun++;
   if (Faults.m_RunAndClose != 0) {
     --Faults.m_RunAndClose;
--- a/src/standin/service.hpp
+++ b/src/standin/service.hpp
@@ -10,6 +10,8 @@
   std::string m_Name = "service";
   std::uint16_t m_Port = 0;
   std::uint32_t m_DelayMs = 5;
+  /// File for "run" lines of a history; empty for none.
+  std::string m_Record;
 };
 
 int runService(const ServiceOptions &Options);
