--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -18,7 +18,12 @@
   int Code = ExitOk;
   addBenchCommand(App, Code);
   addKeeperCommand(App, Code);
+  addDocumentCommands(App, Code);
+  addZoneCommands(App, Code);
+  addFleetCommands(App, Code);
+  addKeeperSetCommands(App, Code);
   addCheckSettingsCommand(App, Code);
+  addCheckHistoryCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
--- a/src/daemon/process/replay/world.hpp
+++ b/src/daemon/process/replay/world.hpp
@@ -76,11 +76,20 @@
   /// Time to the first token of accounts that do not surge, while one does.
   std::vector<std::int64_t> m_OthersFirstToken;
   std::vector<std::int64_t> m_OthersQueued;
+  /// Of all latency-critical requests after the warm-up.
+  std::vector<std::int64_t> m_FirstToken;
+  std::vector<std::int64_t> m_Queued;
   double m_MovedShare = 0;
   double m_MovedExcess = 0;
 };
 
-enum class WorldEventKind : std::uint8_t { Arrive, Finish, Trace, EngineUp };
+enum class WorldEventKind : std::uint8_t {
+  Arrive,
+  FirstToken,
+  Finish,
+  Trace,
+  EngineUp,
+};
 
 struct WorldEvent {
   Millis m_At;
