--- a/src/daemon/connection/internal/peer_endpoint.hpp
+++ b/src/daemon/connection/internal/peer_endpoint.hpp
@@ -28,8 +28,8 @@
   using rng_type = MaskRandom;
   static bool const enable_multithreading = false; // NOLINT
 
-  struct transport_config
-      : public base::transport_config { // NOLINT: given name
+  // NOLINTNEXTLINE(readability-identifier-naming): name given by websocketpp
+  struct transport_config : public base::transport_config {
     using concurrency_type = type::concurrency_type;
     using alog_type = type::alog_type;
     using elog_type = type::elog_type;
--- a/tests/process/Keepers.tests.cpp
+++ b/tests/process/Keepers.tests.cpp
@@ -240,6 +240,52 @@
   requireZone(Fleet, 1, "a");
 }
 
+// Guards against an edit that is accepted on the leader's word alone.
+BOOST_AUTO_TEST_CASE(AnEditIsNotAcceptedWithoutAQuorum) {
+  KeeperFleet Fleet(3);
+  std::size_t Leader = form(Fleet);
+  Fleet.process((Leader + 1) % 3).freeze();
+  Fleet.process((Leader + 2) % 3).freeze();
+  OperatorReply Reply = httpCall(Fleet.httpUrl(Leader),
+                                 {"PUT",
+                                  "/document/zones?wait_ms=0",
+                                  {{"If-Match", "0"}, {"X-Edit-Id", "e1"}},
+                                  zonesWith("a").dump()},
+                                 8000);
+  BOOST_TEST(!accepted(Reply), Reply.m_Body.dump());
+  Fleet.process(Leader).kill();
+  Fleet.wipe(Leader);
+  Fleet.process((Leader + 1) % 3).thaw();
+  Fleet.process((Leader + 2) % 3).thaw();
+  BOOST_REQUIRE_LT(Fleet.waitForLeader(), Fleet.size());
+  // A resend is one edit, whatever became of the first try.
+  BOOST_TEST(accepted(Fleet.edit("zones", 0, "e1", zonesWith("a"))));
+  requireZone(Fleet, 1, "a");
+}
+
+// Guards against a keeper that goes on after a failed write, and against the
+// others stopping with it.
+BOOST_AUTO_TEST_CASE(AKeeperWithAFullDiskStopsAndTheOthersContinue) {
+  KeeperFleet Fleet(3);
+  constexpr std::int64_t DiskBytes = 32 * 1024;
+  Fleet.start(0, true);
+  Fleet.start(1, true);
+  Fleet.start(2, true, DiskBytes);
+  BOOST_REQUIRE_LT(Fleet.waitForLeader(), Fleet.size());
+  for (std::uint64_t Number = 0; Number < 30; ++Number) {
+    json Content = zonesWith(zoneName(Number));
+    for (int Filler = 0; Filler < 30; ++Filler)
+      Content["zones"].push_back(
+          {{"id", "filler-" + std::to_string(Filler)}, {"in_service", true}});
+    BOOST_REQUIRE(accepted(
+        Fleet.edit("zones", Number, "e" + std::to_string(Number), Content)));
+  }
+  BOOST_TEST(Fleet.process(2).waitForExit(10000) == 6);
+  BOOST_TEST(Fleet.output(2).find(" 2002 ") != std::string::npos);
+  BOOST_TEST(Fleet.waitForLeader() < 2U);
+  requireZone(Fleet, 30, zoneName(29));
+}
+
 // Guards against snapshots and truncation losing edits: several snapshots are
 // taken on the way, and every process restarts from them.
 BOOST_AUTO_TEST_CASE(HundredsOfEditsOutliveARestartOfEveryProcess) {
--- a/tests/process/ProcessFleet.cpp
+++ b/tests/process/ProcessFleet.cpp
@@ -11,6 +11,7 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -82,7 +83,8 @@
 
 void ChildProcess::start(const std::string &Binary,
                          const std::vector<std::string> &Arguments,
-                         const std::string &OutputPath) {
+                         const std::string &OutputPath,
+                         std::int64_t FileSizeLimit) {
   kill();
   std::vector<char *> Argv;
   Argv.push_back(const_cast<char *>(Binary.c_str()));
@@ -96,6 +98,13 @@
     ::close(Output);
     return;
   }
+  if (FileSizeLimit > 0) {
+    rlimit Limit = {static_cast<rlim_t>(FileSizeLimit),
+                    static_cast<rlim_t>(FileSizeLimit)};
+    ::setrlimit(RLIMIT_FSIZE, &Limit);
+    // The write fails with an error in place of a signal.
+    ::signal(SIGXFSZ, SIG_IGN);
+  }
   ::dup2(Output, STDOUT_FILENO);
   ::dup2(Output, STDERR_FILENO);
   ::execv(Binary.c_str(), Argv.data());
@@ -203,14 +212,15 @@
                                       {"sections", json::array({"*"})}}})}};
 }
 
-void KeeperFleet::start(std::size_t Index, bool Initialize) {
+void KeeperFleet::start(std::size_t Index, bool Initialize,
+                        std::int64_t FileSizeLimit) {
   std::vector<std::string> Arguments = {"keeper", "--settings",
                                         settingsPath(Index)};
   if (Initialize)
     Arguments.push_back("--initialize");
-  m_Keepers[Index].m_Process.start(VANILLAFERRY_BINARY, Arguments,
-                                   m_Folder.path() + "/" +
-                                       m_Keepers[Index].m_Name + ".log");
+  m_Keepers[Index].m_Process.start(
+      VANILLAFERRY_BINARY, Arguments,
+      m_Folder.path() + "/" + m_Keepers[Index].m_Name + ".log", FileSizeLimit);
 }
 
 void KeeperFleet::startAll(bool Initialize) {
--- a/tests/process/ProcessFleet.hpp
+++ b/tests/process/ProcessFleet.hpp
@@ -39,9 +39,11 @@
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
 
+  /// With a limit, writes beyond that many bytes of a file fail, as on a full
+  /// disk.
   void start(const std::string &Binary,
              const std::vector<std::string> &Arguments,
-             const std::string &OutputPath);
+             const std::string &OutputPath, std::int64_t FileSizeLimit = 0);
   bool started() const { return m_Pid > 0; }
   pid_t pid() const { return m_Pid; }
   void signal(int Number) const;
@@ -78,7 +80,8 @@
                        const nlohmann::json &Extra = nlohmann::json::object());
 
   std::size_t size() const { return m_Keepers.size(); }
-  void start(std::size_t Index, bool Initialize = false);
+  void start(std::size_t Index, bool Initialize = false,
+             std::int64_t FileSizeLimit = 0);
   void startAll(bool Initialize = false);
   void wipe(std::size_t Index);
   ChildProcess &process(std::size_t Index) {
