--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -16,12 +16,14 @@
   App.set_version_flag("--version", VANILLAFERRY_VERSION);
   App.require_subcommand(1);
   int Code = ExitOk;
+  addBenchCommand(App, Code);
   addKeeperCommand(App, Code);
   addDocumentCommands(App, Code);
   addZoneCommands(App, Code);
   addFleetCommands(App, Code);
   addKeeperSetCommands(App, Code);
   addCheckSettingsCommand(App, Code);
+  addCheckHistoryCommand(App, Code);
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
