--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -96,12 +96,15 @@
   if (!Started)
     return Started.error();
   Self.m_Peers = std::move(Started.value());
-  if (Self.m_Formation.m_State == FormationState::Forming)
-    for (const InitialKeeper &Member : Self.m_Formation.m_Members)
-      if (Member.m_Keeper != Self.m_Formation.m_Keeper) {
-        Self.m_Peers->connect(Member.m_PeerUrl);
-        Self.m_Dialled.insert(Member.m_PeerUrl);
-      }
+  // A fresh keeper shows itself to the others, so that their status names it.
+  bool Forming = Self.m_Formation.m_State == FormationState::Forming;
+  std::string Own = "ws://" + Self.m_Settings.m_Peer.m_Address + ":" +
+                    std::to_string(Self.m_Settings.m_Peer.m_Port);
+  for (const InitialKeeper &Member :
+       Forming ? Self.m_Formation.m_Members : Self.m_Settings.m_InitialKeepers)
+    if (Member.m_PeerUrl != Own &&
+        Self.m_Dialled.insert(Member.m_PeerUrl).second)
+      Self.m_Peers->connect(Member.m_PeerUrl);
   return boost::outcome_v2::success();
 }
 
--- a/src/daemon/process/keeper_api_document.cpp
+++ b/src/daemon/process/keeper_api_document.cpp
@@ -30,6 +30,16 @@
           {"content", contentOf(Content.m_Json)}};
 }
 
+json documentJson(const Keeper &Self, bool Confirmed) {
+  const Document &Doc = Self.m_State.m_Document;
+  json Sections = json::object();
+  for (const std::pair<const SectionName, Section> &Row : Doc.m_Sections)
+    Sections[Row.first.m_Value] = sectionJson(Row.first, Row.second);
+  return {{"version", Doc.m_Version.m_Value},
+          {"confirmed", Confirmed},
+          {"sections", Sections}};
+}
+
 /// Version of an If-Match field, with or without quotes.
 std::optional<std::uint64_t> readVersion(std::string Text) {
   if (Text.size() >= 2 && Text.front() == '"' && Text.back() == '"')
@@ -170,13 +180,13 @@
 
 void getDocument(Keeper &Self, const ExchangePtr &Exchange) {
   Keeper *Raw = &Self;
+  // For operators who lost the quorum; it may be older than what is in force.
+  if (Exchange->query("local") == "1") {
+    Exchange->answer(200, documentJson(Self, false));
+    return;
+  }
   afterConfirmedRead(Self, Exchange, [Raw, Exchange] {
-    const Document &Doc = Raw->m_State.m_Document;
-    json Sections = json::object();
-    for (const std::pair<const SectionName, Section> &Row : Doc.m_Sections)
-      Sections[Row.first.m_Value] = sectionJson(Row.first, Row.second);
-    Exchange->answer(
-        200, {{"version", Doc.m_Version.m_Value}, {"sections", Sections}});
+    Exchange->answer(200, documentJson(*Raw, true));
   });
 }
 
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -173,7 +173,8 @@
 
 /// Answers once the change of the keeper set is committed.
 void answerSetChange(Keeper &Self, const ExchangePtr &Exchange,
-                     ProposeError Refused, ReplicaActions Actions) {
+                     ProposeError Refused, ReplicaActions Actions,
+                     const std::string &Promoted = std::string()) {
   if (Refused == ProposeError::NotLeader)
     return answerNotLeader(Self, *Exchange);
   if (Refused != ProposeError::None) {
@@ -184,9 +185,11 @@
   Keeper *Raw = &Self;
   awaitApplied(
       Self, lastIndex(Self.m_Replica),
-      [Raw, Exchange](const CommandAnswer *Applied) {
+      [Raw, Exchange, Promoted](const CommandAnswer *Applied) {
         if (!Applied)
           return answerLeaderLost(*Raw, *Exchange);
+        if (!Promoted.empty())
+          logEvent(Event::KeeperRepairComplete, {{"keeper", Promoted}});
         Exchange->answer(200, {{"keepers", keepersJson(*Raw, monotonicNow())}});
       });
   perform(Self, std::move(Actions));
@@ -236,9 +239,7 @@
   ReplicaActions Actions;
   ProposeError Refused =
       promoteLearner(Self.m_Replica, KeeperId(Id), Actions, monotonicNow());
-  if (Refused == ProposeError::None)
-    logEvent(Event::KeeperRepairComplete, {{"keeper", Id}});
-  answerSetChange(Self, Exchange, Refused, std::move(Actions));
+  answerSetChange(Self, Exchange, Refused, std::move(Actions), Id);
 }
 
 void deleteKeeper(Keeper &Self, const ExchangePtr &Exchange,
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -278,7 +278,10 @@
 }
 
 void dialKeepers(Keeper &Self) {
-  if (Self.m_DialledSet == Self.m_Replica.m_SetIndex)
+  // A fresh keeper keeps its links to the keepers of its settings until it is
+  // a member of a set.
+  if (Self.m_DialledSet == Self.m_Replica.m_SetIndex ||
+      Self.m_Replica.m_Set.m_Voters.empty())
     return;
   Self.m_DialledSet = Self.m_Replica.m_SetIndex;
   std::set<std::string> Wanted;
--- a/tests/process/Keepers.tests.cpp
+++ b/tests/process/Keepers.tests.cpp
@@ -228,6 +228,46 @@
   BOOST_TEST(accepted(Fleet.edit("zones", 1, "e2", zonesWith("b"))));
 }
 
+// Guards against a leader that cannot be replaced in good order, and against a
+// document that nobody can read once the quorum is lost.
+BOOST_AUTO_TEST_CASE(ALeaderThatIsRemovedHandsOver) {
+  KeeperFleet Fleet(3);
+  std::size_t Leader = form(Fleet);
+  BOOST_REQUIRE(accepted(Fleet.edit("zones", 0, "e1", zonesWith("a"))));
+  std::string Id = "k" + std::to_string(Leader + 1);
+  OperatorReply Removed = httpCall(Fleet.httpUrl(Leader),
+                                   {"DELETE", "/keepers/" + Id, {}, ""}, 10000);
+  BOOST_TEST(Removed.m_HttpStatus == 200, Removed.m_Body.dump());
+  BOOST_REQUIRE(waitUntil(
+      [&] {
+        std::size_t Next = Fleet.leader();
+        return Next < Fleet.size() && Next != Leader;
+      },
+      15000));
+  BOOST_TEST(accepted(Fleet.edit("zones", 1, "e2", zonesWith("b"))));
+  // Its identity is not taken back.
+  OperatorRequest Add{
+      "POST",
+      "/keepers",
+      {},
+      json{{"keeper", Id}, {"peer_url", Fleet.peerUrl(Leader)}}.dump()};
+  BOOST_TEST(
+      callKeepers(Fleet.operatorSettings(), Add, Millis(15000)).m_HttpStatus ==
+      409);
+  // Two voters are left; without one of them only local reads are possible.
+  std::size_t Last = (Leader + 1) % 3;
+  Fleet.process((Leader + 2) % 3).kill();
+  Fleet.process(Leader).kill();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  OperatorReply Local =
+      httpCall(Fleet.httpUrl(Last), {"GET", "/document?local=1", {}, ""});
+  BOOST_REQUIRE_EQUAL(Local.m_HttpStatus, 200);
+  BOOST_TEST(!Local.m_Body["confirmed"].get<bool>());
+  BOOST_TEST(Local.m_Body["sections"].contains("zones"));
+  BOOST_TEST(httpCall(Fleet.httpUrl(Last), {"GET", "/document", {}, ""})
+                 .m_HttpStatus == 503);
+}
+
 // Guards against an edit whose only copy was on the leader's disk.
 BOOST_AUTO_TEST_CASE(AnAcceptedEditOutlivesTheLeadersDisk) {
   KeeperFleet Fleet(3);
