--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -86,7 +86,7 @@
   /// a cold target.
   double m_SlowMultiple = 4.0;
   /// Up to this multiple it is evidence for a higher limit.
-  double m_WarmMultiple = 2.0;
+  double m_WarmMultiple = 1.5;
   /// That many slow first tokens in a row make a warm target cold.
   std::uint32_t m_SlowInRow = 3;
   /// A reported load below this share of the owner's own count, when that is
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -38,7 +38,7 @@
 
 struct WalkOptions {
   /// Ranked targets that are asked one by one: the home and the next ranks.
-  std::uint32_t m_Ranks = 3;
+  std::uint32_t m_Ranks = 4;
   /// Owners asked for any of their targets after that.
   std::uint32_t m_AnyOwners = 6;
 };
@@ -75,7 +75,7 @@
                WalkOptions Options = WalkOptions());
 
 /// The next owner to ask: the home, a holder that it names, the home again
-/// without its redirect, ranks 2 and 3, then other owners for any target.
+/// without its redirect, ranks 2 to 4, then other owners for any target.
 WalkStep nextStep(Walk &State, const RoutedPool &Pool);
 
 /// Takes the answer of the owner asked last.
@@ -141,8 +141,8 @@
 struct PlacementOptions {
   /// How long a request waits for a place at the target that holds its prefix:
   /// this long for each 1,000 tokens held, up to a limit.
-  Millis m_HolderWaitPerThousand{300};
-  Millis m_HolderWaitLatency{800};
+  Millis m_HolderWaitPerThousand{500};
+  Millis m_HolderWaitLatency{900};
   Millis m_HolderWaitBatch{10000};
   /// Requests that wait in this way at one owner and pool.
   std::size_t m_MaxParked = 256;
--- a/src/daemon/process/replay/command.cpp
+++ b/src/daemon/process/replay/command.cpp
@@ -21,8 +21,8 @@
   bool m_Json = false;
   FleetOptions m_Options;
   std::int64_t m_RenewMillis = 500;
-  std::int64_t m_WaitPerThousand = 300;
-  std::int64_t m_WaitLatency = 800;
+  std::int64_t m_WaitPerThousand = 500;
+  std::int64_t m_WaitLatency = 900;
   std::int64_t m_WaitBatch = 10000;
 };
 
--- a/src/daemon/process/replay/generate.cpp
+++ b/src/daemon/process/replay/generate.cpp
@@ -215,9 +215,9 @@
 
 void drawRestarts(Generator &Gen) {
   std::uint32_t Engines = Gen.m_Shape.m_Engines;
-  std::uint32_t PerMinute = std::max(1U, Engines / 20);
+  // One in twenty each minute.
   for (std::int64_t At = 60000; At < Gen.m_Trace.m_Duration.m_Value;
-       At += 60000 / PerMinute)
+       At += 20 * 60000 / Engines)
     Gen.m_Trace.m_Events.push_back(TraceEvent{
         Millis(At), TraceEventKind::EngineRestart,
         static_cast<std::uint32_t>(Gen.m_Random() % Engines), Millis(2000)});
