--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -28,7 +28,14 @@
 
 /// Each adds its subcommands; the callback stores the exit code.
 void addCheckSettingsCommand(CLI::App &App, int &Code);
+void addBenchCommand(CLI::App &App, int &Code);
+void addBenchDiskCommand(CLI::App &Bench, int &Code);
+void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
+void addDocumentCommands(CLI::App &App, int &Code);
+void addZoneCommands(CLI::App &App, int &Code);
+void addFleetCommands(CLI::App &App, int &Code);
+void addKeeperSetCommands(CLI::App &App, int &Code);
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -163,10 +163,10 @@
     return "identity_removed";
   case ProposeError::NoSuchKeeper:
     return "no_such_keeper";
-  case ProposeError::LastVoter:
-    return "last_voter";
   case ProposeError::QuorumAtRisk:
     return "quorum_at_risk";
+  case ProposeError::LastVoter:
+    return "last_voter";
   }
   return "unknown";
 }
