Close gaps in the tests that deliberate faults showed

The election maximum varies up to 800 ms, so that a leader that is cut off believes in itself long enough for stale reads.

--- a/tests/core/ReplicationHarness.cpp
+++ b/tests/core/ReplicationHarness.cpp
@@ -48,7 +48,8 @@
 
 Cluster::Cluster(std::uint64_t Seed, std::size_t Voters) : m_Random(Seed) {
   m_Options.m_ElectionMin = Millis(150);
-  m_Options.m_ElectionMax = Millis(300);
+  // A long maximum lets a leader that is cut off believe in itself for longer.
+  m_Options.m_ElectionMax = Millis(pick(200, 800));
   m_Options.m_HeartbeatInterval = Millis(30);
   m_Options.m_MaxEntriesPerMessage = static_cast<std::size_t>(pick(1, 8));
   m_Options.m_MaxUnacknowledged = static_cast<std::uint64_t>(pick(1, 32));
--- a/tests/core/ReplicationRules.tests.cpp
+++ b/tests/core/ReplicationRules.tests.cpp
@@ -182,6 +182,58 @@
   BOOST_TEST(receive(State, Request, Millis(5700)).m_Send.front().m_Granted);
 }
 
+// Guards against a vote of a keeper that may have forgotten an earlier one or
+// an entry that it acknowledged.
+BOOST_AUTO_TEST_CASE(RecreatedDiskGrantsNoVoteAndDoesNotStand) {
+  ReplicaRecovery Recovery;
+  Recovery.m_InitialSet = setOf(3);
+  Recovery.m_VotingAllowed = false;
+  Replica State = makeReplica(KeeperId("k1"), ReplicaOptions(),
+                              std::move(Recovery), 1, Millis(0));
+  Millis Late(5000);
+  BOOST_TEST(tick(State, Late).m_Send.empty());
+  BOOST_TEST(!receive(State, from("k2", ReplicaMessage::Kind::PreVote, 2), Late)
+                  .m_Send.front()
+                  .m_Granted);
+  BOOST_TEST(!receive(State, from("k2", ReplicaMessage::Kind::Vote, 2), Late)
+                  .m_SendAfterSync.front()
+                  .m_Granted);
+  ReplicaActions Actions = receive(State, append("k2", 2, 0, 0, {}), Late);
+  BOOST_TEST(Actions.m_Send.front().m_Regressed);
+}
+
+// Guards against an acknowledgement of a disk that has lost the entry since.
+BOOST_AUTO_TEST_CASE(EarlierAcknowledgementOfARegressedKeeperDoesNotCount) {
+  Replica State = keeperOne(3, 1, {});
+  elect(State);
+  BOOST_TEST(acknowledge(State, 1).m_Committed.empty());
+  ReplicaMessage Answer = from("k2", ReplicaMessage::Kind::ConfirmAnswer, 2);
+  Answer.m_Regressed = true;
+  ReplicaActions Actions = receive(State, Answer, Millis(5015));
+  BOOST_TEST(Actions.m_RegressedKeepers.size() == 1u);
+  BOOST_TEST(receive(State, Answer, Millis(5016)).m_RegressedKeepers.empty());
+  BOOST_TEST(
+      synced(State, LogIndex(1), Term(2), Millis(5020)).m_Committed.empty());
+  BOOST_TEST(!holdsQuorumLease(State, Millis(5020)));
+}
+
+// Guards against a set in which only a keeper that does not stand has a log
+// that is new enough.
+BOOST_AUTO_TEST_CASE(KeeperStandsUntilItsRemovalIsCommitted) {
+  KeeperSet Without = setOf(4);
+  Without.m_Voters.erase(Without.m_Voters.begin());
+  Without.m_Removed = {KeeperId("k1")};
+  LogEntry Removal = entry(1, 1);
+  Removal.m_Kind = EntryKind::KeeperSet;
+  Removal.m_Data = encodeKeeperSet(Without);
+  Replica State = keeperOne(4, 1, {Removal});
+  BOOST_TEST(tick(State, Millis(5000)).m_Send.size() == 3u);
+  ReplicaMessage Committed = append("k2", 1, 1, 1, {});
+  Committed.m_Commit = LogIndex(1);
+  receive(State, Committed, Millis(5010));
+  BOOST_TEST(tick(State, Millis(10000)).m_Send.empty());
+}
+
 // Guards against malformed messages that would tear holes into the log.
 BOOST_AUTO_TEST_CASE(AppendWithAGapIsIgnored) {
   Replica State = keeperOne(3, 1, {});
