Replace the list of departures by one flag in a grant

By the argument now in docs/state.md the list is not needed: a target can only be claimed twice when a node was itself no possible owner at an epoch that it skipped. Change: a grant carries m_Interrupted, kept per node in the state machine.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -39,13 +39,6 @@
   bool m_Leaving = false;
 };
 
-/// A node that stopped being a possible owner at an epoch: it was removed or
-/// is leaving.
-struct Departure {
-  Epoch m_Epoch;
-  NodeId m_Node;
-};
-
 /// Running requests of one pool at one owner.
 struct PoolLoad {
   PoolId m_Pool;
@@ -125,11 +118,9 @@
   /// All shares of this node, in place of the former ones. A share may be 0. An
   /// account that is not listed has none until the node reports demand for it.
   std::vector<AccountShare> m_Shares;
-  /// Departures since the acknowledged epoch. A node that skips an epoch learns
-  /// by them which of its targets another node owned meanwhile.
-  std::vector<Departure> m_Departed;
-  /// Set when the leader no longer knows all of them.
-  bool m_DepartedUnknown = false;
+  /// Set when the node was no possible owner at an epoch after the one that it
+  /// acknowledged; others may have owned its targets meanwhile.
+  bool m_Interrupted = false;
 };
 
 /// A keeper that does not lead names the leader; empty when unknown.
--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <vector>
 
 namespace vanillaferry {
 
@@ -19,11 +18,9 @@
   Millis m_Ends;
   Epoch m_Epoch;
   Epoch m_SafeEpoch;
-  /// Epoch of the grant that began the present unbroken lease.
+  /// Epoch of the grant since which the lease and the node's membership have
+  /// not been interrupted.
   Epoch m_HeldSince;
-  /// Departures that a grant reported, at the epoch of that grant, as long as
-  /// this epoch is not safe.
-  std::vector<Departure> m_Departed;
   DocumentVersion m_Version;
   std::uint64_t m_NextSequence = 1;
   /// Sequence of the newest grant taken, for Renew::m_AckedGrant.
@@ -47,9 +44,8 @@
 
 /// The check directly before a dispatch: the lease holds, the node owns the
 /// target under the members of the newest grant, and every former owner has
-/// stopped. A node whose lease was interrupted counts as a new owner of all its
-/// targets, and a node that skipped epochs as a new owner of those that a node
-/// which departed meanwhile may have owned.
+/// stopped. A node whose lease or membership was interrupted counts as a new
+/// owner of all its targets (docs/state.md).
 bool mayDispatchNow(const RouterLease &Lease, const OwnedTargets &Owned,
                     const TargetId &Target, Millis Now);
 
--- a/include/vanillaferry/process/ownership.hpp
+++ b/include/vanillaferry/process/ownership.hpp
@@ -19,11 +19,6 @@
 std::optional<NodeId> ownerOf(const Membership &Members,
                               const TargetId &Target);
 
-/// True when the first of two nodes comes before the second as an owner of the
-/// target.
-bool outranks(const NodeId &First, const NodeId &Second,
-              const TargetId &Target);
-
 /// Epoch since which the node has owned a target, kept across memberships.
 struct OwnedTargets {
   NodeId m_Node;
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -65,15 +65,14 @@
 struct JoinedIncarnations {
   std::deque<Incarnation> m_Joined;
   UnixMillis m_ChangedAt;
+  /// Epoch at which the node last stopped being a possible owner.
+  Epoch m_DepartedAt;
 };
 /// Incarnations remembered for each node.
 constexpr std::size_t JoinedIncarnationLimit = 16;
 /// How long the incarnations of a removed node are remembered; a message
 /// cannot be under way for that long.
 constexpr Millis JoinedIncarnationRetention{24LL * 3600 * 1000};
-/// Departures that are remembered; a router that missed more of them counts as
-/// a new owner of all its targets.
-constexpr std::size_t DepartureLimit = 1024;
 /// Finished engine orders that are kept for the status page.
 constexpr std::size_t FinishedOrderLimit = 1000;
 
@@ -84,10 +83,6 @@
   Epoch m_Epoch;
   std::map<NodeId, Member> m_Members;
   std::map<NodeId, JoinedIncarnations> m_Joined;
-  /// The newest departures, oldest first.
-  std::deque<Departure> m_Departures;
-  /// All departures above this epoch are in m_Departures.
-  Epoch m_DeparturesSince;
   Journal m_Journal;
   std::map<std::string, EngineOrder> m_Orders;
   UnixMillis m_Clock;
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -109,13 +109,12 @@
   Lease.m_AckedVersion = std::max(Lease.m_AckedVersion, Version);
 }
 
-void addDepartures(Grant &Granted, const StateMachine &State, Epoch Since) {
-  Granted.m_DepartedUnknown = Since < State.m_DeparturesSince;
-  if (Granted.m_DepartedUnknown)
-    return;
-  for (const Departure &Gone : State.m_Departures)
-    if (Since < Gone.m_Epoch)
-      Granted.m_Departed.push_back(Gone);
+/// True when the node was no possible owner at an epoch after this one.
+bool wasInterrupted(const StateMachine &State, const NodeId &Node,
+                    Epoch Since) {
+  std::map<NodeId, JoinedIncarnations>::const_iterator Found =
+      State.m_Joined.find(Node);
+  return Found != State.m_Joined.end() && Since < Found->second.m_DepartedAt;
 }
 
 Grant makeGrant(LeaseTable &Table, const StateMachine &State,
@@ -125,13 +124,11 @@
   Granted.m_Duration = Table.m_Options.m_LeaseTime;
   Granted.m_Epoch = State.m_Epoch;
   Granted.m_SafeEpoch = safeEpoch(Table, State, Now);
-  if (Request.m_AckedEpoch < State.m_Epoch) {
+  if (Request.m_AckedEpoch < State.m_Epoch)
     for (const std::pair<const NodeId, Member> &Row : State.m_Members)
       Granted.m_Members.push_back(Row.second);
-    // A node without a membership has none that it could have skipped from.
-    if (Request.m_AckedEpoch != Epoch(0))
-      addDepartures(Granted, State, Request.m_AckedEpoch);
-  }
+  Granted.m_Interrupted =
+      wasInterrupted(State, Request.m_Node, Request.m_AckedEpoch);
   Granted.m_Version = State.m_Document.m_Version;
   Granted.m_Sections =
       changedSections(State.m_Document, Request.m_AckedVersion);
--- a/src/core/process/node_lease.cpp
+++ b/src/core/process/node_lease.cpp
@@ -14,40 +14,6 @@
   return Millis(Granted.m_Value * (PerMille - DriftPerMille) / PerMille);
 }
 
-void noteDepartures(RouterLease &Lease, const Grant &Granted) {
-  if (Granted.m_Epoch <= Lease.m_Epoch)
-    return;
-  if (Granted.m_DepartedUnknown)
-    Lease.m_HeldSince = Granted.m_Epoch;
-  for (const Departure &Gone : Granted.m_Departed) {
-    if (Gone.m_Node == Lease.m_Node)
-      Lease.m_HeldSince = Granted.m_Epoch;
-    else
-      Lease.m_Departed.push_back({Granted.m_Epoch, Gone.m_Node});
-  }
-}
-
-void forgetSafeDepartures(RouterLease &Lease) {
-  Lease.m_Departed.erase(
-      std::remove_if(Lease.m_Departed.begin(), Lease.m_Departed.end(),
-                     [&](const Departure &Gone) {
-                       return Gone.m_Epoch <= Lease.m_SafeEpoch;
-                     }),
-      Lease.m_Departed.end());
-}
-
-/// True when a departed node may have owned the target after the router's
-/// ownership began, at an epoch that is not safe yet.
-bool mayHaveLost(const RouterLease &Lease, const OwnedTargets &Owned,
-                 const TargetId &Target) {
-  std::map<TargetId, Epoch>::const_iterator Since = Owned.m_Since.find(Target);
-  for (const Departure &Gone : Lease.m_Departed)
-    if (Since != Owned.m_Since.end() && Since->second < Gone.m_Epoch &&
-        outranks(Gone.m_Node, Lease.m_Node, Target))
-      return true;
-  return false;
-}
-
 } // namespace
 
 std::uint64_t renewalSent(RouterLease &Lease, Millis Now) {
@@ -81,12 +47,12 @@
   Lease.m_Ends = Sent->second + usableDuration(Granted.m_Duration,
                                                Lease.m_Options.m_DriftPerMille);
   Lease.m_TakenSequence = Granted.m_Sequence;
-  noteDepartures(Lease, Granted);
+  if (Granted.m_Interrupted && Lease.m_Epoch < Granted.m_Epoch)
+    Lease.m_HeldSince = Granted.m_Epoch;
   Lease.m_Epoch = Granted.m_Epoch;
   // A safe epoch stays safe; a new leader reports a lower one while it waits.
   Lease.m_SafeEpoch = std::max(Lease.m_SafeEpoch, Granted.m_SafeEpoch);
   Lease.m_Version = Granted.m_Version;
-  forgetSafeDepartures(Lease);
   Lease.m_Sent.erase(Lease.m_Sent.begin(), std::next(Sent));
   return true;
 }
@@ -102,8 +68,7 @@
                     const TargetId &Target, Millis Now) {
   return leaseHolds(Lease, Now) && Owned.m_Epoch == Lease.m_Epoch &&
          Lease.m_HeldSince <= Lease.m_SafeEpoch &&
-         mayDispatch(Owned, Target, Lease.m_SafeEpoch) &&
-         !mayHaveLost(Lease, Owned, Target);
+         mayDispatch(Owned, Target, Lease.m_SafeEpoch);
 }
 
 bool renewalDue(const RouterLease &Lease, Millis Now) {
--- a/src/core/process/ownership.cpp
+++ b/src/core/process/ownership.cpp
@@ -42,12 +42,6 @@
   return *Best;
 }
 
-bool outranks(const NodeId &First, const NodeId &Second,
-              const TargetId &Target) {
-  std::uint64_t Seed = targetSeed(Target);
-  return isBefore(scoreOf(First, Seed), First, scoreOf(Second, Seed), Second);
-}
-
 void updateOwned(OwnedTargets &Owned, const Membership &Members,
                  const std::vector<TargetId> &Targets) {
   std::map<TargetId, Epoch> Since;
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -152,11 +152,7 @@
 static void describe(Archive &A, JoinedIncarnations &J) {
   A("joined", J.m_Joined);
   A("changed", J.m_ChangedAt);
-}
-
-template <typename Archive> static void describe(Archive &A, Departure &D) {
-  A("epoch", D.m_Epoch);
-  A("node", D.m_Node);
+  A("departed", J.m_DepartedAt);
 }
 
 template <typename Archive> static void describe(Archive &A, StateMachine &S) {
@@ -165,8 +161,6 @@
   A("epoch", S.m_Epoch);
   A("members", S.m_Members);
   A("incarnations", S.m_Joined);
-  A("departures", S.m_Departures);
-  A("departures_since", S.m_DeparturesSince);
   A("journal", S.m_Journal);
   A("orders", S.m_Orders);
   A("clock", S.m_Clock);
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -14,14 +14,6 @@
 
 UnixMillis later(UnixMillis A, UnixMillis B) { return A < B ? B : A; }
 
-void noteDeparture(StateMachine &State, const NodeId &Node) {
-  State.m_Departures.push_back({State.m_Epoch, Node});
-  while (State.m_Departures.size() > DepartureLimit) {
-    State.m_DeparturesSince = State.m_Departures.front().m_Epoch;
-    State.m_Departures.pop_front();
-  }
-}
-
 /// Notes that an incarnation joined; returns false when it was replaced.
 bool noteJoined(StateMachine &State, const Member &Joining) {
   if (isReplaced(State, Joining.m_Node, Joining.m_Incarnation))
@@ -67,7 +59,7 @@
   State.m_Members[Joining.m_Node] = Joining;
   State.m_Epoch = Epoch(Index.m_Value);
   if (Departs)
-    noteDeparture(State, Joining.m_Node);
+    State.m_Joined[Joining.m_Node].m_DepartedAt = State.m_Epoch;
   return NoAnswer();
 }
 
@@ -80,8 +72,9 @@
     return NoAnswer();
   State.m_Members.erase(Found);
   State.m_Epoch = Epoch(Index.m_Value);
-  noteDeparture(State, Input.m_Node);
-  State.m_Joined[Input.m_Node].m_ChangedAt = State.m_Clock;
+  JoinedIncarnations &History = State.m_Joined[Input.m_Node];
+  History.m_ChangedAt = State.m_Clock;
+  History.m_DepartedAt = State.m_Epoch;
   return NoAnswer();
 }
 
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -138,12 +138,6 @@
   Visit("a", Data.m_Accounts);
 }
 
-template <typename V, typename M, IfMessage<M, Departure> * = nullptr>
-void fields(V &Visit, M &Data) {
-  Visit("e", Data.m_Epoch);
-  Visit("n", Data.m_Node);
-}
-
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("s", Data.m_Sequence);
@@ -156,8 +150,7 @@
   Visit("p", Data.m_Totals);
   Visit("r", Data.m_Residual);
   Visit("a", Data.m_Shares);
-  Visit("x", Data.m_Departed);
-  Visit("y", Data.m_DepartedUnknown);
+  Visit("x", Data.m_Interrupted);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- a/tests/core/Journal.tests.cpp
+++ b/tests/core/Journal.tests.cpp
@@ -274,6 +274,17 @@
   BOOST_TEST(is(Calls.call(beginOf("q3", "r1", 1)), JournalStatus::Running));
 }
 
+// Guards against a late copy of a begin whose request was released: a router
+// that has forgotten it would leave the key running for ever.
+BOOST_AUTO_TEST_CASE(CopyOfAReleasedBeginIsNotGranted) {
+  Log Calls = makeLog();
+  JournalBegin Begin = beginOf("q1", "r1", 1);
+  BOOST_TEST(is(Calls.call(Begin), JournalStatus::Granted));
+  Calls.call(endOf(Begin, CallOutcome::NotRun));
+  BOOST_TEST(is(Calls.call(Begin), JournalStatus::Ended));
+  BOOST_TEST(is(Calls.call(beginOf("q2", "r2", 2)), JournalStatus::Granted));
+}
+
 // Guards against an outcome of a removed but living router being lost.
 BOOST_AUTO_TEST_CASE(OutcomeOfTheBeginningIncarnationReplacesUnknown) {
   Log Calls = makeLog();
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -100,7 +100,6 @@
              {{PoolId("p"), 12, Millis(40)}},
              {{TargetId("t"), 1}},
              {{AccountId("a"), 10}},
-             {{Epoch(2), NodeId("gone")}},
              true};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
@@ -123,9 +122,7 @@
   SAME(m_Residual.at(0).m_Running);
   SAME(m_Shares.at(0).m_Account);
   SAME(m_Shares.at(0).m_Limit);
-  SAME(m_Departed.at(0).m_Epoch);
-  SAME(m_Departed.at(0).m_Node);
-  SAME(m_DepartedUnknown);
+  SAME(m_Interrupted);
 }
 
 BOOST_AUTO_TEST_CASE(KeeperMessagesKeepEveryField) {
