--- a/src/daemon/process/replay/generate.cpp
+++ b/src/daemon/process/replay/generate.cpp
@@ -164,8 +164,10 @@
   double End = static_cast<double>(Gen.m_Trace.m_Duration.m_Value);
   for (std::size_t I = 0; I < Active; ++I) {
     Gen.m_Chats.push_back(newChat(Gen));
-    Gen.m_Turns.push(Turn{uniform(Gen.m_Random) * Gen.m_Shape.m_MeanPause,
-                          static_cast<std::uint32_t>(I)});
+    // The first requests come when routers have their leases.
+    Gen.m_Turns.push(
+        Turn{1000 + uniform(Gen.m_Random) * Gen.m_Shape.m_MeanPause,
+             static_cast<std::uint32_t>(I)});
   }
   while (!Gen.m_Turns.empty() && Gen.m_Turns.top().m_At < End) {
     Turn Next = Gen.m_Turns.top();
@@ -213,9 +215,9 @@
 
 void drawRestarts(Generator &Gen) {
   std::uint32_t Engines = Gen.m_Shape.m_Engines;
-  std::uint32_t PerMinute = std::max(1U, Engines / 20);
+  // One in twenty each minute.
   for (std::int64_t At = 60000; At < Gen.m_Trace.m_Duration.m_Value;
-       At += 60000 / PerMinute)
+       At += 20 * 60000 / Engines)
     Gen.m_Trace.m_Events.push_back(TraceEvent{
         Millis(At), TraceEventKind::EngineRestart,
         static_cast<std::uint32_t>(Gen.m_Random() % Engines), Millis(2000)});
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -24,10 +24,14 @@
                       "Requests borne while cold; 0 for no cold start");
   Command->add_option("--warm-after", Options.m_WarmAfter,
                       "Completed requests until warm");
+  Command->add_option("--cold-slowdown", Options.m_ColdSlowdown,
+                      "Factor of the first-token time while cold");
   Command->add_option("--checks-fencing", Options.m_ChecksFencing,
                       "Refuse orders with an old fencing token");
   Command->add_option("--report-lag-ms", Options.m_ReportLagMs,
                       "Age of load reports");
+  Command->add_option("--record", Options.m_Record,
+                      "File for run lines of a history");
   Command->add_option("--resume-window-ms", Options.m_ResumeWindowMs,
                       "How long a broken stream can be resumed");
   Command->callback([&Options, &Code] { Code = runEngine(Options); });
@@ -38,6 +42,8 @@
   Command->add_option("--name", Options.m_Name, "Name in answers");
   Command->add_option("--port", Options.m_Port, "Port")->required();
   Command->add_option("--delay-ms", Options.m_DelayMs, "Time for each call");
+  Command->add_option("--record", Options.m_Record,
+                      "File for run lines of a history");
   Command->callback([&Options, &Code] { Code = runService(Options); });
 }
 
