Send long replication messages in parts

A section of 16 MiB would not have fitted into a router's frame of 8 MiB. Change: messages above 1 MiB travel in parts; frames are at most 64 MiB, an edit's body at most 8 MiB, so that a grant with all sections fits. Conclusion: the bound is now the 1 GiB that may wait on a keeper's link.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -158,8 +158,13 @@
 };
 
 /// Replication message between keepers, encoded by the replication codec.
+/// A long one, such as a snapshot, travels in parts that follow each other.
 struct Replicate {
   std::string m_Payload;
+  /// Number of the whole message at its sender; 0 when it has one part.
+  std::uint64_t m_Message = 0;
+  std::uint32_t m_Part = 0;
+  std::uint32_t m_Parts = 0;
 };
 
 /// Registers a non-idempotent call before its first byte leaves.
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -183,6 +183,9 @@
 template <typename V, typename M, IfMessage<M, Replicate> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("d", rawBytes(Data.m_Payload));
+  Visit("m", Data.m_Message);
+  Visit("p", Data.m_Part);
+  Visit("c", Data.m_Parts);
 }
 
 template <typename V, typename M, IfMessage<M, JournalBegin> * = nullptr>
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -390,8 +390,9 @@
     return true;
   }
   std::size_t Buffered = Link.m_Connection->get_buffered_amount();
-  if (Buffered + Frame.size() >
-      static_cast<std::size_t>(m_Options.m_MaxBuffered.m_Value)) {
+  if (Buffered > 0 &&
+      Buffered + Frame.size() >
+          static_cast<std::size_t>(m_Options.m_MaxBuffered.m_Value)) {
     logEvent(Event::PeerLinkOverloaded,
              {{"node", Link.m_Node.m_Value},
               {"bytes", static_cast<std::uint64_t>(Buffered)}});
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -31,8 +31,10 @@
   Millis m_HeartbeatInterval{1000};
   /// A link without any frame for this long is closed and dialled again.
   Millis m_SilenceLimit{3000};
-  Bytes m_MaxFrame{8 * 1024 * 1024};
-  /// A link with more bytes waiting to be sent is dropped and dialled again.
+  /// Above a grant with all sections at their largest (8 MiB each).
+  Bytes m_MaxFrame{64 * 1024 * 1024};
+  /// A link with more bytes waiting to be sent is dropped and dialled again; a
+  /// single frame may always wait.
   Bytes m_MaxBuffered{32 * 1024 * 1024};
   /// Bounds of the exponential pause between dials, before jitter.
   Millis m_RedialMin{100};
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -51,6 +51,13 @@
   std::vector<ReplicaMessage> m_Messages;
 };
 
+/// A replication message that arrives in parts.
+struct PartialMessage {
+  std::uint64_t m_Message = 0;
+  std::uint32_t m_NextPart = 0;
+  std::string m_Payload;
+};
+
 /// A position of the own log to be reported once its ticket is synced.
 struct HeldSync {
   std::uint64_t m_Ticket = 0;
@@ -93,6 +100,9 @@
 
   std::uint64_t m_LastTicket = 0;
   std::uint64_t m_SyncedTicket = 0;
+  std::uint64_t m_LastLongMessage = 0;
+  /// The message that each keeper sends in parts, so far.
+  std::map<NodeId, PartialMessage> m_Partial;
   std::deque<HeldMessages> m_HeldMessages;
   std::deque<HeldSync> m_HeldSyncs;
   std::deque<ReplicaActions> m_ActionQueue;
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -21,9 +21,8 @@
 namespace {
 
 constexpr guint TickMillis = 20;
-/// Snapshots travel in one frame; the bound is far above the state of a fleet
-/// of the target size with a day of journaled calls.
-constexpr Bytes MaxKeeperFrame{256LL * 1024 * 1024};
+/// A whole snapshot may wait on a link; this is above half a million journaled
+/// calls with answers of 1 KiB.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
 
 gboolean onTick(gpointer Data) {
@@ -88,7 +87,6 @@
   Options.m_HttpUrl = Self.m_HttpUrl;
   Options.m_ListenAddress = Self.m_Settings.m_Peer.m_Address;
   Options.m_ListenPort = Self.m_Settings.m_Peer.m_Port;
-  Options.m_MaxFrame = MaxKeeperFrame;
   Options.m_MaxBuffered = MaxKeeperBuffered;
   Mailbox<PeerEvent> *Mail = Self.m_PeerMail.get();
   Result<std::unique_ptr<PeerTask>> Started = PeerTask::start(
--- a/src/daemon/process/keeper_api.cpp
+++ b/src/daemon/process/keeper_api.cpp
@@ -12,8 +12,9 @@
 
 using nlohmann::json;
 
-/// A document of the target size's 18,000 accounts takes about 4 MB.
-constexpr Bytes MaxEditBody{16LL * 1024 * 1024};
+/// Section "accounts" of the target size's 18,000 accounts takes about 4 MB.
+/// All sections must fit into one grant (PeerOptions::m_MaxFrame).
+constexpr Bytes MaxEditBody{8LL * 1024 * 1024};
 constexpr std::size_t HexSha256Length = 64;
 
 std::string sha256Of(const std::string &Text) {
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -10,10 +10,24 @@
 
 namespace {
 
+/// Longer messages travel in parts of this size, so that heartbeats of other
+/// links are not held up behind one frame and no frame is too large.
+constexpr std::size_t PartBytes = 1024 * 1024;
+
 void sendToKeeper(Keeper &Self, const ReplicaMessage &Message) {
-  Replicate Envelope;
-  Envelope.m_Payload = encodeReplicaMessage(Message);
-  Self.m_Peers->send(NodeId(Message.m_To.m_Value), std::move(Envelope));
+  NodeId To(Message.m_To.m_Value);
+  std::string Payload = encodeReplicaMessage(Message);
+  if (Payload.size() <= PartBytes) {
+    Self.m_Peers->send(To, Replicate{std::move(Payload), 0, 0, 0});
+    return;
+  }
+  std::uint64_t Number = ++Self.m_LastLongMessage;
+  std::uint32_t Parts =
+      static_cast<std::uint32_t>((Payload.size() + PartBytes - 1) / PartBytes);
+  for (std::uint32_t Part = 0; Part < Parts; ++Part)
+    Self.m_Peers->send(To,
+                       Replicate{Payload.substr(Part * PartBytes, PartBytes),
+                                 Number, Part, Parts});
 }
 
 /// Hands to the disk what must be persisted and holds back what waits for it.
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -14,6 +14,8 @@
 /// Renewals kept while a new leader waits for its quorum lease; more routers
 /// than the target size has are not held.
 constexpr std::size_t MaxWaitingRenewals = 10000;
+/// Bound of a message that arrives in parts.
+constexpr std::size_t MaxLongMessage = std::size_t(1) << 30;
 
 std::string urlOfKeeper(const Keeper &Self, const KeeperId &Keeper) {
   for (const std::vector<KeeperAddress> *Keepers :
@@ -94,8 +96,31 @@
                  });
 }
 
-void onReplicate(Keeper &Self, const NodeId &From, const Replicate &Envelope) {
-  if (!Self.m_Running)
+/// Collects the parts of a long message; true when it is complete. A part out
+/// of order drops what came before, and the sender's resend starts anew.
+bool collectParts(Keeper &Self, const NodeId &From, Replicate &Envelope) {
+  if (Envelope.m_Parts <= 1)
+    return true;
+  PartialMessage &Partial = Self.m_Partial[From];
+  if (Envelope.m_Part == 0)
+    Partial = PartialMessage{Envelope.m_Message, 0, std::string()};
+  if (Partial.m_Message != Envelope.m_Message ||
+      Partial.m_NextPart != Envelope.m_Part ||
+      Partial.m_Payload.size() > MaxLongMessage) {
+    Self.m_Partial.erase(From);
+    return false;
+  }
+  ++Partial.m_NextPart;
+  Partial.m_Payload += Envelope.m_Payload;
+  if (Partial.m_NextPart < Envelope.m_Parts)
+    return false;
+  Envelope.m_Payload = std::move(Partial.m_Payload);
+  Self.m_Partial.erase(From);
+  return true;
+}
+
+void onReplicate(Keeper &Self, const NodeId &From, Replicate &Envelope) {
+  if (!Self.m_Running || !collectParts(Self, From, Envelope))
     return;
   Result<ReplicaMessage> Message = decodeReplicaMessage(Envelope.m_Payload);
   if (!Message || Message.value().m_From.m_Value != From.m_Value) {
@@ -113,7 +138,7 @@
     onJournal(Self, From, *Begin);
   else if (const JournalEnd *End = std::get_if<JournalEnd>(&Message))
     onJournal(Self, From, *End);
-  else if (const Replicate *Envelope = std::get_if<Replicate>(&Message))
+  else if (Replicate *Envelope = std::get_if<Replicate>(&Message))
     onReplicate(Self, From, *Envelope);
   else if (const IdentityClaim *Claim = std::get_if<IdentityClaim>(&Message))
     onClaim(Self, From, *Claim);
@@ -197,6 +222,7 @@
     Self.m_NextClaim = Millis(0);
   } else if (--Peer.m_Links == 0) {
     Self.m_Connected.erase(Event.m_From);
+    Self.m_Partial.erase(Event.m_From);
   }
 }
 
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -152,8 +152,14 @@
   {
     Replicate Sent;
     Sent.m_Payload = allBytes();
+    Sent.m_Message = 9;
+    Sent.m_Part = 1;
+    Sent.m_Parts = 3;
     Replicate Got = roundTrip(Sent);
     SAME(m_Payload);
+    SAME(m_Message);
+    SAME(m_Part);
+    SAME(m_Parts);
   }
 }
 
--- a/tests/process/KeeperRouters.tests.cpp
+++ b/tests/process/KeeperRouters.tests.cpp
@@ -252,6 +252,50 @@
   BOOST_TEST(Recorded->m_Answer.m_Body == "{\"order\":7}");
 }
 
+// Guards against a keeper that cannot catch up once the log is truncated: it
+// gets a snapshot of several parts.
+BOOST_AUTO_TEST_CASE(AKeeperFarBehindCatchesUpBySnapshot) {
+  KeeperFleet Fleet(3, {{"snapshot_entries", 256}});
+  std::size_t Leader = form(Fleet);
+  FakeRouter Router(Fleet, "r1");
+  BOOST_REQUIRE(Router.renewAt(Leader).has_value());
+  std::size_t Behind = (Leader + 1) % 3;
+  Fleet.process(Behind).kill();
+  constexpr int Calls = 1000;
+  for (int Number = 0; Number < Calls; ++Number) {
+    JournalBegin Begin = Router.makeBegin("q" + std::to_string(Number),
+                                          "key" + std::to_string(Number));
+    Router.send(Leader, Begin);
+    JournalEnd End;
+    End.m_Request = Begin.m_Request;
+    End.m_Account = Begin.m_Account;
+    End.m_Key = Begin.m_Key;
+    End.m_Node = Begin.m_Node;
+    End.m_Incarnation = Begin.m_Incarnation;
+    End.m_Outcome = CallOutcome::Answered;
+    End.m_Answer = {200, "text/plain", std::string(5000, 'x')};
+    Router.send(Leader, End);
+  }
+  std::string Last = "q" + std::to_string(Calls - 1);
+  BOOST_REQUIRE(Router
+                    .await<JournalAnswer>([&](const JournalAnswer &Answer) {
+                      return Answer.m_Status == JournalStatus::Ended &&
+                             Answer.m_Request.m_Value == Last;
+                    })
+                    .has_value());
+  Fleet.start(Behind);
+  BOOST_TEST(waitUntil(
+      [&] {
+        json Status = Fleet.localStatus(Behind);
+        return !Status.is_null() && Status["journal_entries"] == Calls;
+      },
+      15000));
+  BOOST_TEST(Fleet.output(Behind).find(" 2116 ") != std::string::npos);
+  // It carries the state on its own: the others' disks are not needed.
+  Fleet.process(Leader).kill();
+  BOOST_TEST(Fleet.waitForLeader() < Fleet.size());
+}
+
 // Guards against a keeper without a quorum that answers routers.
 BOOST_AUTO_TEST_CASE(WithoutAQuorumNothingIsGranted) {
   KeeperFleet Fleet(3);
