Take broken targets of other owners off the mean at once

Cause: 11 violations when a router left (the new owner's residual count could not rise after it was first seen) and 2 to 12 when one of ten engines crashed (others still counted its load). Change: the newest residual count holds until the first own dispatch; an entry router that sees a stream of another owner break takes the target's largest load off the floor until a newer total.

--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace vanillaferry {
 
@@ -35,6 +36,10 @@
   Millis m_OthersAt;
   /// When the renewal behind m_Others was sent; older grants are ignored.
   Millis m_GrantSentAt;
+  /// Targets of other owners that broke since, and the load they may have had.
+  std::vector<TargetId> m_LostTargets;
+  std::uint32_t m_LostLoad = 0;
+  Millis m_LostAt;
   /// Own count in the last renewal sent.
   std::uint32_t m_Reported = 0;
   Millis m_ReportedAt;
@@ -68,7 +73,15 @@
 /// Notes a renewal that carries this count.
 void noteReported(PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
 
-/// True when a renewal should be sent early because the count fell.
+/// Notes that a target of another owner broke, as this router learns from a
+/// stream through it. Its load is taken off the floor until a total that was
+/// formed after its owner's early report; a renewal that asks for it is due
+/// soon.
+void noteLostTarget(PoolMean &Mean, const TargetId &Target,
+                    std::uint32_t LoadBound, Millis Now);
+
+/// True when a renewal should be sent early because the count fell or another
+/// owner's target broke.
 bool earlyReportDue(const PoolMean &Mean, std::uint32_t OwnRunning, Millis Now);
 
 /// Lower bound of the pool's running requests, without the one to be admitted.
@@ -111,6 +124,8 @@
   std::uint32_t m_Running = 0;
   /// Requests of former owners that may still run.
   std::uint32_t m_Residual = 0;
+  /// True once this owner has dispatched to the target.
+  bool m_Started = false;
   /// Present limit of the ramp; m_MaxConcurrent or more when warm.
   std::uint32_t m_RampLimit = 0;
   /// Completions in time at the present limit.
@@ -184,8 +199,9 @@
 /// that one restart is not counted twice.
 void noteUnreachable(TargetState &State, Millis Now);
 
-/// Takes the residual count of a later grant. It can only fall: requests of
-/// former owners end, and the target's own report may already show fewer.
+/// Takes the residual count of a later grant. Until the first own dispatch the
+/// former owner may still have dispatched, so the newest count holds; after that
+/// it can only fall, and the target's own report may already show fewer.
 void setResidual(TargetState &State, std::uint32_t Residual);
 
 } // namespace vanillaferry
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -256,6 +256,9 @@
 /// Ends a request; a target found cold loses its prefixes and redirects.
 void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now);
 
+/// Notes that a stream through another owner broke because its target did.
+void noteBrokenElsewhere(OwnerPool &Pool, const TargetId &Target, Millis Now);
+
 /// Takes a load report of one target; a restart clears what is known of it.
 void takeReportAt(OwnerPool &Pool, const TargetId &Target,
                   const LoadReport &Report, Millis Now);
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -10,6 +10,9 @@
 /// Routers that live renew within this time; an older report may be of a
 /// frozen one, whose requests end without being reported.
 constexpr Millis OrdinaryReportAge{1300};
+/// The owner of a broken target reports within the report spacing; one message
+/// time is added.
+constexpr Millis LossReportTime{150};
 /// Completions are averaged over windows of this length.
 constexpr Millis RateWindow{2000};
 
@@ -49,6 +52,10 @@
   if (SentAt < Mean.m_GrantSentAt)
     return;
   Mean.m_GrantSentAt = SentAt;
+  if (SentAt >= Mean.m_LostAt + LossReportTime) {
+    Mean.m_LostTargets.clear();
+    Mean.m_LostLoad = 0;
+  }
   Mean.m_Others =
       Total.m_Running > OwnReported ? Total.m_Running - OwnReported : 0;
   Millis Excess(std::max<std::int64_t>(0, Total.m_Age.m_Value -
@@ -76,10 +83,21 @@
   Mean.m_ReportedAt = Now;
 }
 
+void noteLostTarget(PoolMean &Mean, const TargetId &Target,
+                    std::uint32_t LoadBound, Millis Now) {
+  std::vector<TargetId> &Known = Mean.m_LostTargets;
+  if (std::find(Known.begin(), Known.end(), Target) != Known.end())
+    return;
+  Known.push_back(Target);
+  Mean.m_LostLoad += LoadBound;
+  Mean.m_LostAt = Now;
+}
+
 bool earlyReportDue(const PoolMean &Mean, std::uint32_t OwnRunning,
                     Millis Now) {
   double Threshold = Mean.m_Reported * (1 - Mean.m_Options.m_ReportFall);
-  return OwnRunning < Threshold &&
+  bool Lost = Mean.m_LostLoad > 0 && Now - Mean.m_LostAt >= LossReportTime;
+  return (Lost || OwnRunning < Threshold) &&
          Now - Mean.m_ReportedAt >= Mean.m_Options.m_ReportSpacing;
 }
 
@@ -91,7 +109,8 @@
   double Age = static_cast<double>((Now - Mean.m_OthersAt).m_Value) / 1000.0;
   double Reported = Mean.m_Others * (1 - Options.m_ReportFall);
   double Ended = Reported * Decline * std::max(0.0, Age);
-  double Floor = Reported - Ended - Options.m_DeclineSigmas * std::sqrt(Ended);
+  double Floor = Reported - Ended - Mean.m_LostLoad -
+                 Options.m_DeclineSigmas * std::sqrt(Ended);
   return OwnRunning + std::max(0.0, Floor);
 }
 
@@ -143,6 +162,7 @@
 
 std::uint32_t startRequest(TargetState &State) {
   ++State.m_Running;
+  State.m_Started = true;
   return State.m_Stage;
 }
 
@@ -217,7 +237,8 @@
 }
 
 void setResidual(TargetState &State, std::uint32_t Residual) {
-  State.m_Residual = std::min(State.m_Residual, Residual);
+  State.m_Residual =
+      State.m_Started ? std::min(State.m_Residual, Residual) : Residual;
 }
 
 void noteUnreachable(TargetState &State, Millis Now) {
--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -224,6 +224,15 @@
     rememberChat(At.m_Prefixes, Ended.m_Chat, Ended.m_Tokens);
 }
 
+void noteBrokenElsewhere(OwnerPool &Pool, const TargetId &Target, Millis Now) {
+  if (Pool.m_Targets.count(Target) != 0)
+    return;
+  std::uint32_t Limit = boundLimit(
+      Pool.m_Settings, Pool.m_Mean, ownerLoad(Pool),
+      targetDivisor(Pool.m_PoolTargets, Now), Priority::Latency, Now);
+  noteLostTarget(Pool.m_Mean, Target, Limit, Now);
+}
+
 void takeReportAt(OwnerPool &Pool, const TargetId &Target,
                   const LoadReport &Report, Millis Now) {
   auto It = Pool.m_Targets.find(Target);
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -386,7 +386,11 @@
 void fleetCrash(Fleet &All, std::uint32_t EngineIndex) {
   World &State = *All.m_World;
   const TargetId Target = State.m_Engines[EngineIndex].m_Settings.m_Id;
-  for (std::uint32_t Index : crashEngine(State, EngineIndex)) {
+  std::vector<std::uint32_t> Broken = crashEngine(State, EngineIndex);
+  for (std::uint32_t Index : Broken)
+    noteBrokenElsewhere(All.m_Routers[State.m_Requests[Index].m_Entry].m_Pool,
+                        Target, State.m_Now);
+  for (std::uint32_t Index : Broken) {
     const TraceRequest &Request = State.m_Trace->m_Requests[Index];
     RequestState &Kept = State.m_Requests[Index];
     ReplayRouter &Owner = All.m_Routers[Kept.m_Owner];
