--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -183,6 +183,7 @@
   if (m_Chunked)
     m_Out += "0\r\n\r\n";
   m_Finishing = true;
+  m_Self = shared_from_this();
   write();
 }
 
@@ -190,6 +191,7 @@
   if (m_Done || !m_Streaming || m_Finishing)
     return;
   m_Finishing = true;
+  m_Self = shared_from_this();
   write();
 }
 
@@ -201,6 +203,7 @@
                   withRetryAfter(Why.m_Reason, {}));
   m_Out += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
   m_Finishing = true;
+  m_Self = shared_from_this();
   write();
 }
 
@@ -229,6 +232,7 @@
 }
 
 void Caller::write() {
+  std::shared_ptr<Caller> Self = shared_from_this();
   while (m_Sent < m_Out.size()) {
     ssize_t Count = send(m_Fd, m_Out.data() + m_Sent, m_Out.size() - m_Sent,
                          MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -293,6 +297,8 @@
   m_Stream.reset();
   m_Fd = -1;
   m_LingerTimer.stop();
+  // The caller of this function may hold no other reference.
+  std::shared_ptr<Caller> Last = std::move(m_Self);
 }
 
 void Caller::gone() {
--- a/src/daemon/connection/caller.hpp
+++ b/src/daemon/connection/caller.hpp
@@ -117,6 +117,8 @@
   bool m_Read = false;
   bool m_Answered = false;
   bool m_Done = false;
+  /// Keeps a finished exchange alive while its last bytes wait to be sent.
+  std::shared_ptr<Caller> m_Self;
 };
 
 } // namespace vanillaferry
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -32,5 +32,6 @@
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
+void addBenchRelayCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -93,7 +93,7 @@
 }
 
 void applyLimits(Router &R) {
-  const RouterLimits &Limits = R.m_Document.m_Limits;
+  const LimitSettings &Limits = R.m_Document.m_Settings.m_Limits;
   R.m_Retries.m_Options.m_Share = Limits.m_RetryShare;
   R.m_Retries.m_Options.m_Floor = Limits.m_RetryFloor;
   if (R.m_Front)
@@ -261,7 +261,7 @@
   for (const std::pair<const PoolId, PoolSettings> &Row :
        R.m_Document.m_Services) {
     RoutedPool Routed = makeRoutedPool(
-        makePoolView(Row.second, R.m_Document.m_Zones, R.m_Vms, Now),
+        makePoolView(Row.second, R.m_Document.m_Settings.m_Zones, R.m_Vms, Now),
         R.m_Members);
     rebuildOwnerPool(R, Row.second, Routed);
     R.m_Pools[Row.first] = std::move(Routed);
--- a/src/daemon/request/admission.cpp
+++ b/src/daemon/request/admission.cpp
@@ -33,7 +33,8 @@
 
 PoolQueue &queueOf(Router &R, const PoolId &Pool) {
   PoolQueue &Queue = R.m_Queues[Pool];
-  Queue.m_Queue.m_Options.m_Limit = R.m_Document.m_Limits.m_QueueLength;
+  Queue.m_Queue.m_Options.m_Limit =
+      R.m_Document.m_Settings.m_Limits.m_QueueLength;
   return Queue;
 }
 
--- a/src/daemon/request/entry.cpp
+++ b/src/daemon/request/entry.cpp
@@ -49,7 +49,7 @@
                                  const CallerRequest &Request) {
   std::string Text = fieldOf(Request, "x-deadline-ms");
   if (Text.empty())
-    return R.m_Document.m_Limits.m_DefaultDeadline;
+    return R.m_Document.m_Settings.m_Limits.m_DefaultDeadline;
   std::int64_t Value = 0;
   std::from_chars_result Parsed =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -118,14 +118,14 @@
     Work.m_Body.append(Data, Size);
     if (Work.m_Body.size() >
         static_cast<std::size_t>(
-            Work.m_Router.m_Document.m_Limits.m_MaxStream.m_Value))
+            Work.m_Router.m_Document.m_Settings.m_Limits.m_MaxStream.m_Value))
       finishRun(Work, StreamEnd::Broken, "stream_too_large");
     return;
   }
   EventBatch Batch = takeBytes(Work.m_Splitter, Data, Size);
   if (Work.m_Splitter.m_Partial.size() >
       static_cast<std::size_t>(
-          Work.m_Router.m_Document.m_Limits.m_MaxStream.m_Value)) {
+          Work.m_Router.m_Document.m_Settings.m_Limits.m_MaxStream.m_Value)) {
     finishRun(Work, StreamEnd::Broken, "stream_too_large");
     return;
   }
@@ -369,7 +369,7 @@
   Work->m_StartedAt = Now;
   Work->m_Next = Order.m_ResumeOffset;
   Work->m_Base = Order.m_ResumeText.empty() ? 0 : Order.m_ResumeOffset;
-  Work->m_Progress.m_Limit = R.m_Document.m_Limits.m_StreamSilence;
+  Work->m_Progress.m_Limit = R.m_Document.m_Settings.m_Limits.m_StreamSilence;
   bool Resume = Order.m_ResumeOffset > 0 && Order.m_ResumeText.empty();
   Work->m_EverSent = Resume;
   Work->m_Stage = startAt(Pool->second, placementOf(Order), Decision.m_Target,
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -47,8 +47,6 @@
 }
 
 void cancelAtOwner(Session &S) {
-  if (S.m_Step != SessionStep::Asking && S.m_Step != SessionStep::Running)
-    return;
   sendToNode(S.m_Router, S.m_Asked.m_Owner,
              ForwardCancel{S.m_Order.m_Request, S.m_Order.m_Attempt});
 }
@@ -122,7 +120,7 @@
   Failed.m_Journaled = S->m_Journaled;
   // A running answer is not cut by its deadline.
   Failed.m_TimeLeft = S->m_Caller->streaming()
-                          ? R.m_Document.m_Limits.m_DefaultDeadline
+                          ? R.m_Document.m_Settings.m_Limits.m_DefaultDeadline
                           : S->m_Deadline - monotonicNow();
   NotRun Ran =
       NothingSent && S->m_Sent == false ? NotRun::True : NotRun::Unknown;
@@ -355,10 +353,10 @@
     return;
   std::int64_t Size = static_cast<std::int64_t>(Chunk.m_Data.size());
   S->m_Bytes += Size;
-  if (S->m_Bytes > R.m_Document.m_Limits.m_MaxStream.m_Value) {
-    cancelAtOwner(*S);
+  if (S->m_Bytes > R.m_Document.m_Settings.m_Limits.m_MaxStream.m_Value) {
     refuseSession(S, RefusalReason::StreamTooLarge, NotRun::False,
                   "the answer is larger than the configured limit");
+    cancelAtOwner(*S);
     return;
   }
   bool Events = streamsToCaller(*S);
@@ -525,9 +523,13 @@
   }
   if (S->m_Step == SessionStep::Queued)
     dropQueued(*S);
-  cancelAtOwner(*S);
   recordPlacement(S->m_Router, *S, "caller_left");
+  bool Asked =
+      S->m_Step == SessionStep::Asking || S->m_Step == SessionStep::Running;
+  // Closed first, so that the cancelled run's end finds no session.
   closeSession(S);
+  if (Asked)
+    cancelAtOwner(*S);
 }
 
 } // namespace vanillaferry
