--- a/src/daemon/connection/http_front.cpp
+++ b/src/daemon/connection/http_front.cpp
@@ -12,6 +12,7 @@
 
 constexpr const char *ExchangeKey = "vanillaferry-exchange";
 constexpr std::size_t MaxRequestIdLength = 128;
+constexpr int ListenBacklog = 4096;
 
 std::string lowerCase(const char *Text) {
   std::string Lower(Text);
@@ -33,6 +34,28 @@
   return Length > 0;
 }
 
+/// Listens with a longer backlog than libsoup's 10, which a burst of callers
+/// overruns; they would connect only after the kernel's repeat in a second.
+GErrorHandle listenOn(SoupServer *Server, const ListenAddress &Address) {
+  GError *Fault = nullptr;
+  GHandle<GSocketAddress> Listen(g_inet_socket_address_new_from_string(
+      Address.m_Address.c_str(), Address.m_Port));
+  if (!Listen)
+    return GErrorHandle(g_error_new_literal(
+        G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT, "not an IP address"));
+  GHandle<GSocket> Socket(
+      g_socket_new(g_socket_address_get_family(Listen.get()),
+                   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &Fault));
+  if (!Socket)
+    return GErrorHandle(Fault);
+  g_socket_set_listen_backlog(Socket.get(), ListenBacklog);
+  if (g_socket_bind(Socket.get(), Listen.get(), TRUE, &Fault) &&
+      g_socket_listen(Socket.get(), &Fault))
+    soup_server_listen_socket(Server, Socket.get(),
+                              static_cast<SoupServerListenOptions>(0), &Fault);
+  return GErrorHandle(Fault);
+}
+
 std::size_t headerBytes(SoupServerMessage *Message) {
   std::size_t Total = 0;
   SoupMessageHeadersIter Iter;
@@ -106,18 +129,11 @@
   std::unique_ptr<HttpFront> Front(
       new HttpFront(Watcher, std::move(Request), std::move(Refused)));
   Front->m_Server.reset(soup_server_new(nullptr, nullptr));
-  GHandle<GSocketAddress> Listen(g_inet_socket_address_new_from_string(
-      Address.m_Address.c_str(), Address.m_Port));
-  GError *Fault = nullptr;
-  if (!Listen ||
-      !soup_server_listen(Front->m_Server.get(), Listen.get(),
-                          static_cast<SoupServerListenOptions>(0), &Fault)) {
-    GErrorHandle Owned(Fault);
-    return makeError(ErrorCode::Io,
-                     "cannot listen on " + Address.m_Address + ":" +
-                         std::to_string(Address.m_Port) + ": " +
-                         (Owned ? Owned->message : "not an IP address"));
-  }
+  GErrorHandle Fault = listenOn(Front->m_Server.get(), Address);
+  if (Fault)
+    return makeError(ErrorCode::Io, "cannot listen on " + Address.m_Address +
+                                        ":" + std::to_string(Address.m_Port) +
+                                        ": " + Fault->message);
   g_signal_connect(
       Front->m_Server.get(), "request-started",
       G_CALLBACK(+[](SoupServer *, SoupServerMessage *Message, gpointer Data) {
--- a/src/daemon/process/bench_relay.cpp
+++ b/src/daemon/process/bench_relay.cpp
@@ -2,6 +2,7 @@
 #include "process/clock.hpp"
 #include "process/command_line.hpp"
 #include "process/digest.hpp"
+#include "process/file_limit.hpp"
 #include "process/lease_client.hpp"
 #include "process/router.hpp"
 #include "request/entry.hpp"
@@ -19,7 +20,7 @@
 namespace {
 
 constexpr const char *BenchKey = "bench";
-constexpr std::int64_t OpenPatienceMs = 20000;
+constexpr std::int64_t OpenPatienceMs = 10000;
 
 struct RelayFigures {
   double m_CpuUsPerEvent = 0;
@@ -94,6 +95,9 @@
 template <typename CpuClock>
 RelayFigures measure(const BenchOptions &Options, BenchEngine &Engine,
                      const BenchCallers &Callers, CpuClock Cpu) {
+  RelayFigures Figures;
+  if (Engine.streams() < Options.m_Streams)
+    return Figures;
   Engine.startPacing();
   waitFor([&] { return Callers.events() > Options.m_EventsPerSecond / 2; },
           OpenPatienceMs);
@@ -108,7 +112,6 @@
   });
   while (Running)
     g_main_context_iteration(nullptr, TRUE);
-  RelayFigures Figures;
   Figures.m_Events = Callers.events() - Before;
   if (Figures.m_Events > 0)
     Figures.m_CpuUsPerEvent =
@@ -157,6 +160,7 @@
 }
 
 int runRelayBench(const BenchOptions &Options, bool Json) {
+  raiseFileLimit();
   RelayFigures Baseline = measureCopyLoop(Options);
   RelayFigures Relay = measureRouter(Options);
   if (Relay.m_Events == 0 || Baseline.m_Events == 0) {
--- a/src/daemon/process/bench_sockets.cpp
+++ b/src/daemon/process/bench_sockets.cpp
@@ -124,6 +124,10 @@
       return;
     int On = 1;
     setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+    // A relay that fails must not hold the bench up.
+    timeval Limit = {2, 0};
+    setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+    setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
     std::string Head =
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " +
         requestIdIn(readRequest(Fd)) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/src/daemon/process/router_command.cpp
+++ b/src/daemon/process/router_command.cpp
@@ -1,4 +1,5 @@
 #include "process/command_line.hpp"
+#include "process/file_limit.hpp"
 #include "process/router.hpp"
 
 #include <CLI/CLI.hpp>
@@ -45,6 +46,7 @@
     std::cerr << Log.error().m_Text << "\n";
     return ExitInvalidInput;
   }
+  raiseFileLimit();
   std::unique_ptr<RouterProcess> Process = std::make_unique<RouterProcess>();
   initializeRouter(Process->m_Router, Settings.value());
   Status Started = startRouter(Process->m_Router);
