--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -20,7 +20,7 @@
   double m_DeclineSafety = 1.0;
   /// Completions within the age of a total vary like a Poisson number; this
   /// many standard deviations more than expected are assumed.
-  double m_DeclineSigmas = 3.0;
+  double m_DeclineSigmas = 4.0;
   /// A router renews early when a pool's count fell by more than this share.
   double m_ReportFall = 0.02;
   /// Smallest time between two early renewals.
@@ -124,6 +124,10 @@
   std::uint32_t m_Running = 0;
   /// Requests of former owners that may still run.
   std::uint32_t m_Residual = 0;
+  /// Set by the caller for an engine that another owner had: no dispatch before
+  /// the first load report, because a former owner that froze has not reported
+  /// its last dispatches.
+  bool m_AwaitReport = false;
   /// True once this owner has dispatched to the target.
   bool m_Started = false;
   /// Present limit of the ramp; m_MaxConcurrent or more when warm.
--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -141,7 +141,7 @@
 struct PlacementOptions {
   /// How long a request waits for a place at the target that holds its prefix:
   /// this long for each 1,000 tokens held, up to a limit.
-  Millis m_HolderWaitPerThousand{500};
+  Millis m_HolderWaitPerThousand{700};
   Millis m_HolderWaitLatency{900};
   Millis m_HolderWaitBatch{10000};
   /// Requests that wait in this way at one owner and pool.
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -156,7 +156,7 @@
 bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now) {
   std::uint32_t Limit =
       std::min({BoundLimit, State.m_RampLimit, State.m_MaxConcurrent});
-  return targetLoad(State) < Limit && Now >= State.m_TryAgainAt &&
+  return !State.m_AwaitReport && targetLoad(State) < Limit && Now >= State.m_TryAgainAt &&
          !isDamped(State, Now);
 }
 
@@ -213,7 +213,12 @@
                               ? Report.m_Running - Report.m_OwnRunningThen
                               : 0;
   bool Residuals = State.m_Residual > 0;
-  State.m_Residual = std::min(State.m_Residual, Foreign);
+  // The first report after a change of owner also shows what the former owner
+  // dispatched after its own last report.
+  State.m_Residual = State.m_AwaitReport
+                         ? std::max(State.m_Residual, Foreign)
+                         : std::min(State.m_Residual, Foreign);
+  State.m_AwaitReport = false;
   if (First) {
     // After a change of owner the limit follows what the target itself shows.
     if (Residuals && isCold(State))
--- a/src/daemon/process/bench_command.cpp
+++ b/src/daemon/process/bench_command.cpp
@@ -73,6 +73,7 @@
   CLI::App *Bench = App.add_subcommand("bench", "Measure parts of the system");
   Bench->require_subcommand(1);
   addBenchDiskCommand(*Bench, Code);
+  addBenchDecideCommand(*Bench, Code);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -30,6 +30,7 @@
 void addCheckSettingsCommand(CLI::App &App, int &Code);
 void addBenchCommand(CLI::App &App, int &Code);
 void addBenchDiskCommand(CLI::App &Bench, int &Code);
+void addBenchDecideCommand(CLI::App &Bench, int &Code);
 void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
 void addDocumentCommands(CLI::App &App, int &Code);
--- a/src/daemon/process/replay/command.cpp
+++ b/src/daemon/process/replay/command.cpp
@@ -20,8 +20,8 @@
   double m_Bound = 1.25;
   bool m_Json = false;
   FleetOptions m_Options;
-  std::int64_t m_RenewMillis = 500;
-  std::int64_t m_WaitPerThousand = 500;
+  std::int64_t m_RenewMillis = 333;
+  std::int64_t m_WaitPerThousand = 700;
   std::int64_t m_WaitLatency = 900;
   std::int64_t m_WaitBatch = 10000;
 };
--- a/src/daemon/process/replay/fleet_messages.cpp
+++ b/src/daemon/process/replay/fleet_messages.cpp
@@ -178,6 +178,9 @@
   // The deployment runs already when a trace begins.
   if (Now < Millis(2000))
     Gained.m_State.m_RampLimit = Gained.m_State.m_MaxConcurrent;
+  else
+    Gained.m_State.m_AwaitReport = true;
+  Router.m_NextPoll = Now;
   Gained.m_Prefixes.m_Capacity = Engine.m_Settings.m_CacheTokens;
   Router.m_Pool.m_Targets[Target] = std::move(Gained);
   ReportInFlight Cached{Now + ReportDelay, Target, {}, cachedChats(Engine)};
