Take residual requests anew after an interrupted lease

Cause: replay with a router that froze for 20 s showed 7 admissions above the bound at one engine: the router took the target back with its old state and did not count a request of the owner between. Change: regainTarget.

--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -161,6 +161,11 @@
 TargetState makeTargetState(const TargetSettings &Settings,
                             std::uint32_t Residual);
 
+/// Prepares a target that this node owned before and gains again, also after an
+/// interrupted lease (RouterLease::m_HeldSince changed): others may have
+/// dispatched meanwhile, so residual counts and the first report hold anew.
+void regainTarget(TargetState &State);
+
 /// Own and residual running requests.
 std::uint32_t targetLoad(const TargetState &State);
 
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -140,6 +140,11 @@
   return State;
 }
 
+void regainTarget(TargetState &State) {
+  State.m_Started = false;
+  State.m_AwaitReport = true;
+}
+
 std::uint32_t targetLoad(const TargetState &State) {
   return State.m_Running + State.m_Residual;
 }
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -130,7 +130,11 @@
     return;
   }
   ++Counts.m_Refused[Reason];
-  if (!All.m_World->m_Trace->m_Requests[Index].m_Surge)
+  const Trace &Recorded = *All.m_World->m_Trace;
+  bool Surging = All.m_World->m_SurgeEnd.m_Value > 0 &&
+                 Recorded.m_Requests[Index].m_Account + 1 ==
+                     Recorded.m_Accounts.size();
+  if (!Surging)
     ++Counts.m_RefusedOthers;
 }
 
--- a/src/daemon/process/replay/fleet.hpp
+++ b/src/daemon/process/replay/fleet.hpp
@@ -44,6 +44,8 @@
   RoutedPool m_Routed;
   OwnedTargets m_Owned;
   std::map<TargetId, std::uint32_t> m_Residual;
+  /// Epoch of the lease that the targets were gained under.
+  Epoch m_GainedAt;
   OwnerPool m_Pool;
   AccountTable m_Accounts;
   AdmissionQueue m_Queue;
--- a/src/daemon/process/replay/fleet_messages.cpp
+++ b/src/daemon/process/replay/fleet_messages.cpp
@@ -204,6 +204,12 @@
   updateOwned(Router.m_Owned, Router.m_Members, Ids);
   const PoolView &View = Router.m_Routed.m_View;
   setTargetCount(Router.m_Pool.m_PoolTargets, View.m_Targets.size(), Now);
+  if (Router.m_GainedAt != Router.m_Lease.m_HeldSince && Now > Millis(2000)) {
+    for (std::pair<const TargetId, OwnedTarget> &Pair : Router.m_Pool.m_Targets)
+      regainTarget(Pair.second.m_State);
+    Router.m_NextPoll = Now;
+  }
+  Router.m_GainedAt = Router.m_Lease.m_HeldSince;
   for (const std::pair<const TargetId, Epoch> &Pair : Router.m_Owned.m_Since)
     if (Router.m_Pool.m_Targets.count(Pair.first) == 0)
       gainTarget(
--- a/src/daemon/process/replay/world.hpp
+++ b/src/daemon/process/replay/world.hpp
@@ -63,6 +63,7 @@
   std::uint64_t m_Dispatched = 0;
   std::uint64_t m_Completed = 0;
   std::uint64_t m_Lost = 0;
+  /// Of accounts that do not surge.
   std::uint64_t m_RefusedOthers = 0;
   std::map<RefusalReason, std::uint64_t> m_Refused;
   std::uint64_t m_Hops = 0;
