Report running requests between renewals and renew at once after a change

Cause: owners knew the other owners' load as of the last renewal, up to a second old. The lower bound of the mean then counted nearly none of it, and a pool of short requests settled at about one request per engine: waiting grew to seconds although the engines were idle. Ruled out: a larger allowance, which would weaken the bound; decaying the old total more slowly, which is not true for short requests. Change: a small load update, answered with the pool's total, goes to the leader at most every 50 ms when a placement used a total that is not fresh or the own count fell. The leader asks routers to renew at once when the document or the membership changed.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -123,6 +123,30 @@
   bool m_Interrupted = false;
 };
 
+/// A router reports its running requests between two renewals. It says nothing
+/// about the lease.
+struct LoadUpdate {
+  NodeId m_Node;
+  Incarnation m_Incarnation;
+  /// Counts the updates of one incarnation, from 1.
+  std::uint64_t m_Sequence = 0;
+  /// All pools in which the node owns targets.
+  std::vector<PoolLoad> m_Pools;
+};
+
+/// The leader's answer to LoadUpdate, for the pools named there.
+struct LoadTotals {
+  std::uint64_t m_Sequence = 0;
+  std::vector<PoolTotal> m_Totals;
+};
+
+/// The leader asks a router to renew at once, because the document or the
+/// membership has changed.
+struct RenewRequest {
+  Epoch m_Epoch;
+  DocumentVersion m_Version;
+};
+
 /// A keeper that does not lead names the leader; empty when unknown.
 struct RedirectLeader {
   KeeperId m_Leader;
@@ -327,6 +351,6 @@
                  JournalBegin, JournalEnd, JournalAnswer, Forward,
                  ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
                  ForwardCancel, ForwardCredit, Placed, IdentityClaim,
-                 IdentityVerdict>;
+                 IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest>;
 
 } // namespace vanillaferry
--- a/include/vanillaferry/process/lease_table.hpp
+++ b/include/vanillaferry/process/lease_table.hpp
@@ -25,6 +25,8 @@
 struct NodeLease {
   NodeId m_Node;
   Incarnation m_Incarnation;
+  /// Sequence of the newest load update; 0 before the first.
+  std::uint64_t m_LoadSequence = 0;
   /// Sequence of the newest renewal; 0 for the time that a new leader waits.
   std::uint64_t m_Sequence = 0;
   Millis m_Ends;
@@ -86,6 +88,11 @@
 RenewDecision renewLease(LeaseTable &Table, const StateMachine &State,
                          const Renew &Request, Millis Now);
 
+/// Takes a report between two renewals; empty when the node holds no lease or
+/// has sent a later one.
+std::optional<LoadTotals> updateLoads(LeaseTable &Table,
+                                      const LoadUpdate &Update, Millis Now);
+
 /// Members whose lease has ended (with the drift bound), to be removed through
 /// the log.
 std::vector<Command> endedLeases(const LeaseTable &Table,
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -192,6 +192,28 @@
   return Decision;
 }
 
+std::optional<LoadTotals> updateLoads(LeaseTable &Table,
+                                      const LoadUpdate &Update, Millis Now) {
+  std::map<NodeId, NodeLease>::iterator Found =
+      Table.m_Leases.find(Update.m_Node);
+  if (Found == Table.m_Leases.end())
+    return std::nullopt;
+  NodeLease &Lease = Found->second;
+  if (Lease.m_Incarnation != Update.m_Incarnation || !isLive(Lease, Now) ||
+      Update.m_Sequence <= Lease.m_LoadSequence)
+    return std::nullopt;
+  Lease.m_LoadSequence = Update.m_Sequence;
+  Lease.m_Pools = Update.m_Pools;
+  Lease.m_ReportedAt = Now;
+  LoadTotals Answer;
+  Answer.m_Sequence = Update.m_Sequence;
+  for (const PoolTotal &Total : poolTotals(Table, Now))
+    for (const PoolLoad &Own : Update.m_Pools)
+      if (Own.m_Pool == Total.m_Pool)
+        Answer.m_Totals.push_back(Total);
+  return Answer;
+}
+
 std::vector<Command> endedLeases(const LeaseTable &Table,
                                  const StateMachine &State, Millis Now) {
   std::vector<Command> Ended;
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -35,6 +35,9 @@
 KIND(Placed, 17)
 KIND(IdentityClaim, 18)
 KIND(IdentityVerdict, 19)
+KIND(LoadUpdate, 20)
+KIND(LoadTotals, 21)
+KIND(RenewRequest, 22)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -159,6 +162,26 @@
   Visit("u", Data.m_PeerUrl);
 }
 
+template <typename V, typename M, IfMessage<M, LoadUpdate> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("n", Data.m_Node);
+  Visit("i", Data.m_Incarnation);
+  Visit("s", Data.m_Sequence);
+  Visit("p", Data.m_Pools);
+}
+
+template <typename V, typename M, IfMessage<M, LoadTotals> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("s", Data.m_Sequence);
+  Visit("t", Data.m_Totals);
+}
+
+template <typename V, typename M, IfMessage<M, RenewRequest> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("e", Data.m_Epoch);
+  Visit("v", Data.m_Version);
+}
+
 template <typename V, typename M, IfMessage<M, IdentityClaim> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("n", Data.m_Keeper);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -119,6 +119,8 @@
   LogIndex m_DialledSet{~0ULL};
   /// Newest renewal of each router while this leader cannot grant yet.
   std::map<NodeId, Renew> m_WaitingRenewals;
+  /// The newest change that routers were asked to renew for.
+  RenewRequest m_Announced;
   std::set<NodeId> m_Removing;
   std::vector<InForceWait> m_InForceWaits;
   Millis m_NextLeaseCheck;
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -67,6 +67,17 @@
     renew(Self, Request, true);
 }
 
+void onLoadUpdate(Keeper &Self, const NodeId &From, const LoadUpdate &Update) {
+  Millis Now = monotonicNow();
+  LeaseTable *Table =
+      Update.m_Node == From ? grantingTable(Self, Now) : nullptr;
+  if (!Table)
+    return;
+  std::optional<LoadTotals> Totals = updateLoads(*Table, Update, Now);
+  if (Totals)
+    Self.m_Peers->send(From, std::move(*Totals));
+}
+
 void answerJournal(Keeper &Self, const NodeId &To, const RequestId &Request,
                    const CommandAnswer *Answer) {
   JournalAnswer Unknown;
@@ -134,6 +145,8 @@
 void onMessage(Keeper &Self, const NodeId &From, PeerMessage &Message) {
   if (const Renew *Request = std::get_if<Renew>(&Message))
     onRenew(Self, From, *Request);
+  else if (const LoadUpdate *Update = std::get_if<LoadUpdate>(&Message))
+    onLoadUpdate(Self, From, *Update);
   else if (const JournalBegin *Begin = std::get_if<JournalBegin>(&Message))
     onJournal(Self, From, *Begin);
   else if (const JournalEnd *End = std::get_if<JournalEnd>(&Message))
@@ -174,6 +187,20 @@
   }
 }
 
+/// Routers renew at once after a change, so that it is in force before the
+/// next ordinary renewal.
+void announceChanges(Keeper &Self) {
+  RenewRequest Change{Self.m_State.m_Epoch, Self.m_State.m_Document.m_Version};
+  if (Change.m_Epoch <= Self.m_Announced.m_Epoch &&
+      Change.m_Version <= Self.m_Announced.m_Version)
+    return;
+  Self.m_Announced = Change;
+  for (const std::pair<const NodeId, NodeLease> &Row : Self.m_Leases->m_Leases)
+    if (Row.second.m_AckedEpoch < Change.m_Epoch ||
+        Row.second.m_AckedVersion < Change.m_Version)
+      Self.m_Peers->send(Row.first, Change);
+}
+
 } // namespace
 
 bool leads(const Keeper &Self) {
@@ -192,6 +219,7 @@
   finishInForceWaits(Self, Now);
   if (!grantingTable(Self, Now))
     return;
+  announceChanges(Self);
   std::map<NodeId, Renew> Waiting;
   Waiting.swap(Self.m_WaitingRenewals);
   for (const std::pair<const NodeId, Renew> &Row : Waiting)
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr Millis EarlySpacing{100};
+/// Time between two load updates, and the age from which totals are not fresh.
+/// Short requests make a total meaningless within a second; at this spacing an
+/// update and its answer cost at most about 2 KB a second.
+constexpr Millis LoadSpacing{50};
+constexpr std::size_t MaxLoadsSent = 16;
 /// Pause before another keeper is asked when the last one knew no leader.
 constexpr Millis UnknownLeaderPause{150};
 
@@ -59,13 +64,10 @@
   sendToLeader(R, std::move(Renewal));
 }
 
-/// A pool's count fell, or an account without a share here has work.
+/// An account without a share here has work.
 bool earlyRenewalDue(const Router &R, Millis Now) {
   if (R.m_Keeper.m_LastRenew + EarlySpacing > Now)
     return false;
-  for (const std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
-    if (earlyReportDue(Row.second.m_Mean, ownerLoad(Row.second), Now))
-      return true;
   for (const std::pair<const AccountId, AccountState> &Row :
        R.m_Accounts.m_Accounts)
     if (Row.second.m_Waiting > 0 && Row.second.m_Running >= Row.second.m_Share)
@@ -73,6 +75,40 @@
   return false;
 }
 
+/// A pool's count fell, or a placement used totals that are not fresh.
+bool loadUpdateDue(const Router &R, Millis Now) {
+  Millis Last = std::max(R.m_Keeper.m_LastLoadUpdate, R.m_Keeper.m_LastRenew);
+  if (Last + LoadSpacing > Now || !leaseHolds(R.m_Lease, Now))
+    return false;
+  if (R.m_Keeper.m_WantTotals)
+    return true;
+  for (const std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
+    if (earlyReportDue(Row.second.m_Mean, ownerLoad(Row.second), Now))
+      return true;
+  return false;
+}
+
+void sendLoadUpdate(Router &R, Millis Now) {
+  LoadUpdate Update;
+  Update.m_Node = R.m_Settings.m_Node;
+  Update.m_Incarnation = R.m_Incarnation;
+  Update.m_Sequence = R.m_Keeper.m_NextLoadUpdate++;
+  SentLoads &Sent = R.m_Keeper.m_LoadsSent[Update.m_Sequence];
+  Sent.m_SentAt = Now;
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
+    std::uint32_t Running = ownerLoad(Row.second);
+    Sent.m_Running[Row.first] = Running;
+    noteReported(Row.second.m_Mean, Running, Now);
+    Update.m_Pools.push_back({Row.first, Running});
+  }
+  if (R.m_Keeper.m_LoadsSent.size() > MaxLoadsSent)
+    R.m_Keeper.m_LoadsSent.erase(R.m_Keeper.m_LoadsSent.begin());
+  R.m_Keeper.m_LastLoadUpdate = Now;
+  R.m_Keeper.m_WantTotals = false;
+  addCounter(R.m_Metrics, "vanillaferry_load_updates_total");
+  sendToLeader(R, std::move(Update));
+}
+
 void tryNextKeeper(Router &R, Millis Now) {
   const std::vector<std::string> &All = R.m_Settings.m_Keepers;
   R.m_Keeper.m_Index = (R.m_Keeper.m_Index + 1) % All.size();
@@ -213,6 +249,30 @@
     tryNextKeeper(R, Now);
   if (renewalDue(R.m_Lease, Now) || earlyRenewalDue(R, Now))
     sendRenewal(R);
+  else if (loadUpdateDue(R, Now))
+    sendLoadUpdate(R, Now);
+}
+
+void takeLoadTotals(Router &R, const LoadTotals &Answer) {
+  std::map<std::uint64_t, SentLoads> &All = R.m_Keeper.m_LoadsSent;
+  std::map<std::uint64_t, SentLoads>::iterator Sent =
+      All.find(Answer.m_Sequence);
+  if (Sent == All.end())
+    return;
+  for (const PoolTotal &Total : Answer.m_Totals) {
+    std::map<PoolId, OwnerPool>::iterator Pool =
+        R.m_OwnerPools.find(Total.m_Pool);
+    if (Pool != R.m_OwnerPools.end())
+      takePoolTotal(Pool->second.m_Mean, Total,
+                    Sent->second.m_Running[Total.m_Pool],
+                    Sent->second.m_SentAt);
+  }
+  All.erase(All.begin(), std::next(Sent));
+}
+
+void noteTotalsUsed(Router &R, const PoolMean &Mean, Millis Now) {
+  if (Mean.m_GrantSentAt + LoadSpacing <= Now)
+    R.m_Keeper.m_WantTotals = true;
 }
 
 void takeGrantMessage(Router &R, const Grant &Granted) {
--- a/src/daemon/process/lease_client.hpp
+++ b/src/daemon/process/lease_client.hpp
@@ -4,6 +4,7 @@
 
 namespace vanillaferry {
 
+struct PoolMean;
 struct Router;
 
 /// A leader that leaves a renewal unanswered for this long is left for the next
@@ -26,4 +27,11 @@
 /// Updates which owned targets may be dispatched to at present.
 void updateDispatchable(Router &R);
 
+/// Takes the leader's answer to a load update.
+void takeLoadTotals(Router &R, const LoadTotals &Answer);
+
+/// Notes that a placement used a pool's total, so that a fresh one is asked for
+/// when it is needed.
+void noteTotalsUsed(Router &R, const PoolMean &Mean, Millis Now);
+
 } // namespace vanillaferry
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -93,6 +93,7 @@
   Asked.m_Priority = State.m_Trace->m_Requests[Index].m_Priority;
   PlacementDecision Decision =
       decidePlacement(Owner->m_Pool, Asked, State.m_Now);
+  Owner->m_WantTotals = true;
   if (Decision.m_Why == PlacementWhy::HolderBusy) {
     parkRequest(Owner->m_Pool, RequestId(std::to_string(Index)), Asked,
                 State.m_Now);
@@ -131,9 +132,9 @@
   }
   ++Counts.m_Refused[Reason];
   const Trace &Recorded = *All.m_World->m_Trace;
-  bool Surging = All.m_World->m_SurgeEnd.m_Value > 0 &&
-                 Recorded.m_Requests[Index].m_Account + 1 ==
-                     Recorded.m_Accounts.size();
+  bool Surging =
+      All.m_World->m_SurgeEnd.m_Value > 0 &&
+      Recorded.m_Requests[Index].m_Account + 1 == Recorded.m_Accounts.size();
   if (!Surging)
     ++Counts.m_RefusedOthers;
 }
--- a/src/daemon/process/replay/fleet.hpp
+++ b/src/daemon/process/replay/fleet.hpp
@@ -12,6 +12,14 @@
 
 namespace vanillaferry {
 
+/// The leader's answer to a load update on its way.
+struct TotalsInFlight {
+  Millis m_At;
+  Millis m_SentAt;
+  std::uint32_t m_OwnReported = 0;
+  LoadTotals m_Answer;
+};
+
 /// A grant on its way to a router.
 struct GrantInFlight {
   Millis m_At;
@@ -53,6 +61,11 @@
   Millis m_NextWalk;
   RetryTable m_Retries;
   std::deque<std::int64_t> m_FirstTokens;
+  std::deque<TotalsInFlight> m_Totals;
+  std::uint64_t m_NextLoadUpdate = 1;
+  Millis m_LastLoadUpdate;
+  /// Set when a placement used totals that are not fresh.
+  bool m_WantTotals = false;
   std::deque<GrantInFlight> m_Grants;
   std::deque<ReportInFlight> m_Reports;
   /// Requests that ended while the router was frozen.
--- a/src/daemon/process/replay/fleet_messages.cpp
+++ b/src/daemon/process/replay/fleet_messages.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis MessageDelay{20};
+/// As in the router.
+constexpr Millis LoadSpacing{50};
 constexpr Millis ReportDelay{500};
 constexpr Millis ListInterval{1000};
 constexpr Millis LeastPollInterval{1000};
@@ -58,6 +60,48 @@
   Router.m_Grants.push_back(std::move(Answer));
 }
 
+void sendLoadUpdate(Fleet &All, ReplayRouter &Router) {
+  Millis Now = All.m_World->m_Now;
+  std::uint32_t Own = ownerLoad(Router.m_Pool);
+  LoadUpdate Update;
+  Update.m_Node = Router.m_Id;
+  Update.m_Incarnation = Incarnation(1);
+  Update.m_Sequence = Router.m_NextLoadUpdate++;
+  Update.m_Pools.push_back(PoolLoad{All.m_Settings.m_Id, Own});
+  Router.m_LastLoadUpdate = Now;
+  Router.m_WantTotals = false;
+  noteReported(Router.m_Pool.m_Mean, Own, Now);
+  All.m_World->m_Measures.m_ControlBytes +=
+      static_cast<double>(encodeMessage(Update).size());
+  std::optional<LoadTotals> Answer =
+      updateLoads(All.m_Leader.m_Table, Update, Now);
+  if (!Answer)
+    return;
+  All.m_World->m_Measures.m_ControlBytes +=
+      static_cast<double>(encodeMessage(*Answer).size());
+  Router.m_Totals.push_back({Now + MessageDelay, Now, Own, std::move(*Answer)});
+}
+
+bool loadUpdateDue(const Fleet &All, const ReplayRouter &Router) {
+  Millis Now = All.m_World->m_Now;
+  if (Router.m_LastLoadUpdate + LoadSpacing > Now ||
+      !leaseHolds(Router.m_Lease, Now))
+    return false;
+  return Router.m_WantTotals ||
+         earlyReportDue(Router.m_Pool.m_Mean, ownerLoad(Router.m_Pool), Now);
+}
+
+void takeTotals(Fleet &All, ReplayRouter &Router) {
+  while (!Router.m_Totals.empty() &&
+         Router.m_Totals.front().m_At <= All.m_World->m_Now) {
+    TotalsInFlight Taken = std::move(Router.m_Totals.front());
+    Router.m_Totals.pop_front();
+    for (const PoolTotal &Total : Taken.m_Answer.m_Totals)
+      takePoolTotal(Router.m_Pool.m_Mean, Total, Taken.m_OwnReported,
+                    Taken.m_SentAt);
+  }
+}
+
 void takeGrants(Fleet &All, ReplayRouter &Router) {
   Millis Now = All.m_World->m_Now;
   while (!Router.m_Grants.empty() && Router.m_Grants.front().m_At <= Now) {
@@ -231,12 +275,14 @@
 void exchangeMessages(Fleet &All, ReplayRouter &Router) {
   Millis Now = All.m_World->m_Now;
   takeGrants(All, Router);
+  takeTotals(All, Router);
   takeReports(All, Router);
   readList(All, Router);
   pollTargets(All, Router);
-  if (renewalDue(Router.m_Lease, Now) ||
-      earlyReportDue(Router.m_Pool.m_Mean, ownerLoad(Router.m_Pool), Now))
+  if (renewalDue(Router.m_Lease, Now))
     sendRenewal(All, Router);
+  else if (loadUpdateDue(All, Router))
+    sendLoadUpdate(All, Router);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -46,6 +46,11 @@
                  Message.m_Home, Message.m_Target);
   }
   void operator()(Grant &Message) { takeGrantMessage(m_Router, Message); }
+  void operator()(LoadTotals &Message) { takeLoadTotals(m_Router, Message); }
+  void operator()(RenewRequest &) {
+    m_Router.m_Lease.m_NextRenewal = monotonicNow();
+    checkLease(m_Router);
+  }
   void operator()(RedirectLeader &Message) { takeRedirect(m_Router, Message); }
   void operator()(JournalAnswer &Message) {
     takeJournalAnswer(m_Router, Message);
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -50,6 +50,12 @@
   RequestId m_Probe;
 };
 
+/// Own running requests as a load update stated them.
+struct SentLoads {
+  Millis m_SentAt;
+  std::map<PoolId, std::uint32_t> m_Running;
+};
+
 /// Connection to the keepers' leader.
 struct KeeperLink {
   /// URL that is asked at present.
@@ -62,6 +68,12 @@
   Epoch m_AckedEpoch;
   DocumentVersion m_AckedVersion;
   Millis m_LastRenew;
+  /// Load updates without an answer, by sequence.
+  std::map<std::uint64_t, SentLoads> m_LoadsSent;
+  std::uint64_t m_NextLoadUpdate = 1;
+  Millis m_LastLoadUpdate;
+  /// Set when a placement used pool totals that are not fresh.
+  bool m_WantTotals = false;
 };
 
 /// A message to the journal that is repeated until it is answered.
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/service_adapter.hpp"
 #include "process/clock.hpp"
+#include "process/lease_client.hpp"
 #include "process/poller.hpp"
 #include "process/router.hpp"
 
@@ -351,6 +352,7 @@
     return;
   }
   Millis Now = monotonicNow();
+  noteTotalsUsed(R, Pool->second.m_Mean, Now);
   PlacementDecision Decision = decide(R, Pool->second, Order, Now);
   if (!Decision.m_Admitted) {
     decline(R, From, Order,
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -125,6 +125,32 @@
   SAME(m_Interrupted);
 }
 
+BOOST_AUTO_TEST_CASE(LoadMessagesKeepEveryField) {
+  {
+    LoadUpdate Sent{NodeId("n"), Incarnation(2), 3, {{PoolId("p"), 4}}};
+    LoadUpdate Got = roundTrip(Sent);
+    SAME(m_Node);
+    SAME(m_Incarnation);
+    SAME(m_Sequence);
+    SAME(m_Pools.at(0).m_Pool);
+    SAME(m_Pools.at(0).m_Running);
+  }
+  {
+    LoadTotals Sent{3, {{PoolId("p"), 12, Millis(40)}}};
+    LoadTotals Got = roundTrip(Sent);
+    SAME(m_Sequence);
+    SAME(m_Totals.at(0).m_Pool);
+    SAME(m_Totals.at(0).m_Running);
+    SAME(m_Totals.at(0).m_Age);
+  }
+  {
+    RenewRequest Sent{Epoch(3), DocumentVersion(4)};
+    RenewRequest Got = roundTrip(Sent);
+    SAME(m_Epoch);
+    SAME(m_Version);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(KeeperMessagesKeepEveryField) {
   {
     RedirectLeader Sent{KeeperId("k2"), "ws://127.0.0.1:9"};
