--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -21,9 +21,8 @@
 namespace {
 
 constexpr guint TickMillis = 20;
-/// Snapshots travel in one frame; the bound is far above the state of a fleet
-/// of the target size with a day of journaled calls.
-constexpr Bytes MaxKeeperFrame{256LL * 1024 * 1024};
+/// A whole snapshot may wait on a link; this is above half a million journaled
+/// calls with answers of 1 KiB.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
 
 gboolean onTick(gpointer Data) {
@@ -88,7 +87,6 @@
   Options.m_HttpUrl = Self.m_HttpUrl;
   Options.m_ListenAddress = Self.m_Settings.m_Peer.m_Address;
   Options.m_ListenPort = Self.m_Settings.m_Peer.m_Port;
-  Options.m_MaxFrame = MaxKeeperFrame;
   Options.m_MaxBuffered = MaxKeeperBuffered;
   Mailbox<PeerEvent> *Mail = Self.m_PeerMail.get();
   Result<std::unique_ptr<PeerTask>> Started = PeerTask::start(
@@ -96,12 +94,15 @@
   if (!Started)
     return Started.error();
   Self.m_Peers = std::move(Started.value());
-  if (Self.m_Formation.m_State == FormationState::Forming)
-    for (const InitialKeeper &Member : Self.m_Formation.m_Members)
-      if (Member.m_Keeper != Self.m_Formation.m_Keeper) {
-        Self.m_Peers->connect(Member.m_PeerUrl);
-        Self.m_Dialled.insert(Member.m_PeerUrl);
-      }
+  // A fresh keeper shows itself to the others, so that their status names it.
+  bool Forming = Self.m_Formation.m_State == FormationState::Forming;
+  std::string Own = "ws://" + Self.m_Settings.m_Peer.m_Address + ":" +
+                    std::to_string(Self.m_Settings.m_Peer.m_Port);
+  for (const InitialKeeper &Member :
+       Forming ? Self.m_Formation.m_Members : Self.m_Settings.m_InitialKeepers)
+    if (Member.m_PeerUrl != Own &&
+        Self.m_Dialled.insert(Member.m_PeerUrl).second)
+      Self.m_Peers->connect(Member.m_PeerUrl);
   return boost::outcome_v2::success();
 }
 
