--- a/tests/core/ReplicationRules.tests.cpp
+++ b/tests/core/ReplicationRules.tests.cpp
@@ -234,6 +234,34 @@
   BOOST_TEST(tick(State, Millis(10000)).m_Send.empty());
 }
 
+// Guards against a new voter that answers but lacks part of the log.
+BOOST_AUTO_TEST_CASE(AnsweringLearnerThatIsBehindIsNotPromoted) {
+  Replica State = keeperOne(3, 1, {});
+  elect(State);
+  acknowledge(State, 1);
+  synced(State, LogIndex(1), Term(2), Millis(5020));
+  ReplicaActions Actions;
+  BOOST_REQUIRE((addLearner(State, {KeeperId("k9"), ""}, Actions,
+                            Millis(5020)) == ProposeError::None));
+  std::vector<LogIndex> Indexes;
+  propose(State, std::vector<std::string>(20, "x"), Indexes, Actions,
+          Millis(5020));
+  acknowledge(State, 22);
+  synced(State, LogIndex(22), Term(2), Millis(5030));
+  BOOST_REQUIRE(State.m_Commit == LogIndex(22));
+  ReplicaMessage Answer = from("k9", ReplicaMessage::Kind::AppendAnswer, 2);
+  Answer.m_Sequence = State.m_ConfirmSequence;
+  Answer.m_Match = LogIndex(5);
+  receive(State, Answer, Millis(5030));
+  BOOST_TEST((promoteLearner(State, KeeperId("k9"), Actions, Millis(5040)) ==
+              ProposeError::LearnerBehind));
+  Answer.m_Match = LogIndex(6);
+  receive(State, Answer, Millis(5050));
+  BOOST_TEST(caughtUpLearners(State).size() == 1u);
+  BOOST_TEST((promoteLearner(State, KeeperId("k9"), Actions, Millis(5060)) ==
+              ProposeError::None));
+}
+
 // Guards against malformed messages that would tear holes into the log.
 BOOST_AUTO_TEST_CASE(AppendWithAGapIsIgnored) {
   Replica State = keeperOne(3, 1, {});
