--- a/include/vanillaferry/request/placement.hpp
+++ b/include/vanillaferry/request/placement.hpp
@@ -141,7 +141,7 @@
 struct PlacementOptions {
   /// How long a request waits for a place at the target that holds its prefix:
   /// this long for each 1,000 tokens held, up to a limit.
-  Millis m_HolderWaitPerThousand{500};
+  Millis m_HolderWaitPerThousand{700};
   Millis m_HolderWaitLatency{900};
   Millis m_HolderWaitBatch{10000};
   /// Requests that wait in this way at one owner and pool.
@@ -256,6 +256,9 @@
 /// Ends a request; a target found cold loses its prefixes and redirects.
 void endAt(OwnerPool &Pool, const EndedRequest &Ended, Millis Now);
 
+/// Notes that a stream through another owner broke because its target did.
+void noteBrokenElsewhere(OwnerPool &Pool, const TargetId &Target, Millis Now);
+
 /// Takes a load report of one target; a restart clears what is known of it.
 void takeReportAt(OwnerPool &Pool, const TargetId &Target,
                   const LoadReport &Report, Millis Now);
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -30,6 +30,7 @@
 void addCheckSettingsCommand(CLI::App &App, int &Code);
 void addBenchCommand(CLI::App &App, int &Code);
 void addBenchDiskCommand(CLI::App &Bench, int &Code);
+void addBenchDecideCommand(CLI::App &Bench, int &Code);
 void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
 void addDocumentCommands(CLI::App &App, int &Code);
@@ -39,5 +40,6 @@
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
+void addBenchRelayCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
