Refuse deeply nested sections; answer resends before checking them

Cause: a PUT of a million nested arrays stopped the keeper (recursive copying and printing in the JSON library), and the commands would have repeated it at the next keeper. A resent edit was checked against the other sections as they are now, so that an accepted edit could be answered as invalid. Change: sections nest at most 32 levels (422); a known edit id goes to the log without the check. Conclusion: other readers of callers' JSON should bound the depth likewise.

--- a/src/daemon/process/keeper_api_document.cpp
+++ b/src/daemon/process/keeper_api_document.cpp
@@ -18,6 +18,8 @@
 constexpr Millis InForceLimit{6000};
 constexpr Millis MaxInForceWait{60000};
 constexpr std::size_t MaxEditIdLength = 128;
+/// Sections nest at most 6 levels.
+constexpr std::size_t MaxNesting = 32;
 
 json contentOf(const std::string &Text) {
   return json::parse(Text, nullptr, false);
@@ -126,10 +128,33 @@
          Names.end();
 }
 
+/// Deepest nesting of arrays and objects in a JSON text.
+std::size_t nestingDepth(const std::string &Text) {
+  std::size_t Depth = 0;
+  std::size_t Deepest = 0;
+  bool InString = false;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    char C = Text[At];
+    if (InString && C == '\\')
+      ++At;
+    else if (C == '"')
+      InString = !InString;
+    else if (!InString && (C == '[' || C == '{'))
+      Deepest = std::max(Deepest, ++Depth);
+    else if (!InString && (C == ']' || C == '}') && Depth > 0)
+      --Depth;
+  }
+  return Deepest;
+}
+
 /// Checks an edit against the document as it is now; the log may still hold
 /// edits of other sections that come first.
 std::vector<std::string> editFaults(const Keeper &Self, const std::string &Name,
                                     const std::string &Text) {
+  // Copying and printing deeper JSON would exhaust the stack.
+  if (nestingDepth(Text) > MaxNesting)
+    return {"/: expected at most " + std::to_string(MaxNesting) +
+            " levels of arrays and objects"};
   std::map<SectionName, std::string> Current;
   for (const std::pair<const SectionName, Section> &Row :
        Self.m_State.m_Document.m_Sections)
@@ -159,7 +184,12 @@
     return std::nullopt;
   }
   std::string Text = Exchange.body();
-  std::vector<std::string> Faults = editFaults(Self, Name, Text);
+  // A resend gets the first answer, even if the edit would be invalid beside
+  // the other sections as they are now.
+  bool Resent = Self.m_State.m_Document.m_Answers.count(Edit) != 0 &&
+                nestingDepth(Text) <= MaxNesting && json::accept(Text);
+  std::vector<std::string> Faults =
+      Resent ? std::vector<std::string>() : editFaults(Self, Name, Text);
   if (!Faults.empty()) {
     Exchange.answer(422, {{"error", "invalid_section"},
                           {"message", "the section's content is invalid"},
