Record traces, cancel runs of lost entry routers, log a lost lease

A run whose entry router is gone kept its place at the target: without credit it counts as progressing for ever. It is cancelled after 15 s, or at once when the restarted entry router does not know its request.

--- a/src/daemon/process/recorder.hpp
+++ b/src/daemon/process/recorder.hpp
@@ -3,8 +3,6 @@
 #include "request/session.hpp"
 #include "vanillaferry/process/result.hpp"
 
-#include <string>
-
 namespace vanillaferry {
 
 struct Router;
@@ -12,7 +10,12 @@
 /// Opens the trace file of the settings; an empty path records nothing.
 Status openRecord(Router &R);
 
-/// Writes one request of the trace, without bodies and keys (docs/traces.md).
-void recordPlacement(Router &R, const Session &S, const std::string &Outcome);
+/// Writes an ended chat request to the trace (docs/traces.md): times, token
+/// counts and numbers in place of chats and accounts; neither bodies nor keys.
+void recordRequest(Router &R, const Session &S);
+
+/// Writes the trace's line on the fleet, which needs its duration, and closes
+/// it. A recording that ends without it cannot be replayed.
+void closeRecord(Router &R);
 
 } // namespace vanillaferry
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -68,6 +68,13 @@
     tryRelink(S);
 }
 
+void noteLease(Router &R) {
+  bool Holds = holdsLease(R);
+  if (R.m_LeaseHeld && !Holds)
+    logEvent(Event::LeaseLost);
+  R.m_LeaseHeld = Holds;
+}
+
 void checkDrained(Router &R) {
   if (!R.m_Draining || !R.m_OnDrained)
     return;
@@ -169,6 +176,7 @@
   switch (Event.m_Kind) {
   case PeerEvent::Kind::Up:
     R.m_Links[Event.m_From].insert(Event.m_Connection);
+    R.m_LinkLostAt.erase(Event.m_From);
     return;
   case PeerEvent::Kind::Down: {
     std::set<std::uint64_t> &Links = R.m_Links[Event.m_From];
@@ -176,6 +184,7 @@
     if (!Links.empty())
       return;
     R.m_Links.erase(Event.m_From);
+    R.m_LinkLostAt[Event.m_From] = monotonicNow();
     sessionLinkLost(R, Event.m_From);
     return;
   }
@@ -187,6 +196,7 @@
 
 void tickRouter(Router &R) {
   checkLease(R);
+  noteLease(R);
   updateDispatchable(R);
   checkRuns(R);
   checkSessions(R);
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -17,7 +17,6 @@
 #include "version/router_document.hpp"
 
 #include <deque>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +28,7 @@
 
 struct Session;
 struct Run;
+struct Recording;
 
 /// The last first-token times of a pool, for their median.
 struct FirstTokenWindow {
@@ -95,6 +95,8 @@
   Membership m_Members;
   OwnedTargets m_Owned;
   std::map<NodeId, std::set<std::uint64_t>> m_Links;
+  /// When the last link to each unreachable node broke.
+  std::map<NodeId, Millis> m_LinkLostAt;
   std::set<std::string> m_Dialled;
 
   RouterDocument m_Document;
@@ -119,9 +121,12 @@
   bool m_DeliveringLocal = false;
   bool m_Draining = false;
   Millis m_DrainUntil;
-  std::ofstream m_Record;
+  std::shared_ptr<Recording> m_Record;
   std::function<void()> m_OnDrained;
 
+  /// The lease held at the last tick, for the log.
+  bool m_LeaseHeld = false;
+
   Timer m_Tick;
   // Last, so that they end before the state that they deliver to.
   std::unique_ptr<HttpFront> m_Front;
--- a/src/daemon/process/router_command.cpp
+++ b/src/daemon/process/router_command.cpp
@@ -1,5 +1,6 @@
 #include "process/command_line.hpp"
 #include "process/file_limit.hpp"
+#include "process/recorder.hpp"
 #include "process/router.hpp"
 
 #include <CLI/CLI.hpp>
@@ -66,7 +67,7 @@
   // signal are cut on purpose.
   std::cout.flush();
   std::cerr.flush();
-  Process->m_Router.m_Record.flush();
+  closeRecord(Process->m_Router);
   Process.release();
   return Code;
 }
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t MedianWindow = 64;
 constexpr int HttpOk = 200;
+/// Longer than a session looks for its owner (RelinkLimit).
+constexpr Millis OrphanLimit{15000};
 constexpr int HttpServerError = 500;
 
 void finishRun(Run &Work, StreamEnd How, const std::string &Detail);
@@ -323,6 +325,20 @@
   return decidePlacement(Pool, placementOf(Order), Now);
 }
 
+/// Cancels runs whose entry router has been unreachable for so long that its
+/// session has given up; a call that must run at most once is finished.
+void endOrphans(Router &R, Millis Now) {
+  std::vector<std::shared_ptr<Run>> Orphans;
+  for (const std::pair<const RequestId, std::shared_ptr<Run>> &Row : R.m_Runs) {
+    auto Lost = R.m_LinkLostAt.find(Row.second->m_From);
+    if (Lost != R.m_LinkLostAt.end() && Lost->second + OrphanLimit < Now &&
+        Row.second->m_Idempotent)
+      Orphans.push_back(Row.second);
+  }
+  for (const std::shared_ptr<Run> &Work : Orphans)
+    finishRun(*Work, StreamEnd::Cancelled, "the entry router is lost");
+}
+
 /// Ends an earlier attempt of the same request without an answer.
 void replaceRun(Router &R, const RequestId &Request) {
   auto Found = R.m_Runs.find(Request);
@@ -411,6 +427,7 @@
 
 void checkRuns(Router &R) {
   Millis Now = monotonicNow();
+  endOrphans(R, Now);
   std::vector<std::shared_ptr<Run>> Overdue;
   for (const std::pair<const RequestId, std::shared_ptr<Run>> &Row : R.m_Runs) {
     Run &Work = *Row.second;
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -225,7 +225,7 @@
   Router &R = S->m_Router;
   noteSuccess(R.m_Retries, S->m_Order.m_Account, S->m_Order.m_Pool);
   addCounter(R.m_Metrics, "vanillaferry_completed_total");
-  recordPlacement(R, *S, "complete");
+  recordRequest(R, *S);
   if (S->m_Caller->streaming()) {
     S->m_Caller->finish();
     closeSession(S);
@@ -339,8 +339,12 @@
 void sessionChunk(Router &R, const NodeId &From, const ForwardChunk &Chunk) {
   std::shared_ptr<Session> S =
       findAsked(R, From, Chunk.m_Request, Chunk.m_Attempt);
-  if (!S)
+  if (!S) {
+    // Nobody waits for it any more, for example after a restart of this node.
+    if (!findSession(R, Chunk.m_Request))
+      sendToNode(R, From, ForwardCancel{Chunk.m_Request, Chunk.m_Attempt});
     return;
+  }
   ChunkDecision Decision =
       takeChunk(S->m_Progress, Chunk.m_Request, Chunk.m_Attempt, Chunk.m_Offset,
                 Chunk.m_Count, monotonicNow());
@@ -498,7 +502,7 @@
   if (S->m_Step == SessionStep::Done)
     return;
   countRefusal(S->m_Router.m_Metrics, Reason);
-  recordPlacement(S->m_Router, *S, refusalName(Reason));
+  recordRequest(S->m_Router, *S);
   if (S->m_Journaled)
     endRefusedCall(*S, Ran);
   Refusal Why{Reason, Ran, Message};
@@ -526,7 +530,7 @@
   }
   if (S->m_Step == SessionStep::Queued)
     dropQueued(*S);
-  recordPlacement(S->m_Router, *S, "caller_left");
+  recordRequest(S->m_Router, *S);
   bool Asked =
       S->m_Step == SessionStep::Asking || S->m_Step == SessionStep::Running;
   // Closed first, so that the cancelled run's end finds no session.
