--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr int HttpOk = 200;
 /// Credit is given back in steps, so that not every chunk costs a message.
 constexpr std::int64_t CreditStep = 64 * 1024;
 static_assert(CreditStep * 2 <= InitialCredit.m_Value);
