--- /dev/null
+++ b/src/daemon/request/session_retry.cpp
@@ -0,0 +1,195 @@
+#include "request/internal/session_steps.hpp"
+
+#include "connection/engine_adapter.hpp"
+#include "process/clock.hpp"
+#include "process/router.hpp"
+#include "request/entry.hpp"
+
+#include <optional>
+
+namespace vanillaferry {
+
+namespace {
+
+/// Asks the retry budget; refuses the session when it says no.
+bool mayRetry(const std::shared_ptr<Session> &S, RetryReason Why,
+              bool NothingSent, const std::string &Detail) {
+  Router &R = S->m_Router;
+  FailedTry Failed;
+  Failed.m_Account = S->m_Order.m_Account;
+  Failed.m_Pool = S->m_Order.m_Pool;
+  Failed.m_Reason = Why;
+  Failed.m_Attempt = Attempt(S->m_Tries);
+  Failed.m_NothingSent = NothingSent;
+  Failed.m_Idempotent = S->m_Idempotent;
+  Failed.m_Journaled = S->m_Journaled;
+  Failed.m_AnswerBegan = S->m_Caller->streaming();
+  // A running answer is not cut by its deadline.
+  Failed.m_TimeLeft = S->m_Caller->streaming()
+                          ? R.m_Document.m_Settings.m_Limits.m_DefaultDeadline
+                          : S->m_Deadline - monotonicNow();
+  NotRun Ran =
+      NothingSent && S->m_Sent == false ? NotRun::True : NotRun::Unknown;
+  RefusalReason Reason = RefusalReason::None;
+  switch (decideRetry(R.m_Retries, Failed, monotonicNow())) {
+  case RetryVerdict::Retry:
+    countRetry(R.m_Metrics, Why);
+    return true;
+  case RetryVerdict::Forbidden:
+    Reason = NothingSent ? RefusalReason::TargetFailed
+                         : RefusalReason::OutcomeUnknown;
+    break;
+  case RetryVerdict::BudgetSpent:
+    Reason = RefusalReason::RetryBudgetSpent;
+    break;
+  case RetryVerdict::DeadlinePassed:
+    Reason = RefusalReason::DeadlinePassed;
+    break;
+  }
+  refuseSession(S, Reason, Ran, Detail);
+  return false;
+}
+
+} // namespace
+
+void relinkLater(Session &S) {
+  Millis Now = monotonicNow();
+  S.m_Step = SessionStep::Relinking;
+  S.m_NextTry = Now + RelinkPause;
+  if (S.m_RelinkUntil < Now)
+    S.m_RelinkUntil = Now + RelinkLimit;
+}
+
+void ask(const std::shared_ptr<Session> &S) {
+  S->m_Step = SessionStep::Asking;
+  S->m_Order.m_Attempt = S->m_Progress.m_Attempt;
+  S->m_Order.m_Target = S->m_Asked.m_Target;
+  S->m_Order.m_IgnoreRedirect = S->m_Asked.m_IgnoreRedirect;
+  S->m_Order.m_AnyTarget = S->m_Asked.m_AnyTarget;
+  S->m_Order.m_ResumeOffset = S->m_Progress.m_Next;
+  S->m_Order.m_TimeLeft = S->m_Deadline - monotonicNow();
+  S->m_OwedCredit = 0;
+  sendToNode(S->m_Router, S->m_Asked.m_Owner, S->m_Order);
+}
+
+void waitOrRefuse(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  auto Pool = R.m_Pools.find(S->m_Order.m_Pool);
+  bool Empty = Pool == R.m_Pools.end() || Pool->second.m_View.m_Targets.empty();
+  if (Empty && !S->m_Caller->streaming()) {
+    refuseSession(S, RefusalReason::NoTargetInService,
+                  S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+                  "the service has no target in service");
+    return;
+  }
+  if (S->m_Caller->streaming())
+    relinkLater(*S);
+  else
+    requeueSession(S);
+}
+
+void askAnyTarget(const std::shared_ptr<Session> &S) {
+  S->m_Asked.m_AnyTarget = true;
+  S->m_Asked.m_IgnoreRedirect = true;
+  ask(S);
+}
+
+void retryUnsent(const std::shared_ptr<Session> &S, RetryReason Why,
+                 const std::string &Detail) {
+  if (!mayRetry(S, Why, true, Detail))
+    return;
+  nextAttempt(S->m_Progress, monotonicNow());
+  // The owner knows by now which of its targets failed.
+  if (!S->m_Asked.m_AnyTarget) {
+    askAnyTarget(S);
+    return;
+  }
+  takeDecline(S->m_Walk, S->m_Asked);
+  askNext(S);
+}
+
+void retryBroken(const std::shared_ptr<Session> &S, RetryReason Why,
+                 const std::string &Detail) {
+  S->m_Sent = true;
+  if (!S->m_Caller->streaming()) {
+    S->m_Whole.clear();
+    S->m_Bytes = 0;
+    S->m_Progress.m_Next = 0;
+    if (mayRetry(S, Why, false, Detail)) {
+      nextAttempt(S->m_Progress, monotonicNow());
+      startWalk(S);
+    }
+    return;
+  }
+  std::string Text = S->m_KeptWhole ? textOfEvents(S->m_Kept) : "";
+  if (Text.empty()) {
+    refuseSession(S, RefusalReason::StreamBroken, NotRun::False, Detail);
+    return;
+  }
+  if (!mayRetry(S, RetryReason::StreamContinued, false, Detail))
+    return;
+  S->m_Order.m_ResumeText = std::move(Text);
+  S->m_Continued = true;
+  nextAttempt(S->m_Progress, monotonicNow());
+  startWalk(S);
+}
+
+void sessionLinkLost(Router &R, const NodeId &Node) {
+  std::vector<std::shared_ptr<Session>> Affected;
+  for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+       R.m_Sessions)
+    if (Row.second->m_Asked.m_Owner == Node &&
+        (Row.second->m_Step == SessionStep::Asking ||
+         Row.second->m_Step == SessionStep::Running))
+      Affected.push_back(Row.second);
+  for (const std::shared_ptr<Session> &S : Affected) {
+    // An order that was never accepted may still have reached its target.
+    if (S->m_Step == SessionStep::Asking)
+      ++S->m_Tries;
+    bool Began = S->m_Caller->streaming() && S->m_Progress.m_Next > 0;
+    if (!Began || S->m_Continued) {
+      retryBroken(S, RetryReason::PeerLinkLost,
+                  "the link to the target's owner broke");
+      continue;
+    }
+    countRetry(R.m_Metrics, RetryReason::PeerLinkLost);
+    S->m_Sent = true;
+    relinkLater(*S);
+  }
+}
+
+void tryRelink(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
+  Millis Now = monotonicNow();
+  if (S->m_RelinkUntil <= Now) {
+    refuseSession(S, RefusalReason::StreamBroken, NotRun::False,
+                  "no target could continue the stream");
+    return;
+  }
+  if (S->m_Continued) {
+    nextAttempt(S->m_Progress, Now);
+    startWalk(S);
+    return;
+  }
+  if (S->m_RelinkUntil - Now < RelinkSwitch) {
+    retryBroken(S, RetryReason::StreamBroken,
+                "the stream's own engine cannot be reached");
+    return;
+  }
+  std::optional<NodeId> Owner = ownerOf(R.m_Members, S->m_RanAt);
+  bool Reachable =
+      Owner && (*Owner == R.m_Settings.m_Node || R.m_Links.count(*Owner) != 0);
+  if (!Reachable) {
+    relinkLater(*S);
+    return;
+  }
+  S->m_Asked = WalkStep();
+  S->m_Asked.m_Ask = true;
+  S->m_Asked.m_Owner = *Owner;
+  S->m_Asked.m_Target = S->m_RanAt;
+  S->m_Asked.m_IgnoreRedirect = true;
+  nextAttempt(S->m_Progress, Now);
+  ask(S);
+}
+
+} // namespace vanillaferry
