--- a/tests/core/Document.tests.cpp
+++ b/tests/core/Document.tests.cpp
@@ -78,7 +78,7 @@
 BOOST_AUTO_TEST_CASE(EditIdReusedForAnotherEditIsAnError) {
   StateMachine State;
   apply(State, editOf("e1", "zones", 0, "{}"));
-  for (EditSection Other :
+  for (const EditSection &Other :
        {editOf("e1", "zones", 0, "{\"b\":1}"), editOf("e1", "zones", 1, "{}"),
         editOf("e1", "limits", 0, "{}")})
     BOOST_TEST((apply(State, Other).m_Status == EditStatus::EditIdReused));
