--- a/src/daemon/connection/engine_adapter.cpp
+++ b/src/daemon/connection/engine_adapter.cpp
@@ -184,6 +184,8 @@
          Value["error"]["not_run"] == true;
 }
 
+bool isWholeJson(const std::string &Body) { return json::accept(Body); }
+
 std::optional<LoadReport> parseLoadReport(const std::string &Text) {
   json Value = json::parse(Text, nullptr, false);
   if (!Value.is_object() || !Value.contains("instance") ||
--- a/src/daemon/connection/engine_adapter.hpp
+++ b/src/daemon/connection/engine_adapter.hpp
@@ -62,6 +62,10 @@
 /// True when an error body states that the request did not run.
 bool statesNotRun(const std::string &Body);
 
+/// True for a whole JSON document; an answer cut off between two chunks ends
+/// like a complete one.
+bool isWholeJson(const std::string &Body);
+
 /// GET /load; empty when malformed.
 std::optional<LoadReport> parseLoadReport(const std::string &Text);
 
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -118,6 +118,9 @@
   }
   SoupMessageHeaders *Headers =
       soup_message_get_response_headers(m_Message.get());
+  if (soup_message_headers_get_encoding(Headers) ==
+      SOUP_ENCODING_CONTENT_LENGTH)
+    m_Length = soup_message_headers_get_content_length(Headers);
   TargetHead Head;
   Head.m_Status = static_cast<int>(soup_message_get_status(m_Message.get()));
   Head.m_ContentType = fieldOf(Headers, "Content-Type");
@@ -158,13 +161,18 @@
         nullptr, &Fault);
     GErrorHandle Owned(Fault);
     if (Count > 0) {
+      m_Received += Count;
       Handlers->m_OnData(Buffer.data(), static_cast<std::size_t>(Count));
       continue;
     }
     if (Count < 0 && g_error_matches(Fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
       break;
-    end(Count == 0 ? CallEnd::Complete : CallEnd::Broken,
-        Owned ? Owned->message : "");
+    // libsoup reports an early end of a body with a stated length as its end.
+    bool Short = m_Length >= 0 && m_Received < m_Length;
+    end(Count == 0 && !Short ? CallEnd::Complete : CallEnd::Broken,
+        Owned   ? Owned->message
+        : Short ? "the answer is shorter than its stated length"
+                : "");
   }
   m_Reading = false;
 }
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -86,6 +86,9 @@
   GHandle<GInputStream> m_Body;
   /// Shared, so that a handler that cancels its call stays alive meanwhile.
   std::shared_ptr<CallHandlers> m_Handlers;
+  /// Stated length of the body; -1 without one.
+  std::int64_t m_Length = -1;
+  std::int64_t m_Received = 0;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   bool m_MayBeSent = false;
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -160,6 +160,11 @@
               "the engine answered " + std::to_string(W.m_Status));
     return;
   }
+  if (W.m_Kind == ServiceKind::Engine && W.m_Status == HttpOk &&
+      !W.m_Order.m_Stream && !isWholeJson(W.m_Body)) {
+    tryResume(Work, RetryReason::StreamBroken, "the answer is cut off");
+    return;
+  }
   if (W.m_Kind == ServiceKind::Engine && W.m_Status == HttpOk)
     noteFirstToken(W);
   if (W.m_Kind == ServiceKind::Engine && W.m_Order.m_Stream) {
--- a/tests/daemon/CallerLimits.tests.cpp
+++ b/tests/daemon/CallerLimits.tests.cpp
@@ -185,4 +185,24 @@
                                         "\"} 0"));
 }
 
+// Guards against an account above its limit, and against a request that waits
+// for ever.
+BOOST_AUTO_TEST_CASE(ARequestAboveTheAccountsLimitWaitsUntilItsDeadline) {
+  FakeServer Engine([](Connection &Open) { Open.closedWithin(5000); });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {});
+  Fixture.m_Router.m_Accounts.m_Accounts[AccountId("alice")].m_Share = 1;
+  Connection First;
+  First.m_Fd = connectTo(Fixture.port());
+  First.send(RouterFixture::chatText(true));
+  BOOST_TEST(Fixture.runUntil([&] { return Engine.arrivals() == 1; }));
+  Answer Got = Fixture.exchange(
+      RouterFixture::chatText(true, {{"X-Deadline-Ms", "150"}}));
+  BOOST_TEST(Got.m_Status == 503);
+  BOOST_TEST(contains(Got.m_Body, "\"name\":\"deadline_unreachable\""));
+  BOOST_TEST(contains(Got.m_Body, "\"not_run\":true"));
+  BOOST_TEST(Engine.arrivals() == 1);
+  close(First.m_Fd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/daemon/TargetClient.tests.cpp
@@ -0,0 +1,65 @@
+#include "RouterFixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillaferry;
+using namespace vanillaferry::fakes;
+
+namespace {
+
+/// Sends one PUT and returns how it ended.
+CallEnd callOnce(const std::string &Url, bool MayDispatch) {
+  FdWatcher Watcher;
+  GHandle<SoupSession> Session = makeTargetSession();
+  bool Ended = false;
+  CallEnd Result = CallEnd::Complete;
+  CallHandlers Handlers;
+  Handlers.m_MayDispatch = [MayDispatch] { return MayDispatch; };
+  Handlers.m_OnHead = [](const TargetHead &) {};
+  Handlers.m_OnData = [](const char *, std::size_t) {};
+  Handlers.m_OnEnd = [&](CallEnd How, const std::string &) {
+    Ended = true;
+    Result = How;
+  };
+  TargetRequest Request;
+  Request.m_Method = "PUT";
+  Request.m_Url = Url + "/x";
+  Request.m_ContentType = "text/plain";
+  Request.m_Body = "body";
+  std::shared_ptr<TargetCall> Call =
+      TargetCall::start(Session.get(), Watcher, Request, std::move(Handlers));
+  RouterFixture::runUntil([&Ended] { return Ended; });
+  RouterFixture::runUntil([] { return false; }, 100);
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TargetClient)
+
+// Guards against bytes that leave after the lease ended during the connect.
+BOOST_AUTO_TEST_CASE(NoByteLeavesWhenTheCheckBeforeTheDispatchFails) {
+  FakeServer Server([](Connection &) {});
+  BOOST_TEST((callOnce(Server.url(), false) == CallEnd::Forbidden));
+  BOOST_TEST(Server.arrivals() == 0);
+}
+
+// Guards against a refused connection being taken for a call that may have run,
+// and the other way round.
+BOOST_AUTO_TEST_CASE(ACallThatLeftIsToldApartFromOneThatDidNot) {
+  BOOST_TEST((callOnce("http://127.0.0.1:1", true) == CallEnd::NotSent));
+  BOOST_TEST((callOnce("no url", true) == CallEnd::NotSent));
+  FakeServer Server([](Connection &) {});
+  BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
+  BOOST_TEST(Server.arrivals() == 1);
+}
+
+// Guards against a truncated answer passing as whole.
+BOOST_AUTO_TEST_CASE(AnAnswerShorterThanItsStatedLengthIsBroken) {
+  FakeServer Server([](Connection &Open) {
+    Open.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
+  });
+  BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
