--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -64,7 +64,7 @@
 }
 
 Caller::Caller(FdWatcher &Watcher, SoupServerMessage *Message)
-    : m_Watcher(Watcher),
+    : m_Watcher(Watcher.shared_from_this()),
       m_Message(SOUP_SERVER_MESSAGE(g_object_ref(Message))) {
   GSocket *Socket = soup_server_message_get_socket(Message);
   if (Socket)
@@ -78,11 +78,11 @@
     return;
   // Edge-triggered: libsoup reads the bytes, this only notes their arrival.
   m_WatchedEvents = EPOLLIN | EPOLLRDHUP | EPOLLET;
-  m_Watch = m_Watcher.add(m_Fd, m_WatchedEvents,
-                          [Weak = weak_from_this()](std::uint32_t Events) {
-                            if (std::shared_ptr<Caller> Self = Weak.lock())
-                              Self->onReady(Events);
-                          });
+  m_Watch = m_Watcher->add(m_Fd, m_WatchedEvents,
+                           [Weak = weak_from_this()](std::uint32_t Events) {
+                             if (std::shared_ptr<Caller> Self = Weak.lock())
+                               Self->onReady(Events);
+                           });
 }
 
 void Caller::requestRead() {
@@ -90,7 +90,7 @@
   m_Paused = true;
   soup_server_message_pause(m_Message.get());
   m_WatchedEvents = EPOLLRDHUP;
-  m_Watcher.change(m_Watch, m_WatchedEvents);
+  m_Watcher->change(m_Watch, m_WatchedEvents);
 }
 
 void Caller::respond(int Status, const std::string &ContentType,
@@ -108,7 +108,7 @@
                                  nullptr);
   soup_server_message_set_response(m_Message.get(), ContentType.c_str(),
                                    SOUP_MEMORY_COPY, Body.data(), Body.size());
-  m_Watcher.remove(m_Watch);
+  m_Watcher->remove(m_Watch);
   m_Watch = 0;
   if (m_Paused) {
     m_Paused = false;
@@ -124,7 +124,7 @@
 bool Caller::takeConnection() {
   if (m_Done || m_Answered || m_Streaming || m_Fd < 0)
     return false;
-  m_Watcher.remove(m_Watch);
+  m_Watcher->remove(m_Watch);
   m_Watch = 0;
   // libsoup finishes its message here; the exchange goes on without it.
   m_Streaming = true;
@@ -138,11 +138,11 @@
   int On = 1;
   setsockopt(m_Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
   m_WatchedEvents = EPOLLRDHUP;
-  m_Watch = m_Watcher.add(m_Fd, m_WatchedEvents,
-                          [Weak = weak_from_this()](std::uint32_t Events) {
-                            if (std::shared_ptr<Caller> Self = Weak.lock())
-                              Self->onReady(Events);
-                          });
+  m_Watch = m_Watcher->add(m_Fd, m_WatchedEvents,
+                           [Weak = weak_from_this()](std::uint32_t Events) {
+                             if (std::shared_ptr<Caller> Self = Weak.lock())
+                               Self->onReady(Events);
+                           });
   return true;
 }
 
@@ -259,7 +259,7 @@
   if (Wanted != m_WatchedEvents) {
     bool WasBlocked = (m_WatchedEvents & EPOLLOUT) != 0;
     m_WatchedEvents = Wanted;
-    m_Watcher.change(m_Watch, Wanted);
+    m_Watcher->change(m_Watch, Wanted);
     // A copy, because the handler may end the exchange.
     std::function<void()> OnDrained = m_OnDrained;
     if (WasBlocked && OnDrained && !m_Finishing)
@@ -276,7 +276,7 @@
   std::shared_ptr<Caller> Self = shared_from_this();
   ended();
   shutdown(m_Fd, SHUT_WR);
-  m_Watcher.change(m_Watch, EPOLLIN | EPOLLRDHUP);
+  m_Watcher->change(m_Watch, EPOLLIN | EPOLLRDHUP);
   m_LingerTimer.start(LingerMs, [Self, Unsent = unsentBytes(m_Fd)]() mutable {
     int Left = unsentBytes(Self->m_Fd);
     // A slow caller that goes on reading gets the rest.
@@ -290,7 +290,7 @@
 
 void Caller::closeSocket() {
   if (m_Watch)
-    m_Watcher.remove(m_Watch);
+    m_Watcher->remove(m_Watch);
   m_Watch = 0;
   if (m_Stream)
     g_io_stream_close(m_Stream.get(), nullptr, nullptr);
@@ -311,7 +311,7 @@
   if (m_Stream) {
     closeSocket();
   } else {
-    m_Watcher.remove(m_Watch);
+    m_Watcher->remove(m_Watch);
     m_Watch = 0;
     if (m_Paused && m_Message) {
       // libsoup notices the closed connection when it writes the answer.
@@ -331,7 +331,7 @@
   if (m_Streaming)
     return;
   std::shared_ptr<Caller> Self = shared_from_this();
-  m_Watcher.remove(m_Watch);
+  m_Watcher->remove(m_Watch);
   m_Watch = 0;
   m_Fd = -1;
   m_Message.reset();
--- a/src/daemon/connection/caller.hpp
+++ b/src/daemon/connection/caller.hpp
@@ -100,7 +100,7 @@
   void gone();
   void ended();
 
-  FdWatcher &m_Watcher;
+  std::shared_ptr<FdWatcher> m_Watcher;
   GHandle<SoupServerMessage> m_Message;
   GHandle<GIOStream> m_Stream;
   Timer m_LingerTimer;
--- a/src/daemon/connection/fd_watcher.hpp
+++ b/src/daemon/connection/fd_watcher.hpp
@@ -13,7 +13,7 @@
 /// client connection, so with several hundred open streams a round costs more
 /// than the relay of an event. Ready sockets are therefore handled in batches:
 /// at once after a quiet time, else RoundIntervalUs after the last batch.
-class FdWatcher {
+class FdWatcher : public std::enable_shared_from_this<FdWatcher> {
 public:
   /// Receives the ready EPOLL* bits.
   using OnReady = std::function<void(std::uint32_t)>;
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -129,11 +129,11 @@
   Handlers->m_OnHead(Head);
   if (m_Done)
     return;
-  m_Watch = m_Watcher.add(m_Fd, EPOLLIN | EPOLLRDHUP,
-                          [Weak = weak_from_this()](std::uint32_t) {
-                            if (std::shared_ptr<TargetCall> Self = Weak.lock())
-                              Self->read();
-                          });
+  m_Watch = m_Watcher->add(m_Fd, EPOLLIN | EPOLLRDHUP,
+                           [Weak = weak_from_this()](std::uint32_t) {
+                             if (std::shared_ptr<TargetCall> Self = Weak.lock())
+                               Self->read();
+                           });
   read();
 }
 
@@ -181,14 +181,14 @@
   if (m_Done || m_Paused)
     return;
   m_Paused = true;
-  m_Watcher.change(m_Watch, EPOLLRDHUP | EPOLLET);
+  m_Watcher->change(m_Watch, EPOLLRDHUP | EPOLLET);
 }
 
 void TargetCall::resume() {
   if (m_Done || !m_Paused)
     return;
   m_Paused = false;
-  m_Watcher.change(m_Watch, EPOLLIN | EPOLLRDHUP);
+  m_Watcher->change(m_Watch, EPOLLIN | EPOLLRDHUP);
   std::shared_ptr<TargetCall> Self = shared_from_this();
   postIdle([Self] { Self->read(); });
 }
@@ -214,7 +214,7 @@
 
 void TargetCall::release() {
   if (m_Watch)
-    m_Watcher.remove(m_Watch);
+    m_Watcher->remove(m_Watch);
   m_Watch = 0;
   if (m_Message)
     g_signal_handlers_disconnect_by_data(m_Message.get(), this);
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -74,13 +74,14 @@
   bool mayBeSent() const { return m_MayBeSent; }
 
 private:
-  explicit TargetCall(FdWatcher &Watcher) : m_Watcher(Watcher) {}
+  explicit TargetCall(FdWatcher &Watcher)
+      : m_Watcher(Watcher.shared_from_this()) {}
   void onSent(GInputStream *Body, GError *Fault);
   void read();
   void end(CallEnd How, const std::string &Detail);
   void release();
 
-  FdWatcher &m_Watcher;
+  std::shared_ptr<FdWatcher> m_Watcher;
   GHandle<SoupMessage> m_Message;
   GHandle<GCancellable> m_Cancel;
   GHandle<GInputStream> m_Body;
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -41,8 +41,12 @@
   if (R.m_Settings.m_VmListUrl.empty() || R.m_VmListNext > Now)
     return;
   R.m_VmListNext = Now + R.m_Settings.m_VmListInterval;
-  fetchText(R.m_PollSession.get(), R.m_Settings.m_VmListUrl, PollTimeoutMs,
-            [&R](const std::string &Text) { takeVmList(R, Text); });
+  fetchText(
+      R.m_PollSession.get(), R.m_Settings.m_VmListUrl, PollTimeoutMs,
+      [&R, Alive = std::weak_ptr<bool>(R.m_Alive)](const std::string &Text) {
+        if (!Alive.expired())
+          takeVmList(R, Text);
+      });
 }
 
 void takeReport(Router &R, const PoolId &Pool, const TargetId &Target,
@@ -75,8 +79,10 @@
   TargetId Id = Target.m_Id;
   std::uint32_t OwnThen = Own->m_State.m_Running;
   fetchText(R.m_PollSession.get(), Target.m_Url + "/load", PollTimeoutMs,
-            [&R, Pool, Id, OwnThen](const std::string &Text) {
-              takeReport(R, Pool, Id, OwnThen, Text);
+            [&R, Pool, Id, OwnThen,
+             Alive = std::weak_ptr<bool>(R.m_Alive)](const std::string &Text) {
+              if (!Alive.expired())
+                takeReport(R, Pool, Id, OwnThen, Text);
             });
 }
 
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -96,6 +96,14 @@
 
 } // namespace
 
+Router::~Router() {
+  for (const std::pair<const RequestId, std::shared_ptr<Run>> &Row : m_Runs) {
+    Row.second->m_Done = true;
+    if (Row.second->m_Call)
+      Row.second->m_Call->cancel();
+  }
+}
+
 void initializeRouter(Router &R, RouterSettings Settings) {
   R.m_Settings = std::move(Settings);
   R.m_Incarnation = Incarnation(randomSeed());
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -83,10 +83,20 @@
 
 /// The state of one router process; owned by the GLib task.
 struct Router {
+  Router() = default;
+  /// Ends the calls of all runs, whose handlers refer to this router.
+  ~Router();
+  Router(const Router &) = delete;
+  Router &operator=(const Router &) = delete;
+
   RouterSettings m_Settings;
   Incarnation m_Incarnation;
   Metrics m_Metrics;
-  FdWatcher m_Watcher;
+  /// Shared with exchanges that outlive the router in tests.
+  std::shared_ptr<FdWatcher> m_WatcherOwner = std::make_shared<FdWatcher>();
+  FdWatcher &m_Watcher = *m_WatcherOwner;
+  /// Lets answers to polls see that the router is gone.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   GHandle<SoupSession> m_TargetSession;
   GHandle<SoupSession> m_PollSession;
 
--- a/tests/daemon/TargetClient.tests.cpp
+++ b/tests/daemon/TargetClient.tests.cpp
@@ -9,7 +9,7 @@
 
 /// Sends one PUT and returns how it ended.
 CallEnd callOnce(const std::string &Url, bool MayDispatch) {
-  FdWatcher Watcher;
+  std::shared_ptr<FdWatcher> Watcher = std::make_shared<FdWatcher>();
   GHandle<SoupSession> Session = makeTargetSession();
   bool Ended = false;
   CallEnd Result = CallEnd::Complete;
@@ -27,7 +27,7 @@
   Request.m_ContentType = "text/plain";
   Request.m_Body = "body";
   std::shared_ptr<TargetCall> Call =
-      TargetCall::start(Session.get(), Watcher, Request, std::move(Handlers));
+      TargetCall::start(Session.get(), *Watcher, Request, std::move(Handlers));
   RouterFixture::runUntil([&Ended] { return Ended; });
   RouterFixture::runUntil([] { return false; }, 100);
   return Result;
