--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -74,18 +74,22 @@
   bool mayBeSent() const { return m_MayBeSent; }
 
 private:
-  explicit TargetCall(FdWatcher &Watcher) : m_Watcher(Watcher) {}
+  explicit TargetCall(FdWatcher &Watcher)
+      : m_Watcher(Watcher.shared_from_this()) {}
   void onSent(GInputStream *Body, GError *Fault);
   void read();
   void end(CallEnd How, const std::string &Detail);
   void release();
 
-  FdWatcher &m_Watcher;
+  std::shared_ptr<FdWatcher> m_Watcher;
   GHandle<SoupMessage> m_Message;
   GHandle<GCancellable> m_Cancel;
   GHandle<GInputStream> m_Body;
   /// Shared, so that a handler that cancels its call stays alive meanwhile.
   std::shared_ptr<CallHandlers> m_Handlers;
+  /// Stated length of the body; -1 without one.
+  std::int64_t m_Length = -1;
+  std::int64_t m_Received = 0;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   bool m_MayBeSent = false;
