--- a/src/daemon/process/bench_command.cpp
+++ b/src/daemon/process/bench_command.cpp
@@ -74,6 +74,7 @@
   Bench->require_subcommand(1);
   addBenchDiskCommand(*Bench, Code);
   addBenchDecideCommand(*Bench, Code);
+  addBenchStateCommand(*Bench, Code);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -31,6 +31,7 @@
 void addBenchCommand(CLI::App &App, int &Code);
 void addBenchDiskCommand(CLI::App &Bench, int &Code);
 void addBenchDecideCommand(CLI::App &Bench, int &Code);
+void addBenchStateCommand(CLI::App &Bench, int &Code);
 void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
 void addDocumentCommands(CLI::App &App, int &Code);
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -1,3 +1,4 @@
+#include "connection/peer_metrics.hpp"
 #include "process/clock.hpp"
 #include "process/internal/keeper_api.hpp"
 #include "process/log.hpp"
@@ -283,20 +284,7 @@
 
 void getMetrics(Keeper &Self, const ExchangePtr &Exchange) {
   Metrics &M = Self.m_Metrics;
-  PeerCounters Peers = Self.m_Peers->counters();
-  M.m_Counters["vanillaferry_peer_bytes_sent_total"] = Peers.m_BytesSent;
-  M.m_Counters["vanillaferry_peer_bytes_received_total"] =
-      Peers.m_BytesReceived;
-  M.m_Counters["vanillaferry_peer_control_bytes_sent_total"] =
-      Peers.m_ControlBytesSent;
-  M.m_Counters["vanillaferry_peer_control_bytes_received_total"] =
-      Peers.m_ControlBytesReceived;
-  M.m_Counters["vanillaferry_peer_frames_sent_total"] = Peers.m_FramesSent;
-  M.m_Counters["vanillaferry_peer_frames_received_total"] =
-      Peers.m_FramesReceived;
-  M.m_Counters["vanillaferry_peer_malformed_frames_total"] =
-      Peers.m_MalformedFrames;
-  M.m_Counters["vanillaferry_peer_links_lost_total"] = Peers.m_LinksLost;
+  setPeerCounters(M, Self.m_Peers->counters());
   setGauge(M, "vanillaferry_keeper_leads", leads(Self) ? 1 : 0);
   setGauge(M, "vanillaferry_keeper_term",
            static_cast<double>(Self.m_Replica.m_Hard.m_Term.m_Value));
--- a/src/daemon/request/entry.cpp
+++ b/src/daemon/request/entry.cpp
@@ -1,6 +1,8 @@
 #include "request/entry.hpp"
 
 #include "connection/engine_adapter.hpp"
+#include "connection/peer_metrics.hpp"
+#include "connection/peer_task.hpp"
 #include "process/clock.hpp"
 #include "process/digest.hpp"
 #include "process/router.hpp"
@@ -234,13 +236,7 @@
              static_cast<double>(Row.second.m_Queue.m_Size));
   if (!R.m_Peer)
     return;
-  PeerCounters Peers = R.m_Peer->counters();
-  setGauge(R.m_Metrics, "vanillaferry_control_bytes_sent",
-           static_cast<double>(Peers.m_ControlBytesSent));
-  setGauge(R.m_Metrics, "vanillaferry_control_bytes_received",
-           static_cast<double>(Peers.m_ControlBytesReceived));
-  setGauge(R.m_Metrics, "vanillaferry_peer_links_lost",
-           static_cast<double>(Peers.m_LinksLost));
+  setPeerCounters(R.m_Metrics, R.m_Peer->counters());
 }
 
 /// Paths that need no account. Returns false for all others.
