--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -131,9 +131,9 @@
   }
   ++Counts.m_Refused[Reason];
   const Trace &Recorded = *All.m_World->m_Trace;
-  bool Surging = All.m_World->m_SurgeEnd.m_Value > 0 &&
-                 Recorded.m_Requests[Index].m_Account + 1 ==
-                     Recorded.m_Accounts.size();
+  bool Surging =
+      All.m_World->m_SurgeEnd.m_Value > 0 &&
+      Recorded.m_Requests[Index].m_Account + 1 == Recorded.m_Accounts.size();
   if (!Surging)
     ++Counts.m_RefusedOthers;
 }
