--- a/include/vanillaferry/process/target_state.hpp
+++ b/include/vanillaferry/process/target_state.hpp
@@ -209,8 +209,8 @@
 void noteUnreachable(TargetState &State, Millis Now);
 
 /// Takes the residual count of a later grant. Until the first own dispatch the
-/// former owner may still have dispatched, so the newest count holds; after that
-/// it can only fall, and the target's own report may already show fewer.
+/// former owner may still have dispatched, so the newest count holds; after
+/// that it can only fall, and the target's own report may already show fewer.
 void setResidual(TargetState &State, std::uint32_t Residual);
 
 } // namespace vanillaferry
--- a/src/core/process/target_state.cpp
+++ b/src/core/process/target_state.cpp
@@ -161,8 +161,8 @@
 bool admits(const TargetState &State, std::uint32_t BoundLimit, Millis Now) {
   std::uint32_t Limit =
       std::min({BoundLimit, State.m_RampLimit, State.m_MaxConcurrent});
-  return !State.m_AwaitReport && targetLoad(State) < Limit && Now >= State.m_TryAgainAt &&
-         !isDamped(State, Now);
+  return !State.m_AwaitReport && targetLoad(State) < Limit &&
+         Now >= State.m_TryAgainAt && !isDamped(State, Now);
 }
 
 std::uint32_t startRequest(TargetState &State) {
@@ -220,9 +220,8 @@
   bool Residuals = State.m_Residual > 0;
   // The first report after a change of owner also shows what the former owner
   // dispatched after its own last report.
-  State.m_Residual = State.m_AwaitReport
-                         ? std::max(State.m_Residual, Foreign)
-                         : std::min(State.m_Residual, Foreign);
+  State.m_Residual = State.m_AwaitReport ? std::max(State.m_Residual, Foreign)
+                                         : std::min(State.m_Residual, Foreign);
   State.m_AwaitReport = false;
   if (First) {
     // After a change of owner the limit follows what the target itself shows.
