--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -46,6 +46,11 @@
                  Message.m_Home, Message.m_Target);
   }
   void operator()(Grant &Message) { takeGrantMessage(m_Router, Message); }
+  void operator()(LoadTotals &Message) { takeLoadTotals(m_Router, Message); }
+  void operator()(RenewRequest &) {
+    m_Router.m_Lease.m_NextRenewal = monotonicNow();
+    checkLease(m_Router);
+  }
   void operator()(RedirectLeader &Message) { takeRedirect(m_Router, Message); }
   void operator()(JournalAnswer &Message) {
     takeJournalAnswer(m_Router, Message);
@@ -68,6 +73,13 @@
     tryRelink(S);
 }
 
+void noteLease(Router &R) {
+  bool Holds = holdsLease(R);
+  if (R.m_LeaseHeld && !Holds)
+    logEvent(Event::LeaseLost);
+  R.m_LeaseHeld = Holds;
+}
+
 void checkDrained(Router &R) {
   if (!R.m_Draining || !R.m_OnDrained)
     return;
@@ -169,6 +181,7 @@
   switch (Event.m_Kind) {
   case PeerEvent::Kind::Up:
     R.m_Links[Event.m_From].insert(Event.m_Connection);
+    R.m_LinkLostAt.erase(Event.m_From);
     return;
   case PeerEvent::Kind::Down: {
     std::set<std::uint64_t> &Links = R.m_Links[Event.m_From];
@@ -176,6 +189,7 @@
     if (!Links.empty())
       return;
     R.m_Links.erase(Event.m_From);
+    R.m_LinkLostAt[Event.m_From] = monotonicNow();
     sessionLinkLost(R, Event.m_From);
     return;
   }
@@ -187,6 +201,7 @@
 
 void tickRouter(Router &R) {
   checkLease(R);
+  noteLease(R);
   updateDispatchable(R);
   checkRuns(R);
   checkSessions(R);
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -17,7 +17,6 @@
 #include "version/router_document.hpp"
 
 #include <deque>
-#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +28,7 @@
 
 struct Session;
 struct Run;
+struct Recording;
 
 /// The last first-token times of a pool, for their median.
 struct FirstTokenWindow {
@@ -50,6 +50,12 @@
   RequestId m_Probe;
 };
 
+/// Own running requests as a load update stated them.
+struct SentLoads {
+  Millis m_SentAt;
+  std::map<PoolId, std::uint32_t> m_Running;
+};
+
 /// Connection to the keepers' leader.
 struct KeeperLink {
   /// URL that is asked at present.
@@ -62,6 +68,12 @@
   Epoch m_AckedEpoch;
   DocumentVersion m_AckedVersion;
   Millis m_LastRenew;
+  /// Load updates without an answer, by sequence.
+  std::map<std::uint64_t, SentLoads> m_LoadsSent;
+  std::uint64_t m_NextLoadUpdate = 1;
+  Millis m_LastLoadUpdate;
+  /// Set when a placement used pool totals that are not fresh.
+  bool m_WantTotals = false;
 };
 
 /// A message to the journal that is repeated until it is answered.
@@ -95,6 +107,8 @@
   Membership m_Members;
   OwnedTargets m_Owned;
   std::map<NodeId, std::set<std::uint64_t>> m_Links;
+  /// When the last link to each unreachable node broke.
+  std::map<NodeId, Millis> m_LinkLostAt;
   std::set<std::string> m_Dialled;
 
   RouterDocument m_Document;
@@ -119,9 +133,12 @@
   bool m_DeliveringLocal = false;
   bool m_Draining = false;
   Millis m_DrainUntil;
-  std::ofstream m_Record;
+  std::shared_ptr<Recording> m_Record;
   std::function<void()> m_OnDrained;
 
+  /// The lease held at the last tick, for the log.
+  bool m_LeaseHeld = false;
+
   Timer m_Tick;
   // Last, so that they end before the state that they deliver to.
   std::unique_ptr<HttpFront> m_Front;
