--- a/examples/bench-state.sh
+++ b/examples/bench-state.sh
@@ -71,7 +71,7 @@
     curl -s "http://127.0.0.1:$((port + 300 + i))/metrics" | awk '/^vanillaferry_peer_control_bytes_(sent|received)_total/{s+=$2} END{print s+0}'
   done | awk '{s+=$1} END{print s}'
 }
-leader_of() { "$ferry" status --settings "$dir/operator.json" --json | grep -o '"leader":"[^"]*"' | cut -d'"' -f4; }
+leader_of() { "$ferry" status --settings "$dir/operator.json" --json | grep -o '"leader": *"[^"]*"' | cut -d'"' -f4; }
 leader=$(leader_of)
 leader_pid=$(printf '%s\n' "${keeper_pids[@]}" | grep "^$leader=" | cut -d= -f2)
 seconds=10
