--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	@cmake --build $(BUILD) -j $(JOBS)
 
 check: build
-	@ctest --test-dir $(BUILD) --output-on-failure
+	@ctest --test-dir $(BUILD) --output-on-failure -j 3
+	@if [ -s KNOWN-RED.txt ]; then echo "passed over, see KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
 
 demo: build
 	@examples/demo.sh $(BUILD)
