--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -11,7 +11,9 @@
 /// A router's side of its node lease.
 struct RouterLease {
   LeaseOptions m_Options;
-  Millis m_RenewInterval{1000};
+  /// Short enough that two thirds of the lease time are left at least when the
+  /// leader is lost, which an election and the search for the leader need.
+  Millis m_RenewInterval{500};
   NodeId m_Node;
   Incarnation m_Incarnation;
   /// The lease holds before this time; zero when none was granted.
--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -96,8 +96,10 @@
 };
 
 struct ReplicaOptions {
-  Millis m_ElectionMin{600};
-  Millis m_ElectionMax{1200};
+  /// Two elections and the routers' search for the leader fit into what is left
+  /// of a node lease.
+  Millis m_ElectionMin{400};
+  Millis m_ElectionMax{800};
   Millis m_HeartbeatInterval{100};
   std::size_t m_MaxEntriesPerMessage = 512;
   Bytes m_MaxBytesPerMessage{1024 * 1024};
--- a/include/vanillaferry/request/retry.hpp
+++ b/include/vanillaferry/request/retry.hpp
@@ -44,8 +44,8 @@
   bool m_Idempotent = false;
   /// The call has a begin in the journal.
   bool m_Journaled = false;
-  /// The caller already has a part of the answer.
-  bool m_AnswerBegan = false;
+  /// The caller has a part of the answer, and it was not continued before.
+  bool m_FirstContinuation = false;
   Millis m_TimeLeft;
 };
 
@@ -62,9 +62,10 @@
 
 /// Decides on a retry and takes it from the budget. Moving on after a decline
 /// or an owner change is part of the walk, which is bounded by itself, and
-/// costs nothing. Nor does the first continuation of an answer that has begun:
-/// it takes the place of a stream that ended with its target, so that a lost
-/// zone adds no more tries than it had streams.
+/// costs nothing. Nor does the first continuation of an answer that has begun,
+/// nor the first try after the owner was lost: each takes the place of a request
+/// that ended with its target or owner, so that a loss adds no more tries than
+/// it had requests.
 RetryVerdict decideRetry(RetryTable &Table, const FailedTry &Failed,
                          Millis Now);
 
--- a/src/core/request/retry.cpp
+++ b/src/core/request/retry.cpp
@@ -55,7 +55,9 @@
     return RetryVerdict::DeadlinePassed;
   if (costsNothing(Failed.m_Reason) && Failed.m_NothingSent)
     return RetryVerdict::Retry;
-  if (Failed.m_AnswerBegan && Failed.m_Attempt.m_Value <= 1)
+  bool OwnerLost = Failed.m_Reason == RetryReason::PeerLinkLost &&
+                   Failed.m_Attempt.m_Value <= 1;
+  if (Failed.m_FirstContinuation || OwnerLost)
     return RetryVerdict::Retry;
   if (Failed.m_Attempt.m_Value >= Table.m_Options.m_MaxAttempts)
     return RetryVerdict::BudgetSpent;
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -188,7 +188,9 @@
   noteLeadership(Self, Actions);
   finishReads(Self, Actions.m_ConfirmedReads, true);
   finishReads(Self, Actions.m_FailedReads, false);
-  if (!Actions.m_Committed.empty())
+  // The replica counts entries of queued results as applied already; a
+  // snapshot taken now would claim them without their effect.
+  if (!Actions.m_Committed.empty() && Self.m_ActionQueue.empty())
     takeSnapshotWhenDue(Self);
   dialKeepers(Self);
 }
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -118,9 +118,13 @@
   logEvent(Event::KeeperChanged, {{"url", R.m_Keeper.m_Url}});
 }
 
-void takeSections(Router &R, const Grant &Granted) {
+/// False when this program does not understand a section; the document's
+/// version is then not acknowledged, so that the edit is not reported in force.
+bool takeSections(Router &R, const Grant &Granted) {
+  bool Understood = true;
   for (const SectionContent &Section : Granted.m_Sections) {
     Status Applied = applySection(R.m_Document, Section);
+    Understood = Understood && Applied.has_value();
     if (!Applied)
       logEvent(Event::SectionRefused, {{"section", Section.m_Name.m_Value},
                                        {"fault", Applied.error().m_Text}});
@@ -130,6 +134,7 @@
                 {"version", Section.m_Version.m_Value},
                 {"document", Granted.m_Version.m_Value}});
   }
+  return Understood;
 }
 
 void applyLimits(Router &R) {
@@ -176,7 +181,7 @@
 }
 
 /// Members, sections and accounts of a grant, before the next dispatch.
-void takeChanges(Router &R, const Grant &Granted, Millis Now) {
+bool takeChanges(Router &R, const Grant &Granted, Millis Now) {
   bool NewMembers = !Granted.m_Members.empty();
   if (NewMembers) {
     R.m_Members.m_Epoch = Granted.m_Epoch;
@@ -187,13 +192,14 @@
          {"members", static_cast<std::uint64_t>(Granted.m_Members.size())}});
     dialMembers(R);
   }
-  takeSections(R, Granted);
+  bool Understood = takeSections(R, Granted);
   if (NewMembers || !Granted.m_Sections.empty()) {
     setAccounts(R.m_Accounts, R.m_Document.m_Accounts,
                 static_cast<std::uint32_t>(R.m_Members.m_Members.size()), Now);
     applyLimits(R);
     rebuildPools(R, true);
   }
+  return Understood;
 }
 
 /// A target stays while requests run at it, so that their places are counted.
@@ -205,6 +211,24 @@
       ++It;
 }
 
+/// An engine gained from another owner gets no work before its first report.
+void awaitReport(Router &R, OwnedTarget &Gained, ServiceKind Kind) {
+  if (Kind != ServiceKind::Engine)
+    return;
+  regainTarget(Gained.m_State);
+  R.m_Polls[Gained.m_State.m_Id].m_Next = Millis();
+}
+
+/// After an interrupted lease others may have had the targets meanwhile.
+void regainAfterInterruption(Router &R) {
+  if (R.m_Keeper.m_GainedUnder == R.m_Lease.m_HeldSince)
+    return;
+  R.m_Keeper.m_GainedUnder = R.m_Lease.m_HeldSince;
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
+    for (std::pair<const TargetId, OwnedTarget> &Target : Row.second.m_Targets)
+      awaitReport(R, Target.second, Row.second.m_Settings.m_Kind);
+}
+
 void rebuildOwnerPool(Router &R, const PoolSettings &Settings,
                       const RoutedPool &Routed, bool FromDocument) {
   OwnerPool &Own = R.m_OwnerPools[Settings.m_Id];
@@ -222,6 +246,7 @@
       OwnedTarget &New = Own.m_Targets[Target.m_Id];
       New.m_State = makeTargetState(Target, R.m_Residual[Target.m_Id]);
       New.m_Prefixes.m_Capacity = Target.m_CacheTokens;
+      awaitReport(R, New, Settings.m_Kind);
     } else {
       Found->second.m_State.m_MaxConcurrent = Target.m_MaxConcurrent;
       Found->second.m_State.m_ColdLimit = Target.m_ColdLimit;
@@ -283,15 +308,17 @@
   if (!takeGrant(R.m_Lease, Granted, Now))
     return;
   R.m_Keeper.m_LastAnswer = Now;
-  takeChanges(R, Granted, Now);
+  bool Understood = takeChanges(R, Granted, Now);
+  regainAfterInterruption(R);
   takeShares(R.m_Accounts, Granted.m_Shares);
   takeLoads(R, Granted, SentAt);
   updateDispatchable(R);
   // Dispatches check ownership under the new members from here on, so the lost
   // targets get nothing more and the epoch may be acknowledged.
   R.m_Keeper.m_AckedEpoch = R.m_Members.m_Epoch;
-  R.m_Keeper.m_AckedVersion = Granted.m_Version;
-  if (!Granted.m_Sections.empty() || !Granted.m_Members.empty())
+  if (Understood)
+    R.m_Keeper.m_AckedVersion = Granted.m_Version;
+  if ((Understood && !Granted.m_Sections.empty()) || !Granted.m_Members.empty())
     R.m_Lease.m_NextRenewal = Now;
   if (!Held && holdsLease(R))
     logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
--- a/src/daemon/process/lease_client.hpp
+++ b/src/daemon/process/lease_client.hpp
@@ -9,7 +9,7 @@
 
 /// A leader that leaves a renewal unanswered for this long is left for the next
 /// keeper.
-constexpr Millis KeeperSilence{700};
+constexpr Millis KeeperSilence{400};
 
 /// Sends to the keeper that is taken for the leader.
 void sendToLeader(Router &R, PeerMessage Message);
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -54,6 +54,9 @@
   R.m_Polls[Target].m_Running = false;
   std::optional<LoadReport> Report = parseLoadReport(Text);
   OwnedTarget *Own = findOwned(R, Pool, Target);
+  // A target that answers without a report cannot be waited for.
+  if (Own && !Report && !Text.empty())
+    Own->m_State.m_AwaitReport = false;
   if (!Report || !Own) {
     addCounter(R.m_Metrics, "vanillaferry_load_report_failures_total");
     return;
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -84,7 +84,8 @@
   if (!R.m_Draining || !R.m_OnDrained)
     return;
   bool Idle = R.m_Sessions.empty() && R.m_Runs.empty() &&
-              R.m_JournalEnds.empty() && R.m_JournalBegins.empty();
+              R.m_ParkedOrders.empty() && R.m_JournalEnds.empty() &&
+              R.m_JournalBegins.empty();
   bool OwnsNothing = true;
   for (const Member &One : R.m_Members.m_Members)
     if (One.m_Node == R.m_Settings.m_Node && !One.m_Leaving)
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -50,6 +50,12 @@
   RequestId m_Probe;
 };
 
+/// An order that waits at its owner for a place at the holder of its prefix.
+struct ParkedOrder {
+  NodeId m_From;
+  Forward m_Order;
+};
+
 /// Own running requests as a load update stated them.
 struct SentLoads {
   Millis m_SentAt;
@@ -66,6 +72,8 @@
   std::map<std::uint64_t, std::map<PoolId, std::uint32_t>> m_Reported;
   std::map<std::uint64_t, Millis> m_SentAt;
   Epoch m_AckedEpoch;
+  /// Epoch of the lease under which the targets were gained.
+  Epoch m_GainedUnder;
   DocumentVersion m_AckedVersion;
   Millis m_LastRenew;
   /// Load updates without an answer, by sequence.
@@ -136,6 +144,7 @@
   RetryTable m_Retries;
   std::unordered_map<RequestId, std::shared_ptr<Session>> m_Sessions;
   std::unordered_map<RequestId, std::shared_ptr<Run>> m_Runs;
+  std::map<RequestId, ParkedOrder> m_ParkedOrders;
   std::map<RequestId, JournalCall> m_JournalBegins;
   std::map<RequestId, JournalCall> m_JournalEnds;
 
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -35,6 +35,10 @@
     return;
   Work.m_FirstToken = monotonicNow() - Work.m_StartedAt;
   FirstTokenWindow &Window = Work.m_Router.m_FirstTokens[Work.m_Order.m_Pool];
+  auto Pool = Work.m_Router.m_OwnerPools.find(Work.m_Order.m_Pool);
+  if (Pool != Work.m_Router.m_OwnerPools.end())
+    noteFirstTokenAt(Pool->second, Work.m_Target.m_Id, Work.m_Stage,
+                     *Work.m_FirstToken, medianFirstToken(Window));
   Window.m_Times.push_back(*Work.m_FirstToken);
   if (Window.m_Times.size() > MedianWindow)
     Window.m_Times.pop_front();
@@ -251,9 +255,6 @@
   Ended.m_Chat = Work.m_Chat;
   Ended.m_Stage = Work.m_Stage;
   Ended.m_Complete = Complete;
-  Ended.m_FirstToken = Work.m_FirstToken;
-  Ended.m_PoolMedian =
-      medianFirstToken(Work.m_Router.m_FirstTokens[Work.m_Order.m_Pool]);
   // About one token an event.
   Ended.m_Tokens = Work.m_Order.m_PromptTokens +
                    Tokens(static_cast<std::int64_t>(Work.m_Next));
@@ -316,6 +317,19 @@
   return Request;
 }
 
+/// False while targets fail or requests wait for any place: the bound then
+/// keeps many holders full, and waiting for them put the median first event of
+/// a pool that lost an engine at 1 s.
+bool mayPark(const Router &R, const OwnerPool &Pool) {
+  auto Queue = R.m_Queues.find(Pool.m_Settings.m_Id);
+  if (R.m_Draining || (Queue != R.m_Queues.end() && Queue->second.m_Congested))
+    return false;
+  for (const std::pair<const TargetId, OwnedTarget> &Target : Pool.m_Targets)
+    if (!Target.second.m_Dispatchable || isCold(Target.second.m_State))
+      return false;
+  return true;
+}
+
 /// Where an order runs; a resume stays at its target, whose place it had.
 PlacementDecision decide(const Router &R, const OwnerPool &Pool,
                          const Forward &Order, Millis Now) {
@@ -328,7 +342,9 @@
         Same.m_Admitted ? PlacementWhy::Holder : PlacementWhy::NotOwner;
     return Same;
   }
-  return decidePlacement(Pool, placementOf(Order), Now);
+  PlacementRequest Request = placementOf(Order);
+  Request.m_NoWait = !mayPark(R, Pool);
+  return decidePlacement(Pool, Request, Now);
 }
 
 /// Cancels runs whose entry router has been unreachable for so long that its
@@ -358,9 +374,74 @@
   releasePlace(*Old, false);
 }
 
+/// Forgets a parked order; false when this attempt is not newer.
+bool replaceParked(Router &R, const Forward &Order) {
+  auto Parked = R.m_ParkedOrders.find(Order.m_Request);
+  if (Parked == R.m_ParkedOrders.end())
+    return true;
+  if (Order.m_Attempt <= Parked->second.m_Order.m_Attempt)
+    return false;
+  auto Pool = R.m_OwnerPools.find(Parked->second.m_Order.m_Pool);
+  if (Pool != R.m_OwnerPools.end())
+    unparkRequest(Pool->second, Order.m_Request);
+  R.m_ParkedOrders.erase(Parked);
+  return true;
+}
+
+/// Dispatches an order where the decision says.
+void beginRun(Router &R, const NodeId &From, Forward Order, OwnerPool &Pool,
+              const PlacementDecision &Decision) {
+  std::shared_ptr<Run> Work = std::make_shared<Run>(R);
+  for (const TargetSettings &Target : Pool.m_Settings.m_Targets)
+    if (Target.m_Id == Decision.m_Target)
+      Work->m_Target = Target;
+  Work->m_From = From;
+  Work->m_Kind = Pool.m_Settings.m_Kind;
+  Work->m_Idempotent = isIdempotent(Pool.m_Settings, Order.m_Method);
+  Work->m_Chat = hashChat(Order.m_Chat);
+  Work->m_StartedAt = monotonicNow();
+  Work->m_Next = Order.m_ResumeOffset;
+  Work->m_Base = Order.m_ResumeText.empty() ? 0 : Order.m_ResumeOffset;
+  Work->m_Progress.m_Limit = R.m_Document.m_Settings.m_Limits.m_StreamSilence;
+  bool Resume = Order.m_ResumeOffset > 0 && Order.m_ResumeText.empty();
+  Work->m_EverSent = Resume;
+  Work->m_Stage = startAt(Pool, placementOf(Order), Decision.m_Target,
+                          Order.m_PromptTokens);
+  ForwardAccept Accept;
+  Accept.m_Request = Order.m_Request;
+  Accept.m_Attempt = Order.m_Attempt;
+  Accept.m_Target = Decision.m_Target;
+  Accept.m_Why = placementWhyName(Decision.m_Why);
+  Work->m_Order = std::move(Order);
+  R.m_Runs[Work->m_Order.m_Request] = Work;
+  sendToNode(R, From, std::move(Accept));
+  dispatch(Work, Resume);
+}
+
+/// Decides parked orders whose place is free or whose wait is over.
+void checkParked(Router &R, Millis Now) {
+  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
+    while (std::optional<ParkedDecision> Next = nextParked(Row.second, Now)) {
+      auto Parked = R.m_ParkedOrders.find(Next->m_Parked.m_Request);
+      if (Parked == R.m_ParkedOrders.end())
+        continue;
+      ParkedOrder Waiting = std::move(Parked->second);
+      R.m_ParkedOrders.erase(Parked);
+      if (holdsLease(R) && Next->m_Decision.m_Admitted)
+        beginRun(R, Waiting.m_From, std::move(Waiting.m_Order), Row.second,
+                 Next->m_Decision);
+      else
+        decline(R, Waiting.m_From, Waiting.m_Order, RetryReason::Declined,
+                Next->m_Decision.m_Holder);
+    }
+  }
+}
+
 } // namespace
 
 void startRun(Router &R, const NodeId &From, Forward Order) {
+  if (!replaceParked(R, Order))
+    return;
   auto Running = R.m_Runs.find(Order.m_Request);
   if (Running != R.m_Runs.end()) {
     if (Order.m_Attempt <= Running->second->m_Order.m_Attempt)
@@ -375,6 +456,13 @@
   Millis Now = monotonicNow();
   noteTotalsUsed(R, Pool->second.m_Mean, Now);
   PlacementDecision Decision = decide(R, Pool->second, Order, Now);
+  if (Decision.m_Why == PlacementWhy::HolderBusy) {
+    addCounter(R.m_Metrics, "vanillaferry_parked_total");
+    parkRequest(Pool->second, Order.m_Request, placementOf(Order), Now);
+    RequestId Request = Order.m_Request;
+    R.m_ParkedOrders[Request] = ParkedOrder{From, std::move(Order)};
+    return;
+  }
   if (!Decision.m_Admitted) {
     decline(R, From, Order,
             Decision.m_Why == PlacementWhy::NotOwner ? RetryReason::OwnerMoved
@@ -382,34 +470,18 @@
             Decision.m_Holder);
     return;
   }
-  std::shared_ptr<Run> Work = std::make_shared<Run>(R);
-  for (const TargetSettings &Target : Pool->second.m_Settings.m_Targets)
-    if (Target.m_Id == Decision.m_Target)
-      Work->m_Target = Target;
-  Work->m_From = From;
-  Work->m_Kind = Pool->second.m_Settings.m_Kind;
-  Work->m_Idempotent = isIdempotent(Pool->second.m_Settings, Order.m_Method);
-  Work->m_Chat = hashChat(Order.m_Chat);
-  Work->m_StartedAt = Now;
-  Work->m_Next = Order.m_ResumeOffset;
-  Work->m_Base = Order.m_ResumeText.empty() ? 0 : Order.m_ResumeOffset;
-  Work->m_Progress.m_Limit = R.m_Document.m_Settings.m_Limits.m_StreamSilence;
-  bool Resume = Order.m_ResumeOffset > 0 && Order.m_ResumeText.empty();
-  Work->m_EverSent = Resume;
-  Work->m_Stage = startAt(Pool->second, placementOf(Order), Decision.m_Target,
-                          Order.m_PromptTokens);
-  ForwardAccept Accept;
-  Accept.m_Request = Order.m_Request;
-  Accept.m_Attempt = Order.m_Attempt;
-  Accept.m_Target = Decision.m_Target;
-  Accept.m_Why = placementWhyName(Decision.m_Why);
-  Work->m_Order = std::move(Order);
-  R.m_Runs[Work->m_Order.m_Request] = Work;
-  sendToNode(R, From, std::move(Accept));
-  dispatch(Work, Resume);
+  beginRun(R, From, std::move(Order), Pool->second, Decision);
 }
 
 void cancelRun(Router &R, const NodeId &From, const ForwardCancel &Cancel) {
+  auto Parked = R.m_ParkedOrders.find(Cancel.m_Request);
+  if (Parked != R.m_ParkedOrders.end() && Parked->second.m_From == From) {
+    auto Pool = R.m_OwnerPools.find(Parked->second.m_Order.m_Pool);
+    if (Pool != R.m_OwnerPools.end())
+      unparkRequest(Pool->second, Cancel.m_Request);
+    R.m_ParkedOrders.erase(Parked);
+    return;
+  }
   auto Found = R.m_Runs.find(Cancel.m_Request);
   if (Found == R.m_Runs.end() || Found->second->m_From != From ||
       Found->second->m_Order.m_Attempt != Cancel.m_Attempt)
@@ -435,6 +507,7 @@
 void checkRuns(Router &R) {
   Millis Now = monotonicNow();
   endOrphans(R, Now);
+  checkParked(R, Now);
   std::vector<std::shared_ptr<Run>> Overdue;
   for (const std::pair<const RequestId, std::shared_ptr<Run>> &Row : R.m_Runs) {
     Run &Work = *Row.second;
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -259,6 +259,17 @@
     giveCredit(*S, Size);
 }
 
+namespace {
+
+/// Takes a broken target of another owner off the mean of the pool.
+void noteBroken(Session &S) {
+  auto Pool = S.m_Router.m_OwnerPools.find(S.m_Order.m_Pool);
+  if (Pool != S.m_Router.m_OwnerPools.end() && !S.m_RanAt.empty())
+    noteBrokenElsewhere(Pool->second, S.m_RanAt, monotonicNow());
+}
+
+} // namespace
+
 void sessionEnd(Router &R, const NodeId &From, const ForwardEnd &End) {
   std::shared_ptr<Session> S = findAsked(R, From, End.m_Request, End.m_Attempt);
   if (!S)
@@ -287,6 +298,7 @@
                 "the target refused the request");
     return;
   case StreamEnd::Broken:
+    noteBroken(*S);
     if (End.m_Detail == "stream_too_large")
       refuseSession(S, RefusalReason::StreamTooLarge, NotRun::False,
                     "the answer is larger than the configured limit");
--- a/src/daemon/request/session_retry.cpp
+++ b/src/daemon/request/session_retry.cpp
@@ -23,7 +23,7 @@
   Failed.m_NothingSent = NothingSent;
   Failed.m_Idempotent = S->m_Idempotent;
   Failed.m_Journaled = S->m_Journaled;
-  Failed.m_AnswerBegan = S->m_Caller->streaming();
+  Failed.m_FirstContinuation = S->m_Caller->streaming() && !S->m_Continued;
   // A running answer is not cut by its deadline.
   Failed.m_TimeLeft = S->m_Caller->streaming()
                           ? R.m_Document.m_Settings.m_Limits.m_DefaultDeadline
