Take test ports below the range of outgoing connections

Groups run side by side, and a port that the kernel had just named as free could go to another program or to an outgoing connection before the keeper listened. Change: ports from 10000 to 31999, checked by bind, from a place that differs for each program.

--- a/tests/process/ProcessFleet.cpp
+++ b/tests/process/ProcessFleet.cpp
@@ -48,22 +48,28 @@
 }
 
 std::uint16_t freePort() {
-  static std::set<std::uint16_t> Used;
-  while (true) {
+  // Below the range of outgoing connections, which could take a port between
+  // this check and the child's listen; test programs that run side by side
+  // begin at different places.
+  constexpr std::uint32_t First = 10000;
+  constexpr std::uint32_t Count = 22000;
+  static std::uint32_t Next = static_cast<std::uint32_t>(::getpid()) * 2003U;
+  for (std::uint32_t Try = 0; Try < Count; ++Try) {
+    std::uint16_t Port = static_cast<std::uint16_t>(First + Next++ % Count);
     int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    int On = 1;
+    ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
     sockaddr_in Address = {};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Length = sizeof Address;
-    sockaddr *Generic = reinterpret_cast<sockaddr *>(&Address);
-    if (::bind(Socket, Generic, Length) != 0 ||
-        ::getsockname(Socket, Generic, &Length) != 0)
-      throw std::runtime_error("cannot find a free port");
+    Address.sin_port = htons(Port);
+    bool Free = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                       sizeof Address) == 0;
     ::close(Socket);
-    std::uint16_t Port = ntohs(Address.sin_port);
-    if (Used.insert(Port).second)
+    if (Free)
       return Port;
   }
+  throw std::runtime_error("cannot find a free port");
 }
 
 ChildProcess::~ChildProcess() { kill(); }
