--- a/include/vanillaferry/request/retry.hpp
+++ b/include/vanillaferry/request/retry.hpp
@@ -63,9 +63,9 @@
 /// Decides on a retry and takes it from the budget. Moving on after a decline
 /// or an owner change is part of the walk, which is bounded by itself, and
 /// costs nothing. Nor does the first continuation of an answer that has begun,
-/// nor the first try after the owner was lost: each takes the place of a request
-/// that ended with its target or owner, so that a loss adds no more tries than
-/// it had requests.
+/// nor the first try after the owner was lost: each takes the place of a
+/// request that ended with its target or owner, so that a loss adds no more
+/// tries than it had requests.
 RetryVerdict decideRetry(RetryTable &Table, const FailedTry &Failed,
                          Millis Now);
 
