--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -55,6 +55,8 @@
 done
 start auction-1 "$standin" service --name auction-1 --port 18201
 for i in 1 2 3; do start "keeper-$i" "$ferry" keeper --settings "examples/keeper-$i.json" --initialize; done
+# Time for a process to end when its port is taken.
+sleep 0.5
 wait_for "a leading keeper" "$ferry" status "${operator[@]}"
 
 section "the document, section by section"
