Count and take pool loads in one place for renewals and load updates

Cause: a read of the whole change found that the load updates had copied the counting of own requests, the keeping of what was sent and the taking of totals from the renewals, and that the check for unmet account demand stood twice. Change: both reports use countLoads, keepSent and takeTotals, with one record of what was sent in place of two maps side by side; the early renewal calls demandUnmet. Up to 64 load updates are now kept without an answer, as for renewals, in place of 16.

--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -15,24 +15,50 @@
 /// Short requests make a total meaningless within a second; at this spacing an
 /// update and its answer cost at most about 2 KB a second.
 constexpr Millis LoadSpacing{50};
-constexpr std::size_t MaxLoadsSent = 16;
+constexpr std::size_t MaxLoadsSent = 64;
 /// Pause before another keeper is asked when the last one knew no leader.
 constexpr Millis UnknownLeaderPause{150};
 
-void addPoolLoads(Router &R, Renew &Renewal, Millis Now) {
-  std::map<PoolId, std::uint32_t> &Reported =
-      R.m_Keeper.m_Reported[Renewal.m_Sequence];
+/// Own running requests of each pool, for a report and for its answer.
+SentLoads countLoads(Router &R, std::vector<PoolLoad> &Pools, Millis Now) {
+  SentLoads Sent;
+  Sent.m_SentAt = Now;
   for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
     std::uint32_t Running = ownerLoad(Row.second);
-    Reported[Row.first] = Running;
+    Sent.m_Running[Row.first] = Running;
     noteReported(Row.second.m_Mean, Running, Now);
-    Renewal.m_Pools.push_back({Row.first, Running});
+    Pools.push_back({Row.first, Running});
+  }
+  return Sent;
+}
+
+/// Keeps what a report stated until its answer; answers to the oldest ones are
+/// not expected any more.
+void keepSent(std::map<std::uint64_t, SentLoads> &All, std::uint64_t Sequence,
+              SentLoads Sent) {
+  All[Sequence] = std::move(Sent);
+  if (All.size() > MaxLoadsSent)
+    All.erase(All.begin());
+}
+
+/// Takes pool totals that answer a report with these own counts.
+void takeTotals(Router &R, const std::vector<PoolTotal> &Totals,
+                SentLoads Sent) {
+  for (const PoolTotal &Total : Totals) {
+    auto Pool = R.m_OwnerPools.find(Total.m_Pool);
+    if (Pool != R.m_OwnerPools.end())
+      takePoolTotal(Pool->second.m_Mean, Total, Sent.m_Running[Total.m_Pool],
+                    Sent.m_SentAt);
+  }
+}
+
+void addTargetLoads(const Router &R, Renew &Renewal) {
+  for (const std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
     for (const std::pair<const TargetId, OwnedTarget> &Target :
          Row.second.m_Targets)
       if (Target.second.m_State.m_Running > 0)
         Renewal.m_Targets.push_back(
             {Target.first, Target.second.m_State.m_Running});
-  }
 }
 
 void sendRenewal(Router &R) {
@@ -48,18 +74,15 @@
   Renewal.m_AckedEpoch = R.m_Keeper.m_AckedEpoch;
   Renewal.m_AckedVersion = R.m_Keeper.m_AckedVersion;
   Renewal.m_Leaving = R.m_Draining;
-  addPoolLoads(R, Renewal, Now);
+  keepSent(R.m_Keeper.m_RenewalsSent, Renewal.m_Sequence,
+           countLoads(R, Renewal.m_Pools, Now));
+  addTargetLoads(R, Renewal);
   Renewal.m_Accounts = accountDemand(R.m_Accounts);
   // The leader may have given the shares of an ended lease to others.
   if (!leaseHolds(R.m_Lease, Now))
     for (AccountDemand &Demand : Renewal.m_Accounts)
       Demand.m_Share = 0;
-  R.m_Keeper.m_SentAt[Renewal.m_Sequence] = Now;
   R.m_Keeper.m_LastRenew = Now;
-  while (R.m_Keeper.m_SentAt.size() > 64) {
-    R.m_Keeper.m_Reported.erase(R.m_Keeper.m_SentAt.begin()->first);
-    R.m_Keeper.m_SentAt.erase(R.m_Keeper.m_SentAt.begin());
-  }
   addCounter(R.m_Metrics, "vanillaferry_renewals_total");
   sendToLeader(R, std::move(Renewal));
 }
@@ -68,11 +91,7 @@
 bool earlyRenewalDue(const Router &R, Millis Now) {
   if (R.m_Keeper.m_LastRenew + EarlySpacing > Now)
     return false;
-  for (const std::pair<const AccountId, AccountState> &Row :
-       R.m_Accounts.m_Accounts)
-    if (Row.second.m_Waiting > 0 && Row.second.m_Running >= Row.second.m_Share)
-      return true;
-  return false;
+  return demandUnmet(R.m_Accounts);
 }
 
 /// A pool's count fell, or a placement used totals that are not fresh.
@@ -93,16 +112,8 @@
   Update.m_Node = R.m_Settings.m_Node;
   Update.m_Incarnation = R.m_Incarnation;
   Update.m_Sequence = R.m_Keeper.m_NextLoadUpdate++;
-  SentLoads &Sent = R.m_Keeper.m_LoadsSent[Update.m_Sequence];
-  Sent.m_SentAt = Now;
-  for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
-    std::uint32_t Running = ownerLoad(Row.second);
-    Sent.m_Running[Row.first] = Running;
-    noteReported(Row.second.m_Mean, Running, Now);
-    Update.m_Pools.push_back({Row.first, Running});
-  }
-  if (R.m_Keeper.m_LoadsSent.size() > MaxLoadsSent)
-    R.m_Keeper.m_LoadsSent.erase(R.m_Keeper.m_LoadsSent.begin());
+  keepSent(R.m_Keeper.m_LoadsSent, Update.m_Sequence,
+           countLoads(R, Update.m_Pools, Now));
   R.m_Keeper.m_LastLoadUpdate = Now;
   R.m_Keeper.m_WantTotals = false;
   addCounter(R.m_Metrics, "vanillaferry_load_updates_total");
@@ -164,14 +175,11 @@
   R.m_Dialled = std::move(Wanted);
 }
 
-void takeLoads(Router &R, const Grant &Granted, Millis SentAt) {
-  std::map<PoolId, std::uint32_t> Reported =
-      R.m_Keeper.m_Reported[Granted.m_Sequence];
-  for (const PoolTotal &Total : Granted.m_Totals) {
-    auto Pool = R.m_OwnerPools.find(Total.m_Pool);
-    if (Pool != R.m_OwnerPools.end())
-      takePoolTotal(Pool->second.m_Mean, Total, Reported[Total.m_Pool], SentAt);
-  }
+void takeLoads(Router &R, const Grant &Granted, Millis Now) {
+  auto Sent = R.m_Keeper.m_RenewalsSent.find(Granted.m_Sequence);
+  takeTotals(R, Granted.m_Totals,
+             Sent == R.m_Keeper.m_RenewalsSent.end() ? SentLoads{Now, {}}
+                                                     : Sent->second);
   R.m_Residual.clear();
   for (const TargetLoad &Load : Granted.m_Residual)
     R.m_Residual[Load.m_Target] = Load.m_Running;
@@ -284,14 +292,7 @@
       All.find(Answer.m_Sequence);
   if (Sent == All.end())
     return;
-  for (const PoolTotal &Total : Answer.m_Totals) {
-    std::map<PoolId, OwnerPool>::iterator Pool =
-        R.m_OwnerPools.find(Total.m_Pool);
-    if (Pool != R.m_OwnerPools.end())
-      takePoolTotal(Pool->second.m_Mean, Total,
-                    Sent->second.m_Running[Total.m_Pool],
-                    Sent->second.m_SentAt);
-  }
+  takeTotals(R, Answer.m_Totals, Sent->second);
   All.erase(All.begin(), std::next(Sent));
 }
 
@@ -303,15 +304,13 @@
 void takeGrantMessage(Router &R, const Grant &Granted) {
   Millis Now = monotonicNow();
   bool Held = holdsLease(R);
-  auto Sent = R.m_Keeper.m_SentAt.find(Granted.m_Sequence);
-  Millis SentAt = Sent == R.m_Keeper.m_SentAt.end() ? Now : Sent->second;
   if (!takeGrant(R.m_Lease, Granted, Now))
     return;
   R.m_Keeper.m_LastAnswer = Now;
   bool Understood = takeChanges(R, Granted, Now);
   regainAfterInterruption(R);
   takeShares(R.m_Accounts, Granted.m_Shares);
-  takeLoads(R, Granted, SentAt);
+  takeLoads(R, Granted, Now);
   updateDispatchable(R);
   // Dispatches check ownership under the new members from here on, so the lost
   // targets get nothing more and the epoch may be acknowledged.
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -56,7 +56,7 @@
   Forward m_Order;
 };
 
-/// Own running requests as a load update stated them.
+/// Own running requests as a renewal or a load update stated them.
 struct SentLoads {
   Millis m_SentAt;
   std::map<PoolId, std::uint32_t> m_Running;
@@ -69,8 +69,7 @@
   std::size_t m_Index = 0;
   Millis m_LastAnswer;
   /// Own counts in renewals without an answer, by sequence.
-  std::map<std::uint64_t, std::map<PoolId, std::uint32_t>> m_Reported;
-  std::map<std::uint64_t, Millis> m_SentAt;
+  std::map<std::uint64_t, SentLoads> m_RenewalsSent;
   Epoch m_AckedEpoch;
   /// Epoch of the lease under which the targets were gained.
   Epoch m_GainedUnder;
