Bound the service rate of a queue from above; let declined requests keep their turn

The rate of a queue came from single windows: one request served after a stall of two seconds counted as half a request a second, so 39 waiting ones were expected to take 78 s. Reading found two more faults: a request that every owner declined went to the end of its line, where it could also be refused as if it were new, and the time between dequeue and decline was counted twice. Ruled out: a longer default deadline, which hides the estimate; no check at all, since requests that cannot make it must be refused at once. Change: the rate is a decaying count over busy time, and the check uses its upper bound of two standard deviations. A declined request returns to its place by time of entry, its line to its place among the turns, and is not refused again.

--- a/include/vanillaferry/request/admission_queue.hpp
+++ b/include/vanillaferry/request/admission_queue.hpp
@@ -23,6 +23,8 @@
   std::uint32_t m_Cost = 1;
   Millis m_EnteredAt;
   Millis m_Deadline;
+  /// It left the queue before and counts as served, until it is put back.
+  bool m_CountedServed = false;
 };
 
 struct QueueOptions {
@@ -48,6 +50,19 @@
   std::deque<AccountId> m_Turn;
 };
 
+/// Requests that left the queue for work, and the time during which any waited.
+/// Both decay, so that the last seconds decide.
+struct ServiceRate {
+  double m_Served = 0;
+  /// In milliseconds.
+  double m_BusyTime = 0;
+  Millis m_CountedUntil;
+};
+
+/// Upper bound of the requests served per second, two standard deviations above
+/// the mean of a Poisson count; empty while nothing was served.
+std::optional<double> servedPerSecond(const ServiceRate &Rate);
+
 /// Bounded queue, fair between accounts by deficit round robin (Shreedhar and
 /// Varghese 1995); latency-critical requests go before batch ones.
 struct AdmissionQueue {
@@ -56,14 +71,12 @@
   QueueClass m_Batch;
   std::size_t m_Size = 0;
   std::map<AccountId, std::size_t> m_PerAccount;
-  /// Requests that leave the queue for work per second, smoothed.
-  double m_ServiceRate = 0;
-  Millis m_RateAt;
-  std::uint32_t m_RateServed = 0;
+  ServiceRate m_Rate;
 };
 
-/// Adds a request. Returns None, QueueFull, or DeadlineUnreachable when the
-/// expected wait is longer than the time left; a refused request did not run.
+/// Adds a request. Returns None, QueueFull, or DeadlineUnreachable when even
+/// the shortest likely wait is longer than the time left; a refused request did
+/// not run.
 RefusalReason enqueue(AdmissionQueue &Queue, WaitingRequest Request,
                       std::uint32_t Weight, Millis Now);
 
@@ -73,9 +86,10 @@
 dequeue(AdmissionQueue &Queue,
         const std::function<bool(const AccountId &)> &MayStart, Millis Now);
 
-/// Puts a request that found no place back at the head of its line.
+/// Puts a request that found no place back into its line, before all that
+/// entered later.
 void requeue(AdmissionQueue &Queue, WaitingRequest Request,
-             std::uint32_t Weight);
+             std::uint32_t Weight, Millis Now);
 
 /// Removes requests whose deadline has passed; they are refused with
 /// DeadlineUnreachable, not run.
@@ -84,8 +98,9 @@
 /// Removes one request, when its caller went away.
 bool removeWaiting(AdmissionQueue &Queue, const RequestId &Request);
 
-/// Expected wait of a new request of this account; 0 while the rate is unknown.
-Millis expectedWait(const AdmissionQueue &Queue, const AccountId &Account,
+/// Shortest likely wait of a new request of this account, by the upper bound of
+/// the service rate; 0 while the rate is unknown.
+Millis shortestWait(const AdmissionQueue &Queue, const AccountId &Account,
                     Priority Kind);
 
 } // namespace vanillaferry
--- a/src/core/request/admission_queue.cpp
+++ b/src/core/request/admission_queue.cpp
@@ -1,12 +1,15 @@
 #include "vanillaferry/request/admission_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillaferry {
 
 namespace {
 
-constexpr Millis RateWindow{500};
+/// Half of what was counted is forgotten after this busy time.
+constexpr double RateHalfLifeMs = 5000;
+constexpr double MsPerSecond = 1000;
 
 QueueClass &classOf(AdmissionQueue &Queue, Priority Kind) {
   return Kind == Priority::Latency ? Queue.m_Latency : Queue.m_Batch;
@@ -73,16 +76,38 @@
   return std::nullopt;
 }
 
-void noteServed(AdmissionQueue &Queue, Millis Now) {
-  ++Queue.m_RateServed;
-  std::int64_t Elapsed = (Now - Queue.m_RateAt).m_Value;
-  if (Elapsed < RateWindow.m_Value)
+/// Counts the time since the last call as busy: requests were waiting.
+void countBusyTime(ServiceRate &Rate, Millis Now) {
+  std::int64_t Elapsed = (Now - Rate.m_CountedUntil).m_Value;
+  if (Elapsed <= 0)
     return;
-  double Rate = Queue.m_RateServed * 1000.0 / static_cast<double>(Elapsed);
-  Queue.m_ServiceRate =
-      Queue.m_ServiceRate == 0 ? Rate : 0.7 * Queue.m_ServiceRate + 0.3 * Rate;
-  Queue.m_RateServed = 0;
-  Queue.m_RateAt = Now;
+  double Kept = std::exp2(-static_cast<double>(Elapsed) / RateHalfLifeMs);
+  Rate.m_Served *= Kept;
+  Rate.m_BusyTime = Rate.m_BusyTime * Kept + static_cast<double>(Elapsed);
+  Rate.m_CountedUntil = Now;
+}
+
+enum class TurnPlace { Next, Last };
+
+/// Counts a request that enters and returns its line; a new line gets this
+/// place among the turns.
+AccountLine &openLine(AdmissionQueue &Queue, const WaitingRequest &Request,
+                      std::uint32_t Weight, TurnPlace Place, Millis Now) {
+  // An idle queue says nothing about the rate of service.
+  if (Queue.m_Size == 0)
+    Queue.m_Rate.m_CountedUntil = Now;
+  QueueClass &Class = classOf(Queue, Request.m_Priority);
+  auto Line = Class.m_Lines.find(Request.m_Account);
+  if (Line == Class.m_Lines.end()) {
+    Class.m_Turn.insert(Place == TurnPlace::Next ? Class.m_Turn.begin()
+                                                 : Class.m_Turn.end(),
+                        Request.m_Account);
+    Line = Class.m_Lines.emplace(Request.m_Account, AccountLine()).first;
+  }
+  Line->second.m_Weight = Weight;
+  ++Queue.m_Size;
+  ++Queue.m_PerAccount[Request.m_Account];
+  return Line->second;
 }
 
 template <typename Predicate>
@@ -108,6 +133,16 @@
 
 } // namespace
 
+std::optional<double> servedPerSecond(const ServiceRate &Rate) {
+  if (Rate.m_Served <= 0 || Rate.m_BusyTime <= 0)
+    return std::nullopt;
+  // One served request after a stall of seconds says little: without the bound
+  // it gave rates below one request a second and refused requests that had
+  // 30 s left.
+  double Most = Rate.m_Served + 2 * std::sqrt(Rate.m_Served) + 2;
+  return Most * MsPerSecond / Rate.m_BusyTime;
+}
+
 RefusalReason enqueue(AdmissionQueue &Queue, WaitingRequest Request,
                       std::uint32_t Weight, Millis Now) {
   const QueueOptions &Options = Queue.m_Options;
@@ -120,24 +155,13 @@
   if (Queue.m_Size >= Options.m_Limit ||
       static_cast<double>(OfAccount) >= AccountLimit)
     return RefusalReason::QueueFull;
-  Millis Wait = expectedWait(Queue, Request.m_Account, Request.m_Priority);
+  if (Queue.m_Size > 0)
+    countBusyTime(Queue.m_Rate, Now);
+  Millis Wait = shortestWait(Queue, Request.m_Account, Request.m_Priority);
   if (Request.m_Deadline <= Now + Wait)
     return RefusalReason::DeadlineUnreachable;
-  QueueClass &Class = classOf(Queue, Request.m_Priority);
-  if (Queue.m_Size == 0) {
-    // An idle queue says nothing about the rate of service.
-    Queue.m_RateAt = Now;
-    Queue.m_RateServed = 0;
-  }
-  auto Line = Class.m_Lines.find(Request.m_Account);
-  if (Line == Class.m_Lines.end()) {
-    Class.m_Turn.push_back(Request.m_Account);
-    Line = Class.m_Lines.emplace(Request.m_Account, AccountLine()).first;
-  }
-  Line->second.m_Weight = Weight;
-  ++Queue.m_Size;
-  ++Queue.m_PerAccount[Request.m_Account];
-  Line->second.m_Waiting.push_back(std::move(Request));
+  openLine(Queue, Request, Weight, TurnPlace::Last, Now)
+      .m_Waiting.push_back(std::move(Request));
   return RefusalReason::None;
 }
 
@@ -151,25 +175,25 @@
   if (!Next)
     return Next;
   countRemoved(Queue, Next->m_Account);
-  noteServed(Queue, Now);
+  countBusyTime(Queue.m_Rate, Now);
+  Queue.m_Rate.m_Served += 1;
+  Next->m_CountedServed = true;
   return Next;
 }
 
 void requeue(AdmissionQueue &Queue, WaitingRequest Request,
-             std::uint32_t Weight) {
-  QueueClass &Class = classOf(Queue, Request.m_Priority);
-  auto Line = Class.m_Lines.find(Request.m_Account);
-  if (Line == Class.m_Lines.end()) {
-    Class.m_Turn.push_front(Request.m_Account);
-    Line = Class.m_Lines.emplace(Request.m_Account, AccountLine()).first;
+             std::uint32_t Weight, Millis Now) {
+  AccountLine &Line = openLine(Queue, Request, Weight, TurnPlace::Next, Now);
+  if (Request.m_CountedServed) {
+    Line.m_Deficit += Request.m_Cost;
+    Queue.m_Rate.m_Served = std::max(0.0, Queue.m_Rate.m_Served - 1);
   }
-  Line->second.m_Weight = Weight;
-  Line->second.m_Deficit += Request.m_Cost;
-  ++Queue.m_Size;
-  ++Queue.m_PerAccount[Request.m_Account];
-  if (Queue.m_RateServed > 0)
-    --Queue.m_RateServed;
-  Line->second.m_Waiting.push_front(std::move(Request));
+  Request.m_CountedServed = false;
+  auto Later = std::find_if(Line.m_Waiting.begin(), Line.m_Waiting.end(),
+                            [&Request](const WaitingRequest &Other) {
+                              return Other.m_EnteredAt >= Request.m_EnteredAt;
+                            });
+  Line.m_Waiting.insert(Later, std::move(Request));
 }
 
 std::vector<WaitingRequest> expireWaiting(AdmissionQueue &Queue, Millis Now) {
@@ -190,9 +214,10 @@
          !removeWhere(Queue, Queue.m_Batch, Same).empty();
 }
 
-Millis expectedWait(const AdmissionQueue &Queue, const AccountId &Account,
+Millis shortestWait(const AdmissionQueue &Queue, const AccountId &Account,
                     Priority Kind) {
-  if (Queue.m_ServiceRate <= 0)
+  std::optional<double> Rate = servedPerSecond(Queue.m_Rate);
+  if (!Rate)
     return Millis();
   const QueueClass &Class =
       Kind == Priority::Latency ? Queue.m_Latency : Queue.m_Batch;
@@ -205,8 +230,8 @@
   std::size_t Ahead = std::min(classSize(Class), (Own + 1) * Lines - 1);
   if (Kind == Priority::Batch)
     Ahead += classSize(Queue.m_Latency);
-  return Millis(static_cast<std::int64_t>(static_cast<double>(Ahead) * 1000.0 /
-                                          Queue.m_ServiceRate));
+  return Millis(static_cast<std::int64_t>(static_cast<double>(Ahead) *
+                                          MsPerSecond / *Rate));
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -309,7 +309,7 @@
         static_cast<std::uint32_t>(std::stoul(Next->m_Request.m_Value));
     if (!tryPlace(All, Router, Index)) {
       Router.m_NextWalk = Now + WalkPause;
-      return requeue(Router.m_Queue, std::move(*Next), 1);
+      return requeue(Router.m_Queue, std::move(*Next), 1, Now);
     }
     --Router.m_Accounts.m_Accounts[Account].m_Waiting;
   }
--- a/src/daemon/request/admission.cpp
+++ b/src/daemon/request/admission.cpp
@@ -43,31 +43,38 @@
   return Queue;
 }
 
-/// Returns false when the request was refused.
-bool enqueueSession(const std::shared_ptr<Session> &S) {
-  Router &R = S->m_Router;
-  Millis Now = monotonicNow();
+WaitingRequest waitingOf(const Session &S) {
   WaitingRequest Waiting;
-  Waiting.m_Request = S->m_Order.m_Request;
-  Waiting.m_Account = S->m_Order.m_Account;
-  Waiting.m_Priority = S->m_Order.m_Priority;
+  Waiting.m_Request = S.m_Order.m_Request;
+  Waiting.m_Account = S.m_Order.m_Account;
+  Waiting.m_Priority = S.m_Order.m_Priority;
   Waiting.m_Cost = static_cast<std::uint32_t>(
-      1 + S->m_Order.m_PromptTokens.m_Value / TokensPerCost);
-  Waiting.m_EnteredAt = S->m_ArrivedAt;
-  Waiting.m_Deadline = S->m_Deadline;
+      1 + S.m_Order.m_PromptTokens.m_Value / TokensPerCost);
+  Waiting.m_EnteredAt = S.m_ArrivedAt;
+  Waiting.m_Deadline = S.m_Deadline;
+  Waiting.m_CountedServed = S.m_CountedServed;
+  return Waiting;
+}
+
+void noteQueued(Session &S) {
+  S.m_Step = SessionStep::Queued;
+  countWaiting(S.m_Router, S.m_Order.m_Account, 1);
+}
+
+/// Puts a new request into its pool's queue, or refuses it.
+void enqueueSession(const std::shared_ptr<Session> &S) {
+  Router &R = S->m_Router;
   RefusalReason Reason =
-      enqueue(queueOf(R, S->m_Order.m_Pool).m_Queue, std::move(Waiting),
-              weightOf(R, S->m_Order.m_Account), Now);
-  if (Reason != RefusalReason::None) {
-    refuseSession(S, Reason, S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
+      enqueue(queueOf(R, S->m_Order.m_Pool).m_Queue, waitingOf(*S),
+              weightOf(R, S->m_Order.m_Account), monotonicNow());
+  if (Reason == RefusalReason::None)
+    noteQueued(*S);
+  else
+    refuseSession(S, Reason, NotRun::True,
                   Reason == RefusalReason::QueueFull
                       ? "the queue of waiting requests is full"
-                      : "the expected wait is longer than the time left");
-    return false;
-  }
-  S->m_Step = SessionStep::Queued;
-  countWaiting(R, S->m_Order.m_Account, 1);
-  return true;
+                      : "the shortest likely wait is longer than the time "
+                        "left");
 }
 
 /// After a walk that every owner declined.
@@ -134,12 +141,17 @@
   Millis Now = monotonicNow();
   blockQueue(queueOf(R, S->m_Order.m_Pool), S->m_Order.m_Request, Now);
   addCounter(R.m_Metrics, "vanillaferry_walks_exhausted_total");
-  if (S->m_Deadline <= Now)
+  if (S->m_Deadline <= Now) {
     refuseSession(S, RefusalReason::DeadlinePassed,
                   S->m_Tries == 0 ? NotRun::True : NotRun::Unknown,
                   "no target was free before the deadline");
-  else
-    enqueueSession(S);
+    return;
+  }
+  // It was accepted before: it keeps its turn and is not refused for the
+  // queue's length.
+  requeue(queueOf(R, S->m_Order.m_Pool).m_Queue, waitingOf(*S),
+          weightOf(R, S->m_Order.m_Account), Now);
+  noteQueued(*S);
 }
 
 void pumpQueue(Router &R, const PoolId &Pool) {
@@ -161,6 +173,7 @@
     if (Open == R.m_Sessions.end())
       continue;
     std::shared_ptr<Session> S = Open->second;
+    S->m_CountedServed = true;
     if (Found->second.m_Congested)
       Found->second.m_Probe = Next->m_Request;
     startSession(S);
--- a/src/daemon/request/session.hpp
+++ b/src/daemon/request/session.hpp
@@ -64,6 +64,8 @@
   SessionStep m_Step = SessionStep::Queued;
   /// Counted as running for its account.
   bool m_Counted = false;
+  /// The queue counts it as served; see WaitingRequest.
+  bool m_CountedServed = false;
   /// The caller left a call that runs on for its outcome.
   bool m_CallerGone = false;
 
--- a/tests/core/Admission.tests.cpp
+++ b/tests/core/Admission.tests.cpp
@@ -91,6 +91,57 @@
   BOOST_TEST(Queue.m_Size == 0U);
 }
 
+// Guards against refusals after a short stall of the whole pool: one request
+// served in two seconds is no evidence of a rate that misses 30 s.
+BOOST_AUTO_TEST_CASE(AStallBeforeTheFirstServedRequestRefusesNobody) {
+  AdmissionQueue Queue;
+  for (int I = 0; I < 40; ++I)
+    BOOST_TEST((enqueue(Queue, makeWaiting("a", I), 1, Millis(I * 50)) ==
+                RefusalReason::None));
+  dequeue(Queue, anyAccount, Millis(2000));
+  WaitingRequest Next = makeWaiting("a", 100);
+  Next.m_Deadline = Millis(32000);
+  BOOST_TEST((enqueue(Queue, Next, 1, Millis(2000)) == RefusalReason::None));
+}
+
+// Guards against a waiting request that loses its turn when every owner
+// declines it.
+BOOST_AUTO_TEST_CASE(ADeclinedRequestKeepsItsTurn) {
+  AdmissionQueue Queue;
+  for (int I = 0; I < 4; ++I) {
+    WaitingRequest Request = makeWaiting("a", I);
+    Request.m_EnteredAt = Millis(I);
+    enqueue(Queue, Request, 1, Millis(I));
+  }
+  std::optional<WaitingRequest> First = dequeue(Queue, anyAccount, Millis(10));
+  std::optional<WaitingRequest> Second = dequeue(Queue, anyAccount, Millis(10));
+  BOOST_REQUIRE(First.has_value() && Second.has_value());
+  // Both walked at once; the first one is declined first.
+  requeue(Queue, *First, 1, Millis(20));
+  requeue(Queue, *Second, 1, Millis(20));
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(dequeue(Queue, anyAccount, Millis(20))->m_Request.m_Value ==
+               "a-" + std::to_string(I));
+}
+
+// Guards against a rate from long ago that refuses requests after the pool has
+// recovered.
+BOOST_AUTO_TEST_CASE(ARateIsForgottenOnceTheQueueMovesFaster) {
+  AdmissionQueue Queue;
+  for (int I = 0; I < 400; ++I)
+    enqueue(Queue, makeWaiting("a", I), 1, Millis());
+  // One request a second for 30 s, then 20 a second for 5 s.
+  for (int I = 1; I <= 30; ++I)
+    dequeue(Queue, anyAccount, Millis(I * 1000));
+  for (int I = 1; I <= 100; ++I)
+    dequeue(Queue, anyAccount, Millis(30000 + I * 50));
+  BOOST_TEST(shortestWait(Queue, AccountId("a"), Priority::Latency).m_Value <
+             30000);
+  // The true wait is 13.5 s.
+  BOOST_TEST(shortestWait(Queue, AccountId("a"), Priority::Latency).m_Value >
+             5000);
+}
+
 // Guards against requests that get lost or doubled in the queue.
 BOOST_AUTO_TEST_CASE(EveryQueuedRequestLeavesOnce) {
   BOOST_TEST(
@@ -118,7 +169,7 @@
             continue;
           RC_ASSERT(Next->m_Account != Barred);
           if (Step > 230)
-            requeue(Queue, *Next, 1);
+            requeue(Queue, *Next, 1, Millis());
           else
             RC_ASSERT(Inside.erase(Next->m_Request) == 1U);
         }
