Give the place of a caller that stops reading back

Ruled out: TCP_USER_TIMEOUT alone, since the kernel of such a caller goes on acknowledging; a limit on the whole time of an answer, which cuts slow readers. Change: limit slow_reader_ms (default 30 s). A caller whose socket takes nothing of a waiting stream for that long has left: the engine's stream is cancelled. The same time is the TCP_USER_TIMEOUT of callers' sockets. Figures: two new tests, with limits of 0.3 and 0.5 s: the place of a caller that reads nothing comes back, and one that reads 12 MB with pauses over 1.5 s gets all of it.

--- a/include/vanillaferry/version/section.hpp
+++ b/include/vanillaferry/version/section.hpp
@@ -41,6 +41,8 @@
   Bytes m_MaxBody{4 * 1024 * 1024};
   Bytes m_MaxStream{64 * 1024 * 1024};
   Millis m_SlowSender{10000};
+  /// A caller that takes nothing of a waiting stream for this long has left.
+  Millis m_SlowReader{30000};
   Millis m_StreamSilence{5000};
   double m_WeightStoreLoadsPerMinute = 6;
 };
--- a/src/core/version/section_schema.cpp
+++ b/src/core/version/section_schema.cpp
@@ -109,6 +109,7 @@
     "max_stream_bytes": {"type": "integer", "minimum": 1,
                          "maximum": 1099511627776},
     "slow_sender_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
+    "slow_reader_ms": {"type": "integer", "minimum": 1, "maximum": 86400000},
     "stream_silence_ms": {"type": "integer", "minimum": 1,
                           "maximum": 86400000},
     "weight_store_loads_per_minute": {"type": "number", "minimum": 0,
--- a/src/core/version/section_values.cpp
+++ b/src/core/version/section_values.cpp
@@ -97,6 +97,8 @@
       Bytes(Value.value("max_stream_bytes", Limits.m_MaxStream.m_Value));
   Limits.m_SlowSender =
       Millis(Value.value("slow_sender_ms", Limits.m_SlowSender.m_Value));
+  Limits.m_SlowReader =
+      Millis(Value.value("slow_reader_ms", Limits.m_SlowReader.m_Value));
   Limits.m_StreamSilence =
       Millis(Value.value("stream_silence_ms", Limits.m_StreamSilence.m_Value));
   Limits.m_WeightStoreLoadsPerMinute = Value.value(
--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -63,9 +63,11 @@
   return Answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-Caller::Caller(FdWatcher &Watcher, SoupServerMessage *Message)
+Caller::Caller(FdWatcher &Watcher, SoupServerMessage *Message,
+               Millis SlowReader)
     : m_Watcher(Watcher.shared_from_this()),
-      m_Message(SOUP_SERVER_MESSAGE(g_object_ref(Message))) {
+      m_Message(SOUP_SERVER_MESSAGE(g_object_ref(Message))),
+      m_SlowReader(SlowReader) {
   GSocket *Socket = soup_server_message_get_socket(Message);
   if (Socket)
     m_Fd = g_socket_get_fd(Socket);
@@ -137,6 +139,9 @@
   m_Message.reset();
   int On = 1;
   setsockopt(m_Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  // Ends the connection when sent bytes are not acknowledged for so long.
+  unsigned Silence = static_cast<unsigned>(m_SlowReader.m_Value);
+  setsockopt(m_Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Silence, sizeof Silence);
   m_WatchedEvents = EPOLLRDHUP;
   m_Watch = m_Watcher->add(m_Fd, m_WatchedEvents,
                            [Weak = weak_from_this()](std::uint32_t Events) {
@@ -245,6 +250,7 @@
       return;
     }
     m_Sent += static_cast<std::size_t>(Count);
+    m_TotalSent += static_cast<std::uint64_t>(Count);
   }
   bool Drained = m_Sent == m_Out.size();
   if (Drained) {
@@ -258,6 +264,10 @@
       EPOLLRDHUP | (Drained ? 0U : static_cast<std::uint32_t>(EPOLLOUT));
   if (Wanted != m_WatchedEvents) {
     bool WasBlocked = (m_WatchedEvents & EPOLLOUT) != 0;
+    if (Drained)
+      m_ReaderTimer.stop();
+    else
+      watchReader();
     m_WatchedEvents = Wanted;
     m_Watcher->change(m_Watch, Wanted);
     // A copy, because the handler may end the exchange.
@@ -269,6 +279,20 @@
     linger();
 }
 
+void Caller::watchReader() {
+  m_ReaderTimer.start(m_SlowReader.m_Value, [Weak = weak_from_this(),
+                                             Before = m_TotalSent]() mutable {
+    std::shared_ptr<Caller> Self = Weak.lock();
+    if (!Self || Self->m_Done)
+      return false;
+    bool Reading = Self->m_TotalSent != Before;
+    Before = Self->m_TotalSent;
+    if (!Reading)
+      Self->gone();
+    return Reading;
+  });
+}
+
 void Caller::linger() {
   if (m_Lingering)
     return;
@@ -297,6 +321,7 @@
   m_Stream.reset();
   m_Fd = -1;
   m_LingerTimer.stop();
+  m_ReaderTimer.stop();
   // The caller of this function may hold no other reference.
   std::shared_ptr<Caller> Last = std::move(m_Self);
 }
--- a/src/daemon/connection/caller.hpp
+++ b/src/daemon/connection/caller.hpp
@@ -48,7 +48,9 @@
 /// limits what waits to be sent.
 class Caller : public std::enable_shared_from_this<Caller> {
 public:
-  Caller(FdWatcher &Watcher, SoupServerMessage *Message);
+  /// A caller that takes nothing of what waits for it during SlowReader has
+  /// left; it is noticed within twice that time.
+  Caller(FdWatcher &Watcher, SoupServerMessage *Message, Millis SlowReader);
   ~Caller();
   Caller(const Caller &) = delete;
   Caller &operator=(const Caller &) = delete;
@@ -96,6 +98,7 @@
   void onReady(std::uint32_t Events);
   void write();
   void linger();
+  void watchReader();
   void closeSocket();
   void gone();
   void ended();
@@ -104,11 +107,15 @@
   GHandle<SoupServerMessage> m_Message;
   GHandle<GIOStream> m_Stream;
   Timer m_LingerTimer;
+  Timer m_ReaderTimer;
+  Millis m_SlowReader;
   std::uint64_t m_Watch = 0;
   std::uint32_t m_WatchedEvents = 0;
   int m_Fd = -1;
   std::string m_Out;
   std::size_t m_Sent = 0;
+  /// Bytes that the socket has taken in all.
+  std::uint64_t m_TotalSent = 0;
   bool m_Paused = false;
   bool m_Streaming = false;
   bool m_Chunked = true;
--- a/src/daemon/connection/http_front.cpp
+++ b/src/daemon/connection/http_front.cpp
@@ -161,7 +161,8 @@
 void HttpFront::begin(SoupServerMessage *Message) {
   Exchange *Open = new Exchange;
   Open->m_Front = this;
-  Open->m_Caller = std::make_shared<Caller>(m_Watcher, Message);
+  Open->m_Caller =
+      std::make_shared<Caller>(m_Watcher, Message, m_Limits.m_SlowReader);
   Open->m_Caller->m_Id = newRequestId();
   g_object_set_data_full(
       G_OBJECT(Message), ExchangeKey, Open,
--- a/src/daemon/connection/http_front.hpp
+++ b/src/daemon/connection/http_front.hpp
@@ -11,13 +11,15 @@
 
 namespace vanillaferry {
 
-/// Limits on what a caller may send.
+/// Limits on what a caller may send and on how slowly it may read.
 struct HttpLimits {
   Bytes m_MaxHeader{32 * 1024};
   Bytes m_MaxBody{8 * 1024 * 1024};
   /// A request's head must arrive within this time after its first byte, and
   /// each started SlowSenderBytes of its body may take this time once more.
   Millis m_SlowSender{10000};
+  /// Applies to requests that begin after it was set.
+  Millis m_SlowReader{30000};
 };
 
 /// A sender slower than this per m_SlowSender is refused.
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -153,8 +153,8 @@
   R.m_Retries.m_Options.m_Share = Limits.m_RetryShare;
   R.m_Retries.m_Options.m_Floor = Limits.m_RetryFloor;
   if (R.m_Front)
-    R.m_Front->setLimits(
-        {Limits.m_MaxHeader, Limits.m_MaxBody, Limits.m_SlowSender});
+    R.m_Front->setLimits({Limits.m_MaxHeader, Limits.m_MaxBody,
+                          Limits.m_SlowSender, Limits.m_SlowReader});
 }
 
 void dialMembers(Router &R) {
--- a/tests/daemon/Streams.tests.cpp
+++ b/tests/daemon/Streams.tests.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
+#include <sys/socket.h>
 #include <unistd.h>
 
 using namespace vanillaferry;
@@ -264,6 +265,77 @@
              Event.size() * Events + std::string(Done).size());
 }
 
+// Guards against a caller that stops reading for good and holds a place at its
+// engine as long as its connection stays open.
+BOOST_AUTO_TEST_CASE(ACallerThatStopsReadingGivesItsPlaceBack) {
+  const std::string Event = "data: " + std::string(8000, 'x') + "\n\n";
+  std::atomic<bool> Cancelled{false};
+  FakeServer Engine([&](Connection &Open) {
+    if (Open.m_Request.find("POST /v1/cancel") == 0) {
+      Cancelled = true;
+      Open.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+      return;
+    }
+    Open.send(streamHead(idOf(Open)));
+    while (Open.send(chunk(Event)))
+      ;
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {}, R"({"slow_reader_ms":300})");
+  Connection Caller;
+  Caller.m_Fd = connectTo(Fixture.port());
+  Caller.send(RouterFixture::chatText(true));
+  BOOST_TEST(Fixture.runUntil(
+      [&] { return Cancelled && Fixture.m_Router.m_Runs.empty(); }));
+  BOOST_TEST(Fixture.m_Router.m_Sessions.empty());
+  BOOST_TEST(Fixture.m_Router.m_Metrics
+                 .m_Counters["vanillaferry_callers_left_total"] == 1U);
+  close(Caller.m_Fd);
+}
+
+// Guards against a caller that reads slowly but steadily being cut off.
+BOOST_AUTO_TEST_CASE(ACallerThatReadsSlowlyGetsTheWholeAnswer) {
+  const std::string Event = "data: " + std::string(8000, 'x') + "\n\n";
+  constexpr std::size_t Events = 1500;
+  FakeServer Engine([&](Connection &Open) {
+    Open.send(streamHead(idOf(Open)));
+    for (std::size_t I = 0; I < Events && Open.send(chunk(Event)); ++I)
+      ;
+    Open.send(chunk(Done) + "0\r\n\r\n");
+  });
+  RouterFixture Fixture;
+  Fixture.grantTargets({Engine.url()}, {}, R"({"slow_reader_ms":500})");
+  std::uint16_t Port = Fixture.port();
+  std::future<Answer> Pending = std::async(std::launch::async, [Port] {
+    Connection Caller;
+    Caller.m_Fd = connectTo(Port);
+    Caller.send(RouterFixture::chatText(true));
+    // Far longer than the limit in all, with a short pause after each part.
+    std::string Raw;
+    std::vector<char> Part(600000);
+    for (int I = 0; I < 15; ++I) {
+      ssize_t Got = recv(Caller.m_Fd, Part.data(), Part.size(), MSG_WAITALL);
+      Raw.append(Part.data(),
+                 static_cast<std::size_t>(std::max<ssize_t>(Got, 0)));
+      usleep(100000);
+    }
+    ssize_t Got = 0;
+    while ((Got = recv(Caller.m_Fd, Part.data(), Part.size(), 0)) > 0)
+      Raw.append(Part.data(), static_cast<std::size_t>(Got));
+    return parseAnswer(Raw);
+  });
+  BOOST_TEST(Fixture.runUntil(
+      [&Pending] {
+        return Pending.wait_for(std::chrono::seconds(0)) ==
+               std::future_status::ready;
+      },
+      20000));
+  Answer Got = Pending.get();
+  BOOST_TEST(Got.m_Whole);
+  BOOST_TEST(Got.m_Body.size() ==
+             Event.size() * Events + std::string(Done).size());
+}
+
 // Guards against an answer without end.
 BOOST_AUTO_TEST_CASE(AStreamAboveTheLimitEndsWithItsOwnReason) {
   FakeServer Engine([](Connection &Open) {
