One HTTP session for each target; measure a relay over two nodes and the added delay

Cause: bench relay printed "no events were relayed": since engines gained from another owner wait for their first load report, its engine, which knew no load reports, blocked its accepts. With that mended, 750 streams that open at once kept the router's thread busy for more than a minute: a stack sample showed libsoup going through all messages of the session, and for each through all connections to its host, whenever one of them went on. Ruled out: fewer connections per host, which makes streams wait. Change: the owner has one session for each target that it owns. The bench fleet owns 28 targets, as a node does at the target size; bench relay also measures an entry router and an owner with a real peer link between them, with the processor time of their peer tasks; bench delay compares one request at a time with a direct call.

--- a/src/daemon/process/bench_command.cpp
+++ b/src/daemon/process/bench_command.cpp
@@ -75,6 +75,8 @@
   addBenchDiskCommand(*Bench, Code);
   addBenchDecideCommand(*Bench, Code);
   addBenchStateCommand(*Bench, Code);
+  addBenchRelayCommand(*Bench, Code);
+  addBenchDelayCommand(*Bench, Code);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/bench_sockets.cpp
+++ b/src/daemon/process/bench_sockets.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <sys/epoll.h>
 #include <sys/resource.h>
@@ -50,11 +51,17 @@
   return Fd;
 }
 
+/// The body ends with the closing braces of its only object.
+bool isWholeRequest(const std::string &Text) {
+  return Text.find("}]}") != std::string::npos;
+}
+
 std::string readRequest(int Fd) {
   std::string Text;
   char Buffer[4096];
-  // The body ends with the closing brace of its only object.
-  while (Text.find("}]}") == std::string::npos) {
+  while (!isWholeRequest(Text) &&
+         (Text.compare(0, 4, "GET ") != 0 ||
+          Text.find("\r\n\r\n") == std::string::npos)) {
     ssize_t Count = recv(Fd, Buffer, sizeof Buffer, 0);
     if (Count <= 0)
       break;
@@ -81,6 +88,44 @@
   return Size + Event + "\r\n";
 }
 
+/// getrusage reports other threads only as a sum; this clock counts the same
+/// user and system time of one thread.
+double threadCpuSeconds(const std::thread &Of) {
+  clockid_t Clock = 0;
+  timespec Time = {};
+  pthread_getcpuclockid(const_cast<std::thread &>(Of).native_handle(), &Clock);
+  clock_gettime(Clock, &Time);
+  return static_cast<double>(Time.tv_sec) +
+         static_cast<double>(Time.tv_nsec) / 1e9;
+}
+
+/// Answers a request for a load report; false for any other request.
+bool answerLoadReport(int Fd, const std::string &Request) {
+  if (Request.compare(0, 4, "GET ") != 0)
+    return false;
+  const std::string Body =
+      R"({"instance":"bench","running":0,"kv_used":0,"events":[],"next":0})";
+  std::string Answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                       "Connection: close\r\nContent-Length: " +
+                       std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  send(Fd, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+  close(Fd);
+  return true;
+}
+
+/// A relay that fails must not hold the bench up.
+void limitWaits(int Fd) {
+  timeval Limit = {2, 0};
+  setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+  setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
+}
+
+std::string streamHead(const std::string &Request) {
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+         "X-Request-Id: " +
+         requestIdIn(Request) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
 void watch(int Epoll, int Fd) {
   epoll_event Event = {};
   Event.events = EPOLLIN;
@@ -98,9 +143,9 @@
 
 } // namespace
 
-double threadCpuSeconds() {
+double processCpuSeconds() {
   rusage Usage = {};
-  getrusage(RUSAGE_THREAD, &Usage);
+  getrusage(RUSAGE_SELF, &Usage);
   return static_cast<double>(Usage.ru_utime.tv_sec + Usage.ru_stime.tv_sec) +
          static_cast<double>(Usage.ru_utime.tv_usec + Usage.ru_stime.tv_usec) /
              1e6;
@@ -124,13 +169,15 @@
       return;
     int On = 1;
     setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
-    // A relay that fails must not hold the bench up.
-    timeval Limit = {2, 0};
-    setsockopt(Fd, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
-    setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
-    std::string Head =
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " +
-        requestIdIn(readRequest(Fd)) + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    limitWaits(Fd);
+    std::string Request = readRequest(Fd);
+    if (answerLoadReport(Fd, Request))
+      continue;
+    if (!isWholeRequest(Request)) {
+      close(Fd);
+      continue;
+    }
+    std::string Head = streamHead(Request);
     send(Fd, Head.data(), Head.size(), MSG_NOSIGNAL);
     Fds.push_back(Fd);
     ++m_Open;
@@ -145,8 +192,8 @@
   Clock::time_point Start;
   while (!m_Stop) {
     std::this_thread::sleep_for(PaceInterval);
+    acceptStreams(Fds);
     if (!m_Pacing) {
-      acceptStreams(Fds);
       Start = Clock::now();
       continue;
     }
@@ -154,13 +201,15 @@
         std::chrono::duration<double>(Clock::now() - Start).count();
     std::uint64_t Due =
         static_cast<std::uint64_t>(Elapsed * m_Options.m_EventsPerSecond);
-    for (; Sent < Due; ++Sent)
+    for (; Sent < Due && !m_Stop; ++Sent)
       send(Fds[Sent % Fds.size()], Chunk.data(), Chunk.size(), MSG_NOSIGNAL);
   }
   for (int Fd : Fds)
     close(Fd);
 }
 
+double BenchEngine::cpuSeconds() const { return threadCpuSeconds(m_Thread); }
+
 BenchCallers::BenchCallers(const BenchOptions &Options, std::uint16_t Port,
                            std::string Request)
     : m_Options(Options), m_Port(Port), m_Request(std::move(Request)) {
@@ -172,6 +221,8 @@
   m_Thread.join();
 }
 
+double BenchCallers::cpuSeconds() const { return threadCpuSeconds(m_Thread); }
+
 void BenchCallers::run() {
   int Epoll = epoll_create1(EPOLL_CLOEXEC);
   std::vector<int> Fds;
@@ -210,17 +261,7 @@
   close(m_Listen);
 }
 
-double BenchCopyLoop::cpuSeconds() const {
-  clockid_t Clock = 0;
-  timespec Time = {};
-  // getrusage reports other threads only as a sum; this clock counts the same
-  // user and system time of one thread.
-  pthread_getcpuclockid(const_cast<std::thread &>(m_Thread).native_handle(),
-                        &Clock);
-  clock_gettime(Clock, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
+double BenchCopyLoop::cpuSeconds() const { return threadCpuSeconds(m_Thread); }
 
 void BenchCopyLoop::run(std::uint16_t To) {
   int Epoll = epoll_create1(EPOLL_CLOEXEC);
@@ -256,4 +297,52 @@
   close(Epoll);
 }
 
+BenchAnswerer::BenchAnswerer() {
+  m_Listen = listenOnLoopback(m_Port);
+  m_Thread = std::thread([this] { run(); });
+}
+
+BenchAnswerer::~BenchAnswerer() {
+  m_Stop = true;
+  m_Thread.join();
+  close(m_Listen);
+}
+
+void BenchAnswerer::run() {
+  const std::string Rest = eventChunk() + "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+  while (!m_Stop) {
+    pollfd Waiting = {m_Listen, POLLIN, 0};
+    if (poll(&Waiting, 1, WaitMs) <= 0)
+      continue;
+    int Fd = accept4(m_Listen, nullptr, nullptr, SOCK_CLOEXEC);
+    if (Fd < 0)
+      continue;
+    limitWaits(Fd);
+    std::string Request = readRequest(Fd);
+    if (answerLoadReport(Fd, Request))
+      continue;
+    std::string Answer = streamHead(Request) + Rest;
+    send(Fd, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+    close(Fd);
+  }
+}
+
+double requestTimeUs(std::uint16_t Port, const std::string &Request) {
+  using Clock = std::chrono::steady_clock;
+  Clock::time_point Start = Clock::now();
+  int Fd = connectToLoopback(Port);
+  limitWaits(Fd);
+  send(Fd, Request.data(), Request.size(), MSG_NOSIGNAL);
+  std::string Answer;
+  std::array<char, 4096> Buffer;
+  ssize_t Got = 0;
+  while (Answer.find("\r\n0\r\n") == std::string::npos &&
+         (Got = recv(Fd, Buffer.data(), Buffer.size(), 0)) > 0)
+    Answer.append(Buffer.data(), static_cast<std::size_t>(Got));
+  double Us =
+      std::chrono::duration<double, std::micro>(Clock::now() - Start).count();
+  close(Fd);
+  return Answer.find("[DONE]") == std::string::npos ? -1 : Us;
+}
+
 } // namespace vanillaferry
--- a/src/daemon/process/bench_sockets.hpp
+++ b/src/daemon/process/bench_sockets.hpp
@@ -21,6 +21,8 @@
   ~BenchEngine();
   std::uint16_t port() const { return m_Port; }
   std::uint32_t streams() const { return m_Open; }
+  /// Processor time of the thread so far.
+  double cpuSeconds() const;
   /// Begins to send events over all open streams.
   void startPacing() { m_Pacing = true; }
 
@@ -44,6 +46,8 @@
                std::string Request);
   ~BenchCallers();
   std::uint64_t events() const { return m_Events; }
+  /// Processor time of the thread so far.
+  double cpuSeconds() const;
 
 private:
   void run();
@@ -75,7 +79,28 @@
   std::thread m_Thread;
 };
 
-/// Processor time of the calling thread (getrusage).
-double threadCpuSeconds();
+/// An engine that answers each chat request at once with a short stream; its
+/// own thread.
+class BenchAnswerer {
+public:
+  BenchAnswerer();
+  ~BenchAnswerer();
+  std::uint16_t port() const { return m_Port; }
+
+private:
+  void run();
+
+  int m_Listen = -1;
+  std::uint16_t m_Port = 0;
+  std::atomic<bool> m_Stop{false};
+  std::thread m_Thread;
+};
+
+/// Microseconds from connecting to the end of the answer's stream; negative
+/// when the stream does not end with "[DONE]".
+double requestTimeUs(std::uint16_t Port, const std::string &Request);
+
+/// User and system time of the process (getrusage).
+double processCpuSeconds();
 
 } // namespace vanillaferry
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -27,7 +27,6 @@
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
-  addBenchRelayCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -32,6 +32,8 @@
 void addBenchDiskCommand(CLI::App &Bench, int &Code);
 void addBenchDecideCommand(CLI::App &Bench, int &Code);
 void addBenchStateCommand(CLI::App &Bench, int &Code);
+void addBenchRelayCommand(CLI::App &Bench, int &Code);
+void addBenchDelayCommand(CLI::App &Bench, int &Code);
 void addCheckHistoryCommand(CLI::App &App, int &Code);
 void addKeeperCommand(CLI::App &App, int &Code);
 void addDocumentCommands(CLI::App &App, int &Code);
@@ -41,6 +43,5 @@
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
-void addBenchRelayCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -114,7 +114,6 @@
   R.m_Settings = std::move(Settings);
   R.m_Incarnation = Incarnation(randomSeed());
   R.m_Metrics = makeMetrics();
-  R.m_TargetSession = makeTargetSession();
   R.m_PollSession = makeTargetSession();
   R.m_Lease.m_Node = R.m_Settings.m_Node;
   R.m_Lease.m_Incarnation = R.m_Incarnation;
@@ -164,6 +163,13 @@
   return boost::outcome_v2::success();
 }
 
+SoupSession *targetSession(Router &R, const TargetId &Target) {
+  GHandle<SoupSession> &Session = R.m_TargetSessions[Target];
+  if (!Session)
+    Session = makeTargetSession();
+  return Session.get();
+}
+
 void sendToNode(Router &R, const NodeId &To, PeerMessage Message) {
   if (To != R.m_Settings.m_Node) {
     if (R.m_Peer)
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -64,7 +64,7 @@
   if (Work.m_Kind != ServiceKind::Engine || !Work.m_EverSent)
     return;
   TargetCall::start(
-      Work.m_Router.m_TargetSession.get(), Work.m_Router.m_Watcher,
+      targetSession(Work.m_Router, Work.m_Target.m_Id), Work.m_Router.m_Watcher,
       engineCancel(Work.m_Target.m_Url, Work.m_Order.m_Request),
       {nullptr, [](const TargetHead &) {}, [](const char *, std::size_t) {},
        [](CallEnd, const std::string &) {}});
@@ -239,8 +239,8 @@
   };
   addCounter(W.m_Router.m_Metrics, "vanillaferry_dispatches_total");
   W.m_Call =
-      TargetCall::start(W.m_Router.m_TargetSession.get(), W.m_Router.m_Watcher,
-                        Request, std::move(Handlers));
+      TargetCall::start(targetSession(W.m_Router, W.m_Target.m_Id),
+                        W.m_Router.m_Watcher, Request, std::move(Handlers));
   if (W.m_Credit <= 0)
     W.m_Call->pause();
 }
