Routers learn of leaving VMs from each other

Cause: each router's VM list lags by up to 3 s and is read once a second, so an owner could dispatch to a leaving VM for 4 s. Ruled out: reading the list more often, which shortens only the read interval and costs the whole list each time; messages from router to router, which grow with the square of the fleet and leave no place that ends a leave; a record in the log, where a flap would be a write on a quorum of disks. Change: a renewal carries the leaving and returned VMs of the router's list until the leader has taken them; a router renews at once when a VM turns to leaving. The leader asks all routers to renew when its set grows, and a grant carries the set until the router holds it. A return that was read at least 4 s after the leave ends the word of a router; the word of one router alone ends after 60 s; a new leader removes no VM until all live routers have reported. The platform stand-in serves each reader a lag of its own.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -81,6 +81,19 @@
   std::string m_Json;
 };
 
+/// A VM that one router's list shows as leaving, or as live again after that.
+struct VmStatement {
+  VmId m_Vm;
+  bool m_Returned = false;
+  /// Time since the router first read it so.
+  Millis m_Age;
+};
+
+/// A VM that counts as leaving for the whole fleet.
+struct LeavingVm {
+  VmId m_Vm;
+};
+
 /// A router asks the leader to grant or renew its node lease.
 struct Renew {
   NodeId m_Node;
@@ -98,6 +111,13 @@
   /// Also lists targets that the node no longer owns and whose requests run on.
   std::vector<TargetLoad> m_Targets;
   std::vector<AccountDemand> m_Accounts;
+  /// Number of the node's report on its VM list; 0 while there is none.
+  std::uint64_t m_VmReport = 0;
+  /// Digest of the fleet's leaving VMs that the node acts on; 0 for none.
+  std::uint64_t m_VmsHeld = 0;
+  /// True when m_Vms is that report; it is left out once it was taken.
+  bool m_VmsStated = false;
+  std::vector<VmStatement> m_Vms;
 };
 
 /// The leader's answer to Renew.
@@ -121,6 +141,14 @@
   /// Set when the node was no possible owner at an epoch after the one that it
   /// acknowledged; others may have owned its targets meanwhile.
   bool m_Interrupted = false;
+  /// Number of the node's report on its VM list that the leader has taken.
+  std::uint64_t m_VmReport = 0;
+  /// True when m_LeavingVms is the fleet's set; it is left out when the node
+  /// holds it already.
+  bool m_VmsListed = false;
+  /// False while reports may be missing: the set then ends no VM's leave.
+  bool m_VmsComplete = false;
+  std::vector<LeavingVm> m_LeavingVms;
 };
 
 /// A router reports its running requests between two renewals. It says nothing
@@ -140,8 +168,8 @@
   std::vector<PoolTotal> m_Totals;
 };
 
-/// The leader asks a router to renew at once, because the document or the
-/// membership has changed.
+/// The leader asks a router to renew at once, because the document, the
+/// membership or the set of leaving VMs has changed.
 struct RenewRequest {
   Epoch m_Epoch;
   DocumentVersion m_Version;
--- a/include/vanillaferry/process/lease_table.hpp
+++ b/include/vanillaferry/process/lease_table.hpp
@@ -4,6 +4,7 @@
 #include "vanillaferry/process/account_shares.hpp"
 #include "vanillaferry/process/ownership.hpp"
 #include "vanillaferry/process/state_machine.hpp"
+#include "vanillaferry/process/vm_reports.hpp"
 
 #include <map>
 #include <optional>
@@ -69,6 +70,7 @@
   SectionVersion m_AccountsVersion;
   OwnerCache m_Owners;
   TotalsCache m_Totals;
+  VmReports m_VmReports;
 };
 
 /// What the leader does with a Renew.
--- a/include/vanillaferry/version/pool.hpp
+++ b/include/vanillaferry/version/pool.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,19 +65,31 @@
   /// When a list that was read lacked the VM first. Failed reads of the list
   /// do not count, so that an unreachable platform takes no VM away.
   std::optional<Millis> m_MissingSince;
+  /// When the list that was read last turned to this state, for a VM that is
+  /// leaving or was.
+  Millis m_TurnedAt;
+  /// Live again after it was leaving.
+  bool m_Returned = false;
 };
 
-/// What a router knows of the platform's VM list.
+/// What a router knows of the platform's VM list, of its own and of the fleet.
 struct VmView {
   /// False without a configured list: all VMs count as live.
   bool m_Configured = false;
   /// A VM missing from the list keeps its last state for this long.
   Millis m_Grace{10000};
   std::map<VmId, VmRecord> m_Vms;
+  /// Number of the present report on leaving VMs; 0 while there is none.
+  std::uint64_t m_Report = 0;
+  /// Number of the report that the leader has taken.
+  std::uint64_t m_ReportTaken = 0;
+  /// Leaving by the word of the fleet, whatever the own list says.
+  std::set<VmId> m_FleetLeaving;
 };
 
 /// Takes a newly read VM list; forgets VMs that were missing for the grace.
-void updateVms(VmView &Vms, const std::vector<ListedVm> &Listed, Millis Now);
+/// True when a VM turned to leaving, which the fleet should learn at once.
+bool updateVms(VmView &Vms, const std::vector<ListedVm> &Listed, Millis Now);
 
 /// True when the VM may receive new work.
 bool vmInService(const VmView &Vms, const VmId &Vm, Millis Now);
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -138,6 +138,8 @@
   Granted.m_Shares =
       giveShares(Table.m_Shares, Request, Now + Table.m_Options.m_LeaseTime,
                  !formerLeasesEnded(Table, Now), Now);
+  addFleetVms(Granted, Table.m_VmReports, Request,
+              formerLeasesEnded(Table, Now), Now);
   return Granted;
 }
 
@@ -148,6 +150,7 @@
   LeaseTable Table;
   Table.m_Options = Options;
   Table.m_LedSince = Now;
+  Table.m_VmReports.m_Options.m_LeaseTime = Options.m_LeaseTime;
   for (const std::pair<const NodeId, Member> &Row : State.m_Members) {
     NodeLease Lease;
     Lease.m_Node = Row.first;
@@ -188,6 +191,7 @@
   Lease.m_Sequence = Request.m_Sequence;
   takeReport(Table, Lease, State, Request, Now);
   noteDemand(Table.m_Shares, Request, WasEnded);
+  takeVmReport(Table.m_VmReports, Request, Now);
   Decision.m_Grant = makeGrant(Table, State, Request, Now);
   return Decision;
 }
--- a/src/core/version/pool.cpp
+++ b/src/core/version/pool.cpp
@@ -7,11 +7,32 @@
 
 namespace vanillaferry {
 
-void updateVms(VmView &Vms, const std::vector<ListedVm> &Listed, Millis Now) {
+namespace {
+
+/// Takes one entry of the list; true when the report on leaving VMs changes.
+bool takeEntry(VmRecord &Record, VmState State, bool IsNew, Millis Now) {
+  Record.m_MissingSince.reset();
+  bool Turned = IsNew ? State == VmState::Leaving : State != Record.m_State;
+  if (Turned) {
+    Record.m_TurnedAt = Now;
+    Record.m_Returned = State == VmState::Live;
+  }
+  Record.m_State = State;
+  return Turned;
+}
+
+} // namespace
+
+bool updateVms(VmView &Vms, const std::vector<ListedVm> &Listed, Millis Now) {
   std::set<VmId> Seen;
+  bool Changed = false;
+  bool Left = false;
   for (const ListedVm &Vm : Listed) {
     Seen.insert(Vm.m_Vm);
-    Vms.m_Vms[Vm.m_Vm] = VmRecord{Vm.m_State, std::nullopt};
+    auto Entry = Vms.m_Vms.try_emplace(Vm.m_Vm);
+    bool Turned = takeEntry(Entry.first->second, Vm.m_State, Entry.second, Now);
+    Changed = Changed || Turned;
+    Left = Left || (Turned && Vm.m_State == VmState::Leaving);
   }
   for (auto It = Vms.m_Vms.begin(); It != Vms.m_Vms.end();) {
     VmRecord &Record = It->second;
@@ -19,11 +40,21 @@
       Record.m_MissingSince = Now;
     bool Gone =
         Record.m_MissingSince && Now - *Record.m_MissingSince >= Vms.m_Grace;
+    Changed =
+        Changed ||
+        (Gone && (Record.m_Returned || Record.m_State == VmState::Leaving));
     It = Gone ? Vms.m_Vms.erase(It) : std::next(It);
   }
+  // The first list is reported also without a leaving VM, because it replaces
+  // what a former process of this router said.
+  if (Changed || Vms.m_Report == 0)
+    ++Vms.m_Report;
+  return Left;
 }
 
 bool vmInService(const VmView &Vms, const VmId &Vm, Millis Now) {
+  if (Vms.m_FleetLeaving.count(Vm) != 0)
+    return false;
   if (!Vms.m_Configured)
     return true;
   auto It = Vms.m_Vms.find(Vm);
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -125,6 +125,18 @@
   Visit("j", Data.m_Json);
 }
 
+template <typename V, typename M, IfMessage<M, VmStatement> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("v", Data.m_Vm);
+  Visit("r", Data.m_Returned);
+  Visit("a", Data.m_Age);
+}
+
+template <typename V, typename M, IfMessage<M, LeavingVm> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("v", Data.m_Vm);
+}
+
 template <typename V, typename M, IfMessage<M, Renew> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("n", Data.m_Node);
@@ -139,6 +151,10 @@
   Visit("p", Data.m_Pools);
   Visit("t", Data.m_Targets);
   Visit("a", Data.m_Accounts);
+  Visit("m", Data.m_VmReport);
+  Visit("h", Data.m_VmsHeld);
+  Visit("w", Data.m_VmsStated);
+  Visit("x", Data.m_Vms);
 }
 
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
@@ -154,6 +170,10 @@
   Visit("r", Data.m_Residual);
   Visit("a", Data.m_Shares);
   Visit("x", Data.m_Interrupted);
+  Visit("w", Data.m_VmReport);
+  Visit("h", Data.m_VmsListed);
+  Visit("o", Data.m_VmsComplete);
+  Visit("l", Data.m_LeavingVms);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -201,6 +201,14 @@
       Self.m_Peers->send(Row.first, Change);
 }
 
+/// Routers learn of a leaving VM before their next ordinary renewal.
+void announceLeavingVms(Keeper &Self, Millis Now) {
+  for (const NodeId &Node :
+       receiversOfVmChange(Self.m_Leases->m_VmReports, Now))
+    Self.m_Peers->send(Node, RenewRequest{Self.m_State.m_Epoch,
+                                          Self.m_State.m_Document.m_Version});
+}
+
 } // namespace
 
 bool leads(const Keeper &Self) {
@@ -220,6 +228,7 @@
   if (!grantingTable(Self, Now))
     return;
   announceChanges(Self);
+  announceLeavingVms(Self, Now);
   std::map<NodeId, Renew> Waiting;
   Waiting.swap(Self.m_WaitingRenewals);
   for (const std::pair<const NodeId, Renew> &Row : Waiting)
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -82,6 +82,7 @@
   if (!leaseHolds(R.m_Lease, Now))
     for (AccountDemand &Demand : Renewal.m_Accounts)
       Demand.m_Share = 0;
+  addVmReport(Renewal, R.m_Vms, Now);
   R.m_Keeper.m_LastRenew = Now;
   addCounter(R.m_Metrics, "vanillaferry_renewals_total");
   sendToLeader(R, std::move(Renewal));
@@ -237,6 +238,19 @@
       awaitReport(R, Target.second, Row.second.m_Settings.m_Kind);
 }
 
+void takeLeavingVms(Router &R, const Grant &Granted) {
+  std::set<VmId> Before = R.m_Vms.m_FleetLeaving;
+  if (!takeFleetVms(R.m_Vms, Granted))
+    return;
+  for (const VmId &Vm : R.m_Vms.m_FleetLeaving)
+    if (Before.count(Vm) == 0)
+      logEvent(Event::VmLeaving, {{"vm", Vm.m_Value}});
+  for (const VmId &Vm : Before)
+    if (R.m_Vms.m_FleetLeaving.count(Vm) == 0)
+      logEvent(Event::VmReturned, {{"vm", Vm.m_Value}});
+  rebuildPools(R, false);
+}
+
 void rebuildOwnerPool(Router &R, const PoolSettings &Settings,
                       const RoutedPool &Routed, bool FromDocument) {
   OwnerPool &Own = R.m_OwnerPools[Settings.m_Id];
@@ -311,13 +325,15 @@
   regainAfterInterruption(R);
   takeShares(R.m_Accounts, Granted.m_Shares);
   takeLoads(R, Granted, Now);
+  takeLeavingVms(R, Granted);
   updateDispatchable(R);
   // Dispatches check ownership under the new members from here on, so the lost
   // targets get nothing more and the epoch may be acknowledged.
   R.m_Keeper.m_AckedEpoch = R.m_Members.m_Epoch;
   if (Understood)
     R.m_Keeper.m_AckedVersion = Granted.m_Version;
-  if ((Understood && !Granted.m_Sections.empty()) || !Granted.m_Members.empty())
+  if ((Understood && !Granted.m_Sections.empty()) ||
+      !Granted.m_Members.empty() || reportMissing(R.m_Vms))
     R.m_Lease.m_NextRenewal = Now;
   if (!Held && holdsLease(R))
     logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -33,7 +33,10 @@
     addCounter(R.m_Metrics, "vanillaferry_vm_list_failures_total");
     return;
   }
-  updateVms(R.m_Vms, *Listed, monotonicNow());
+  Millis Now = monotonicNow();
+  // The fleet learns of a leave at once, because other lists may lag more.
+  if (updateVms(R.m_Vms, *Listed, Now))
+    R.m_Lease.m_NextRenewal = Now;
   rebuildPools(R, false);
 }
 
--- a/src/daemon/process/replay/fleet.cpp
+++ b/src/daemon/process/replay/fleet.cpp
@@ -1,5 +1,7 @@
 #include "process/replay/fleet.hpp"
 
+#include "connection/message_codec.hpp"
+
 #include <algorithm>
 #include <random>
 
@@ -315,6 +317,25 @@
   }
 }
 
+namespace {
+
+/// The leader tells the routers of VMs that have begun to leave.
+void askForRenewals(Fleet &All) {
+  Millis Now = All.m_World->m_Now;
+  for (const NodeId &Node :
+       receiversOfVmChange(All.m_Leader.m_Table.m_VmReports, Now)) {
+    All.m_World->m_Measures.m_ControlBytes += static_cast<double>(
+        encodeMessage(RenewRequest{All.m_Leader.m_State.m_Epoch,
+                                   All.m_Leader.m_State.m_Document.m_Version})
+            .size());
+    ReplayRouter *Router = findRouter(All, Node);
+    if (Router)
+      Router->m_Lease.m_NextRenewal = Now + TickInterval;
+  }
+}
+
+} // namespace
+
 void fleetTick(Fleet &All) {
   Millis Now = All.m_World->m_Now;
   for (std::uint32_t I = 0; I < All.m_Routers.size(); ++I) {
@@ -331,6 +352,7 @@
       placeWaiting(All, I);
   }
   endLeases(All.m_Leader, Now);
+  askForRenewals(All);
   for (std::size_t I = 0; I < All.m_Pending.size();) {
     const PendingZoneEdit Edit = All.m_Pending[I];
     if (!inForceEverywhere(All.m_Leader.m_Table, All.m_Leader.m_State,
--- a/src/daemon/process/replay/fleet_messages.cpp
+++ b/src/daemon/process/replay/fleet_messages.cpp
@@ -37,6 +37,7 @@
       Request.m_Targets.push_back(
           TargetLoad{Pair.first, Pair.second.m_State.m_Running});
   Request.m_Accounts = accountDemand(Router.m_Accounts);
+  addVmReport(Request, Router.m_Vms, All.m_World->m_Now);
   return Request;
 }
 
@@ -119,8 +120,11 @@
     Router.m_Residual.clear();
     for (const TargetLoad &Load : Granted.m_Residual)
       Router.m_Residual[Load.m_Target] = Load.m_Running;
-    if (Changed)
-      rebuildViews(All, Router, true);
+    bool VmsChanged = takeFleetVms(Router.m_Vms, Granted);
+    if (reportMissing(Router.m_Vms))
+      Router.m_Lease.m_NextRenewal = Now;
+    if (Changed || VmsChanged)
+      rebuildViews(All, Router, Changed);
     for (std::pair<const TargetId, OwnedTarget> &Pair :
          Router.m_Pool.m_Targets) {
       auto It = Router.m_Residual.find(Pair.first);
@@ -194,7 +198,8 @@
     }
   bool First = !Router.m_Vms.m_Configured;
   Router.m_Vms.m_Configured = true;
-  updateVms(Router.m_Vms, Listed, Now);
+  if (updateVms(Router.m_Vms, Listed, Now))
+    Router.m_Lease.m_NextRenewal = Now;
   if (First || Leaving)
     rebuildViews(All, Router, false);
 }
--- a/src/standin/service.cpp
+++ b/src/standin/service.cpp
@@ -116,8 +116,11 @@
     answerJson(Message, 200, {{"ok", true}});
     return;
   }
-  gint64 Wanted =
-      g_get_monotonic_time() - gint64(Platform.m_Options.m_LagMs) * 1000;
+  // Each reader may state a lag of its own, since lists differ by reader.
+  std::string Stated = queryValue(Message, "lag_ms");
+  gint64 LagMs = Stated.empty() ? gint64(Platform.m_Options.m_LagMs)
+                                : g_ascii_strtoll(Stated.c_str(), nullptr, 10);
+  gint64 Wanted = g_get_monotonic_time() - LagMs * 1000;
   std::string Shown = Platform.m_Lists.front().m_Json;
   for (const StatedList &List : Platform.m_Lists)
     if (List.m_AtUs <= Wanted)
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -65,7 +65,11 @@
              true,
              {{PoolId("p"), 3}, {PoolId("q"), 0}},
              {{TargetId("t"), 4}},
-             {{AccountId("a"), 5, 6, 7}}};
+             {{AccountId("a"), 5, 6, 7}},
+             3,
+             1ULL << 31,
+             true,
+             {{VmId("vm"), true, Millis(9)}}};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -87,6 +91,12 @@
   SAME(m_Accounts.at(0).m_Running);
   SAME(m_Accounts.at(0).m_Waiting);
   SAME(m_Accounts.at(0).m_Share);
+  SAME(m_VmReport);
+  SAME(m_VmsHeld);
+  SAME(m_VmsStated);
+  SAME(m_Vms.at(0).m_Vm);
+  SAME(m_Vms.at(0).m_Returned);
+  SAME(m_Vms.at(0).m_Age);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -100,7 +110,11 @@
              {{PoolId("p"), 12, Millis(40)}},
              {{TargetId("t"), 1}},
              {{AccountId("a"), 10}},
-             true};
+             true,
+             4,
+             true,
+             true,
+             {{VmId("vm")}}};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
   SAME(m_Duration);
@@ -123,6 +137,10 @@
   SAME(m_Shares.at(0).m_Account);
   SAME(m_Shares.at(0).m_Limit);
   SAME(m_Interrupted);
+  SAME(m_VmReport);
+  SAME(m_VmsListed);
+  SAME(m_VmsComplete);
+  SAME(m_LeavingVms.at(0).m_Vm);
 }
 
 BOOST_AUTO_TEST_CASE(LoadMessagesKeepEveryField) {
--- a/tests/process/RouterFleet.cpp
+++ b/tests/process/RouterFleet.cpp
@@ -168,7 +168,10 @@
       {"keepers", Keepers},
       {"log", {{"format", "json"}}}};
   if (m_Plan.m_Platform) {
-    Settings["vm_list_url"] = platformUrl() + "/vms";
+    int LagMs =
+        Index < m_Plan.m_ListLagMs.size() ? m_Plan.m_ListLagMs[Index] : 0;
+    Settings["vm_list_url"] =
+        platformUrl() + "/vms?lag_ms=" + std::to_string(LagMs);
     Settings["vm_list_interval_ms"] = 500;
   }
   writeWholeFile(path(Name + ".json"), Settings.dump(2));
--- a/tests/process/RouterFleet.hpp
+++ b/tests/process/RouterFleet.hpp
@@ -18,6 +18,8 @@
   std::uint32_t m_ColdLimit = 0;
   std::uint32_t m_MaxConcurrent = 32;
   bool m_Platform = false;
+  /// Lag of the VM list that each router reads; 0 for routers not named.
+  std::vector<int> m_ListLagMs = {};
   std::vector<std::string> m_EngineArguments = {};
 };
 
--- a/tests/process/Routers.tests.cpp
+++ b/tests/process/Routers.tests.cpp
@@ -1,4 +1,5 @@
 #include "RouterFleet.hpp"
+#include "vanillaferry/process/ownership.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -121,6 +122,41 @@
   requireHistoryHolds(Fleet);
 }
 
+// Guards against new work at a leaving VM whose owner reads a list that lags by
+// more than the allowed 3 s, while another router's list shows the leave.
+BOOST_AUTO_TEST_CASE(ALeavingVmGetsNoNewWorkFromAnOwnerWithALaggingList) {
+  constexpr int LagMs = 6 * SecondMs;
+  Membership Members;
+  for (const char *Name : {"router-0", "router-1"})
+    Members.m_Members.push_back({NodeId(Name), {}, "", {}, false});
+  FleetPlan Plan{3, 2, 4};
+  Plan.m_Platform = true;
+  Plan.m_ListLagMs = {0, LagMs};
+  std::size_t Engine = 0;
+  while (*ownerOf(Members, TargetId("engine-" + std::to_string(Engine))) !=
+         NodeId("router-1"))
+    ++Engine;
+  BOOST_REQUIRE_LT(Engine, Plan.m_Engines);
+  RouterFleet Fleet(Plan);
+  // Until then the lagging list is empty.
+  pause(LagMs);
+  Fleet.startLoad({0, 1}, 40, 10);
+  pause(2 * SecondMs);
+  std::string Url = Fleet.engineUrl(Engine);
+  BOOST_TEST(Fleet.statsOf(Url).value("arrivals", 0U) > 0U);
+  Fleet.setVmState(Engine, "leaving");
+  Fleet.note({{"op", "out"},
+              {"vm", "vm-engine-" + std::to_string(Engine)},
+              {"time", historyNow()}});
+  pause(2 * SecondMs);
+  std::uint64_t Before = Fleet.statsOf(Url).value("arrivals", 0U);
+  pause(3 * SecondMs);
+  // The owner's own list shows the VM as live up to here.
+  BOOST_TEST(Fleet.statsOf(Url).value("arrivals", 0U) == Before);
+  requireAllWhole(Fleet.finishLoad());
+  requireHistoryHolds(Fleet);
+}
+
 // Guards against a shutdown that cuts requests or leaves with an error.
 BOOST_AUTO_TEST_CASE(AGracefulShutdownCutsNoRequest) {
   FleetPlan Plan{3, 3, 4};
