Let idle links between routers be quiet; probe before a first request

Cause: every router links to every other, and a heartbeat a second on each link cost a router 30 bytes a second for each further router, 13 KB/s at 430 nodes by the measured slope.

Ruled out: closing idle links and dialling on demand, since each of 429 links is used every 10 s at the target load; linking only to owners of the pools in use; sending the first request into an unproven link and again by id and attempt, since an owner would have to remember ended and declined calls so that an order does not run twice. docs/design.md, section 8.

Change: a link between two routers sends a heartbeat each 30 s and is replaced after 90 s. While requests of the entry router wait for the other end, the link is watched: it is probed after 1.5 s without a frame and replaced after 3 s. Links with a keeper are unchanged. A request for a link that has heard nothing for 3 s waits until a probe is answered; after 2 s the link is replaced and the request goes back to its session as unsent. The session waits up to 1 s for the new link and sends the same id and attempt, or asks the next owner. It is never in doubt and spends no retry budget, also when it must run at most once. A router whose link broke dials the other one itself, because the other end may notice later. A request that was sent over an older one of two links is no longer forgotten when that link breaks. bench-state.sh measures over 30 s, a whole heartbeat interval of quiet links.

The test of a silent link now uses a keeper's hello, because it is about links with ordinary heartbeats; the limits are the same, and quiet links have tests of their own.

--- a/examples/bench-state.sh
+++ b/examples/bench-state.sh
@@ -74,7 +74,8 @@
 leader_of() { "$ferry" status --settings "$dir/operator.json" --json | grep -o '"leader": *"[^"]*"' | cut -d'"' -f4; }
 leader=$(leader_of)
 leader_pid=$(printf '%s\n' "${keeper_pids[@]}" | grep "^$leader=" | cut -d= -f2)
-seconds=10
+# A whole number of the quiet links' heartbeat intervals (30 s).
+seconds=30
 bytes0=$(control_bytes); r0=$(ticks "${router_pids[@]}"); l0=$(ticks "$leader_pid")
 sleep "$seconds"
 bytes1=$(control_bytes); r1=$(ticks "${router_pids[@]}"); l1=$(ticks "$leader_pid")
--- a/include/vanillaferry/connection/liveness.hpp
+++ b/include/vanillaferry/connection/liveness.hpp
@@ -9,13 +9,29 @@
   Millis m_HeartbeatInterval{1000};
   /// A link without a received frame for this long is closed and replaced.
   Millis m_SilenceLimit{3000};
+  /// Both for a quiet link that is not watched. At 430 routers one heartbeat
+  /// a second on each link cost 13 KB a second.
+  Millis m_QuietHeartbeat{30000};
+  Millis m_QuietSilence{90000};
+  /// A watched quiet link without a received frame for this long is probed.
+  Millis m_ProbeAfter{1500};
+  /// A probe that a request waits for must be answered within this time.
+  Millis m_ProbeLimit{2000};
+  /// A quiet link counts as watched for this long after each watchLink().
+  Millis m_WatchTime{2000};
 };
 
-/// Heartbeat state of one peer link.
+/// Heartbeat state of one peer link. A quiet link (between two routers) sends
+/// rare heartbeats; only while it is watched, because a request waits for the
+/// other end, a silent peer is found within the silence limit.
 struct Liveness {
   LivenessOptions m_Options;
   Millis m_LastSent;
   Millis m_LastReceived;
+  bool m_Quiet = false;
+  Millis m_WatchedSince;
+  Millis m_WatchedUntil;
+  Millis m_ProbedAt;
 };
 
 Liveness makeLiveness(LivenessOptions Options, Millis Now);
@@ -24,6 +40,15 @@
 bool heartbeatDue(const Liveness &Link, Millis Now);
 bool linkSilent(const Liveness &Link, Millis Now);
 
+/// A request waits for the other end of the link.
+void watchLink(Liveness &Link, Millis Now);
+/// True when the other end is to be asked for a heartbeat.
+bool probeDue(const Liveness &Link, Millis Now);
+void noteProbe(Liveness &Link, Millis Now);
+/// True when the last frame is so recent that a new request may be sent
+/// without a probe.
+bool linkProven(const Liveness &Link, Millis Now);
+
 /// Timer of work that must show progress, such as a request to a target.
 struct ProgressTimer {
   Millis m_Limit{5000};
--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -28,6 +28,8 @@
 
 struct Heartbeat {
   Millis m_SentAt;
+  /// Asks the receiver for a heartbeat at once.
+  bool m_Probe = false;
 };
 
 /// A router in the replicated membership.
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -74,6 +74,7 @@
 template <typename V, typename M, IfMessage<M, Heartbeat> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("t", Data.m_SentAt);
+  Visit("p", Data.m_Probe);
 }
 
 template <typename V, typename M, IfMessage<M, Member> * = nullptr>
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -33,6 +33,12 @@
                TCP_USER_TIMEOUT, &Timeout, sizeof Timeout);
 }
 
+/// A probe that requests wait for got no answer in time.
+bool probeFailed(const PeerLink &Link, Millis Now) {
+  return !Link.m_Held.empty() &&
+         Now - Link.m_HeldSince >= Link.m_Liveness.m_Options.m_ProbeLimit;
+}
+
 /// Ends the TCP connection without a closing handshake, which a silent peer
 /// would never answer.
 void terminateNow(PeerConnection &Connection) {
@@ -127,10 +133,10 @@
     PeerLink &Link = Row.second;
     if (!Link.m_Open)
       continue;
-    if (Now - Link.m_LastReceived > m_Options.m_SilenceLimit)
+    if (linkSilent(Link.m_Liveness, Now) || probeFailed(Link, Now))
       Silent.push_back(Link.m_Id);
-    else if (Now - Link.m_LastSent >= m_Options.m_HeartbeatInterval)
-      append(Link, Heartbeat{Now});
+    else
+      checkLiveness(Link, Now);
   }
   for (std::uint64_t Id : Silent)
     drop(Id, "silent");
@@ -222,9 +228,9 @@
 }
 
 void PeerLinks::onOpen(PeerLink &Link) {
-  setSocketOptions(*Link.m_Connection, m_Options.m_SilenceLimit);
+  setSocketOptions(*Link.m_Connection, m_Options.m_Liveness.m_SilenceLimit);
   Link.m_Open = true;
-  Link.m_LastReceived = monotonicNow();
+  Link.m_Liveness = makeLiveness(m_Options.m_Liveness, monotonicNow());
   append(Link, Hello{m_Options.m_Self, m_Options.m_Incarnation, ProtocolVersion,
                      m_Options.m_Role, m_Options.m_HttpUrl});
   flush(Link);
@@ -238,6 +244,9 @@
   m_Links.erase(Found);
   bool WasUp = !Link.m_Node.empty();
   if (WasUp) {
+    // Before Down, so that these requests do not count as in doubt.
+    for (PeerMessage &Message : Link.m_Held)
+      returnUnsent(Link.m_Node, Id, Message);
     m_Counters.m_LinksLost.fetch_add(1, std::memory_order_relaxed);
     std::vector<std::uint64_t> &Links = m_LinksOfNode[Link.m_Node];
     Links.erase(std::remove(Links.begin(), Links.end(), Id), Links.end());
@@ -270,7 +279,7 @@
   if (Found == m_Links.end())
     return;
   PeerLink &Link = Found->second;
-  Link.m_LastReceived = monotonicNow();
+  noteReceived(Link.m_Liveness, monotonicNow());
   const std::string &Payload = Frame->get_payload();
   std::size_t Size = frameBytes(Payload.size(), Link.m_Url.empty());
   m_Counters.m_FramesReceived.fetch_add(1, std::memory_order_relaxed);
@@ -281,15 +290,24 @@
   if (isControlMessage(Decoded.value().front()))
     m_Counters.m_ControlBytesReceived.fetch_add(Size,
                                                 std::memory_order_relaxed);
+  bool Probed = false;
   for (PeerMessage &Message : Decoded.value()) {
     if (Link.m_Node.empty()) {
       if (!onHello(Link, Message))
         return;
-    } else if (!std::holds_alternative<Heartbeat>(Message)) {
+    } else if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Message)) {
+      Probed = Probed || Beat->m_Probe;
+    } else {
       m_OnEvent(
           {PeerEvent::Kind::Message, Link.m_Node, Id, std::move(Message)});
     }
   }
+  if (Probed) {
+    append(Link, Heartbeat());
+    if (!flush(Link))
+      return;
+  }
+  releaseHeld(Id);
 }
 
 void PeerLinks::onMalformed(PeerLink &Link, const std::string &Why) {
@@ -311,6 +329,8 @@
     return false;
   }
   Link.m_Node = Greeting->m_Node;
+  Link.m_Liveness.m_Quiet = m_Options.m_Role == NodeRole::Router &&
+                            Greeting->m_Role == NodeRole::Router;
   m_LinksOfNode[Link.m_Node].push_back(Link.m_Id);
   auto Dial = m_Dials.find(Link.m_Url);
   if (Dial != m_Dials.end())
@@ -341,9 +361,13 @@
 
 void PeerLinks::sendAll(std::vector<OutgoingMessage> Messages) {
   std::vector<std::uint64_t> Touched;
-  for (const OutgoingMessage &Message : Messages) {
+  for (OutgoingMessage &Message : Messages) {
     PeerLink *Link = linkOf(Message);
-    if (!Link)
+    if (!Link) {
+      returnUnsent(Message.m_To, 0, Message.m_Message);
+      continue;
+    }
+    if (hold(*Link, Message.m_Message))
       continue;
     bool Control = isControlMessage(Message.m_Message);
     if (Link->m_BatchCount > 0 &&
@@ -403,7 +427,7 @@
     drop(Link.m_Id, "send failed");
     return false;
   }
-  Link.m_LastSent = monotonicNow();
+  noteSent(Link.m_Liveness, monotonicNow());
   std::size_t Size = frameBytes(Frame.size(), !Link.m_Url.empty());
   m_Counters.m_FramesSent.fetch_add(1, std::memory_order_relaxed);
   m_Counters.m_BytesSent.fetch_add(Size, std::memory_order_relaxed);
--- a/src/daemon/connection/internal/peer_links.hpp
+++ b/src/daemon/connection/internal/peer_links.hpp
@@ -29,8 +29,10 @@
   NodeId m_Node;
   bool m_Open = false;
   bool m_MalformedLogged = false;
-  Millis m_LastReceived;
-  Millis m_LastSent;
+  Liveness m_Liveness;
+  /// Messages that wait for the answer to a probe, in their order.
+  std::vector<PeerMessage> m_Held;
+  Millis m_HeldSince;
   /// Encoded messages that wait for the end of the batch, all control or all
   /// not, so that control bytes are counted exactly.
   std::string m_Batch;
@@ -75,6 +77,7 @@
   void disconnect(const std::string &Url);
   /// Sends messages in their order; those for one link share frames.
   void sendAll(std::vector<OutgoingMessage> Messages);
+  void watchNodes(const std::vector<NodeId> &Nodes);
 
   boost::asio::io_context m_Context;
 
@@ -92,6 +95,14 @@
   bool onHello(PeerLink &Link, const PeerMessage &Message);
   void drop(std::uint64_t Id, const std::string &Why);
 
+  void checkLiveness(PeerLink &Link, Millis Now);
+  void probe(PeerLink &Link, Millis Now);
+  /// True when the message waits for the answer to a probe.
+  bool hold(PeerLink &Link, PeerMessage &Message);
+  void releaseHeld(std::uint64_t Id);
+  /// Hands a Forward of which nothing was sent back to its sender.
+  void returnUnsent(const NodeId &To, std::uint64_t Id, PeerMessage &Message);
+
   PeerLink *linkOf(const OutgoingMessage &Message);
   void append(PeerLink &Link, const PeerMessage &Message);
   /// False when the link was dropped.
--- a/src/daemon/connection/peer_task.cpp
+++ b/src/daemon/connection/peer_task.cpp
@@ -79,6 +79,13 @@
   m_Impl->post({NodeId(), Url, std::move(Message)});
 }
 
+void PeerTask::watch(std::vector<NodeId> Nodes) {
+  Impl *Raw = m_Impl.get();
+  boost::asio::post(Raw->m_Links.m_Context, [Raw, Nodes = std::move(Nodes)] {
+    Raw->m_Links.watchNodes(Nodes);
+  });
+}
+
 PeerCounters PeerTask::counters() const {
   const internal::AtomicCounters &From = m_Impl->m_Counters;
   PeerCounters To;
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -1,18 +1,21 @@
 #pragma once
 
+#include "vanillaferry/connection/liveness.hpp"
 #include "vanillaferry/connection/message.hpp"
 #include "vanillaferry/process/result.hpp"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace vanillaferry {
 
 /// What the peer task reports to the task that owns the process's state. Up
-/// carries the other end's Hello as its message.
+/// carries the other end's Hello as its message, Unsent a Forward of which
+/// nothing was sent, because there was no link or it was silent.
 struct PeerEvent {
-  enum class Kind { Up, Down, Message };
+  enum class Kind { Up, Down, Message, Unsent };
   Kind m_Kind = Kind::Message;
   /// Node id of the other end (a keeper's id is its node id).
   NodeId m_From;
@@ -28,9 +31,8 @@
   std::string m_HttpUrl;
   std::string m_ListenAddress;
   std::uint16_t m_ListenPort = 0;
-  Millis m_HeartbeatInterval{1000};
-  /// A link without any frame for this long is closed and dialled again.
-  Millis m_SilenceLimit{3000};
+  /// Links between two routers are quiet, all others are not.
+  LivenessOptions m_Liveness;
   /// Above a grant with all sections at their largest (8 MiB each).
   Bytes m_MaxFrame{64 * 1024 * 1024};
   /// A link with more bytes waiting to be sent is dropped and dialled again; a
@@ -71,12 +73,18 @@
   void connect(const std::string &Url);
   void disconnect(const std::string &Url);
 
-  /// Sends to the newest link of a node; dropped when there is none (the
-  /// owner of the state sees Down and decides).
+  /// Sends to the newest link of a node. Without one a Forward comes back as
+  /// Unsent and other messages are dropped (the owner of the state sees Down
+  /// and decides). A Forward for a quiet link that has not been heard of for
+  /// the silence limit waits until the other end answers a probe.
   void send(const NodeId &To, PeerMessage Message);
   /// Sends over the link of this URL, whoever answers there.
   void sendToUrl(const std::string &Url, PeerMessage Message);
 
+  /// Requests wait for these nodes: their links are watched for the next
+  /// m_WatchTime. A Forward watches its link by itself.
+  void watch(std::vector<NodeId> Nodes);
+
   PeerCounters counters() const;
 
   /// The port listened on, also when the options leave its choice to the
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -160,10 +160,16 @@
 void dialMembers(Router &R) {
   std::set<std::string> Wanted(R.m_Settings.m_Keepers.begin(),
                                R.m_Settings.m_Keepers.end());
+  std::set<NodeId> Known;
   // One of two routers dials, so that there is one link between them.
-  for (const Member &Other : R.m_Members.m_Members)
-    if (R.m_Settings.m_Node < Other.m_Node)
+  for (const Member &Other : R.m_Members.m_Members) {
+    if (R.m_DialledBack.count(Other.m_Node) != 0)
+      Known.insert(Other.m_Node);
+    if (R.m_Settings.m_Node < Other.m_Node ||
+        R.m_DialledBack.count(Other.m_Node) != 0)
       Wanted.insert(Other.m_PeerUrl);
+  }
+  R.m_DialledBack = std::move(Known);
   if (!R.m_Peer)
     return;
   for (const std::string &Url : R.m_Dialled)
@@ -362,6 +368,12 @@
   updateDispatchable(R);
 }
 
+void dialBack(Router &R, const NodeId &Node) {
+  if (R.m_LinkLostAt.count(Node) == 0 || !R.m_DialledBack.insert(Node).second)
+    return;
+  dialMembers(R);
+}
+
 void updateDispatchable(Router &R) {
   Millis Now = monotonicNow();
   for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools) {
--- a/src/daemon/process/lease_client.hpp
+++ b/src/daemon/process/lease_client.hpp
@@ -27,6 +27,10 @@
 /// Updates which owned targets may be dispatched to at present.
 void updateDispatchable(Router &R);
 
+/// Dials a member whose link broke, also when the member is to dial this node:
+/// over a connection that went silent for good it may not have noticed yet.
+void dialBack(Router &R, const NodeId &Node);
+
 /// Takes the leader's answer to a load update.
 void takeLoadTotals(Router &R, const LoadTotals &Answer);
 
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Below the watch time of a link, so that a watch does not lapse.
+constexpr Millis WatchInterval{500};
+
 /// Sends a message to the part of the router that handles its kind.
 struct MessageHandler {
   Router &m_Router;
@@ -71,6 +74,24 @@
       Waiting.push_back(Row.second);
   for (const std::shared_ptr<Session> &S : Waiting)
     tryRelink(S);
+  checkAwaitedLinks(R);
+}
+
+/// Has the links watched that requests of this entry router wait for.
+void watchLinks(Router &R) {
+  Millis Now = monotonicNow();
+  if (!R.m_Peer || R.m_NextWatch > Now)
+    return;
+  R.m_NextWatch = Now + WatchInterval;
+  std::set<NodeId> Asked;
+  for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+       R.m_Sessions)
+    if (Row.second->m_Step == SessionStep::Asking ||
+        Row.second->m_Step == SessionStep::Running)
+      Asked.insert(Row.second->m_Asked.m_Owner);
+  Asked.erase(R.m_Settings.m_Node);
+  if (!Asked.empty())
+    R.m_Peer->watch(std::vector<NodeId>(Asked.begin(), Asked.end()));
 }
 
 void noteLease(Router &R) {
@@ -189,19 +210,29 @@
 void handlePeerEvent(Router &R, PeerEvent Event) {
   switch (Event.m_Kind) {
   case PeerEvent::Kind::Up:
-    R.m_Links[Event.m_From].insert(Event.m_Connection);
+    R.m_Links[Event.m_From][Event.m_Connection] = monotonicNow();
     R.m_LinkLostAt.erase(Event.m_From);
+    checkAwaitedLinks(R);
     return;
   case PeerEvent::Kind::Down: {
-    std::set<std::uint64_t> &Links = R.m_Links[Event.m_From];
+    Millis Now = monotonicNow();
+    std::map<std::uint64_t, Millis> &Links = R.m_Links[Event.m_From];
     Links.erase(Event.m_Connection);
-    if (!Links.empty())
+    if (!Links.empty()) {
+      // Requests that were sent before the newest link came up may have been
+      // lost with this one.
+      sessionLinkLost(R, Event.m_From, Links.rbegin()->second);
       return;
+    }
     R.m_Links.erase(Event.m_From);
-    R.m_LinkLostAt[Event.m_From] = monotonicNow();
-    sessionLinkLost(R, Event.m_From);
+    R.m_LinkLostAt[Event.m_From] = Now;
+    sessionLinkLost(R, Event.m_From, Now);
     return;
   }
+  case PeerEvent::Kind::Unsent:
+    if (const Forward *Order = std::get_if<Forward>(&Event.m_Message))
+      sessionUnsent(R, Event.m_From, *Order);
+    return;
   case PeerEvent::Kind::Message:
     handlePeerMessage(R, Event.m_From, std::move(Event.m_Message));
     return;
@@ -214,6 +245,7 @@
   updateDispatchable(R);
   checkRuns(R);
   checkSessions(R);
+  watchLinks(R);
   checkQueues(R);
   checkJournal(R);
   checkPolls(R);
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -123,10 +123,14 @@
   KeeperLink m_Keeper;
   Membership m_Members;
   OwnedTargets m_Owned;
-  std::map<NodeId, std::set<std::uint64_t>> m_Links;
+  /// When each link of a node came up.
+  std::map<NodeId, std::map<std::uint64_t, Millis>> m_Links;
   /// When the last link to each unreachable node broke.
   std::map<NodeId, Millis> m_LinkLostAt;
   std::set<std::string> m_Dialled;
+  /// Members that this node dials because their own dial does not come.
+  std::set<NodeId> m_DialledBack;
+  Millis m_NextWatch;
 
   RouterDocument m_Document;
   VmView m_Vms;
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/engine_adapter.hpp"
 #include "process/clock.hpp"
+#include "process/lease_client.hpp"
 #include "process/recorder.hpp"
 #include "process/router.hpp"
 #include "request/entry.hpp"
@@ -164,6 +165,7 @@
                      R.m_Links.count(S->m_Asked.m_Owner) != 0;
     if (Reachable)
       break;
+    dialBack(R, S->m_Asked.m_Owner);
     // Nothing was sent, so the walk goes on.
     countRetry(R.m_Metrics, RetryReason::PeerLinkLost);
     takeDecline(S->m_Walk, S->m_Asked);
--- a/src/daemon/request/session.hpp
+++ b/src/daemon/request/session.hpp
@@ -20,6 +20,8 @@
   Queued,
   /// Waits for the journal's answer.
   Journal,
+  /// Nothing was sent to the owner yet, because its link broke.
+  AwaitingLink,
   /// An owner was asked.
   Asking,
   /// A target works on it.
@@ -44,6 +46,11 @@
 /// While more than this waits for the caller, the owner gets no new credit.
 constexpr std::size_t CallerHighWater = 64 * 1024;
 
+/// How long a request of which nothing was sent waits for a new link to its
+/// owner before the next owner is asked; a dial takes a few round trips and
+/// follows the loss of a link by at most 100 ms.
+constexpr Millis LinkWait{1000};
+
 /// One request at its entry router. Shared by the router's table and the
 /// callbacks of its caller.
 struct Session : std::enable_shared_from_this<Session> {
@@ -79,7 +86,10 @@
   TargetId m_RanAt;
   std::string m_Why;
   bool m_Continued = false;
-  /// While Relinking: when it tries again and when it gives up.
+  /// When the order went to the owner asked last.
+  Millis m_AskedAt;
+  /// While Relinking: when it tries again and when it gives up. While
+  /// AwaitingLink: when the next owner is asked.
   Millis m_NextTry;
   Millis m_RelinkUntil;
 
@@ -102,8 +112,12 @@
                     const ForwardDecline &Decline);
 void sessionChunk(Router &R, const NodeId &From, const ForwardChunk &Chunk);
 void sessionEnd(Router &R, const NodeId &From, const ForwardEnd &End);
-/// The last link to a node broke.
-void sessionLinkLost(Router &R, const NodeId &Node);
+/// A link to a node broke; what was asked after Since went over another one.
+void sessionLinkLost(Router &R, const NodeId &Node, Millis Since);
+/// An order was not sent at all.
+void sessionUnsent(Router &R, const NodeId &To, const Forward &Order);
+/// Sends orders whose link is up again; others go on to the next owner in time.
+void checkAwaitedLinks(Router &R);
 
 /// Tries to go on with a broken stream.
 void tryRelink(const std::shared_ptr<Session> &S);
--- a/src/daemon/request/session_retry.cpp
+++ b/src/daemon/request/session_retry.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/engine_adapter.hpp"
 #include "process/clock.hpp"
+#include "process/lease_client.hpp"
 #include "process/router.hpp"
 #include "request/entry.hpp"
 
@@ -69,6 +70,7 @@
   S->m_Order.m_ResumeOffset = S->m_Progress.m_Next;
   S->m_Order.m_TimeLeft = S->m_Deadline - monotonicNow();
   S->m_OwedCredit = 0;
+  S->m_AskedAt = monotonicNow();
   sendToNode(S->m_Router, S->m_Asked.m_Owner, S->m_Order);
 }
 
@@ -134,11 +136,11 @@
   startWalk(S);
 }
 
-void sessionLinkLost(Router &R, const NodeId &Node) {
+void sessionLinkLost(Router &R, const NodeId &Node, Millis Since) {
   std::vector<std::shared_ptr<Session>> Affected;
   for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
        R.m_Sessions)
-    if (Row.second->m_Asked.m_Owner == Node &&
+    if (Row.second->m_Asked.m_Owner == Node && Row.second->m_AskedAt <= Since &&
         (Row.second->m_Step == SessionStep::Asking ||
          Row.second->m_Step == SessionStep::Running))
       Affected.push_back(Row.second);
@@ -158,6 +160,45 @@
   }
 }
 
+void sessionUnsent(Router &R, const NodeId &To, const Forward &Order) {
+  auto Found = R.m_Sessions.find(Order.m_Request);
+  if (Found == R.m_Sessions.end())
+    return;
+  std::shared_ptr<Session> S = Found->second;
+  if (S->m_Step != SessionStep::Asking || S->m_Asked.m_Owner != To ||
+      S->m_Order.m_Attempt != Order.m_Attempt)
+    return;
+  countRetry(R.m_Metrics, RetryReason::PeerLinkLost);
+  S->m_Step = SessionStep::AwaitingLink;
+  S->m_NextTry = monotonicNow() + LinkWait;
+}
+
+void checkAwaitedLinks(Router &R) {
+  Millis Now = monotonicNow();
+  std::vector<std::shared_ptr<Session>> Waiting;
+  for (const std::pair<const RequestId, std::shared_ptr<Session>> &Row :
+       R.m_Sessions)
+    if (Row.second->m_Step == SessionStep::AwaitingLink)
+      Waiting.push_back(Row.second);
+  for (const std::shared_ptr<Session> &S : Waiting) {
+    if (R.m_Links.count(S->m_Asked.m_Owner) != 0) {
+      // The same id and attempt: the owner has not seen it.
+      ask(S);
+      continue;
+    }
+    dialBack(R, S->m_Asked.m_Owner);
+    if (Now < S->m_NextTry)
+      continue;
+    // Only the stream's own engine can go on by offset.
+    if (S->m_Progress.m_Next > 0 && !S->m_Continued) {
+      relinkLater(*S);
+      continue;
+    }
+    takeDecline(S->m_Walk, S->m_Asked);
+    askNext(S);
+  }
+}
+
 void tryRelink(const std::shared_ptr<Session> &S) {
   Router &R = S->m_Router;
   Millis Now = monotonicNow();
@@ -180,6 +221,8 @@
   bool Reachable =
       Owner && (*Owner == R.m_Settings.m_Node || R.m_Links.count(*Owner) != 0);
   if (!Reachable) {
+    if (Owner)
+      dialBack(R, *Owner);
     relinkLater(*S);
     return;
   }
--- a/tests/core/Admission.tests.cpp
+++ b/tests/core/Admission.tests.cpp
@@ -291,6 +291,24 @@
   BOOST_TEST(linkSilent(Link, Millis(3000)));
   noteReceived(Link, Millis(2500));
   BOOST_TEST(!linkSilent(Link, Millis(5499)));
+  Liveness Quiet = makeLiveness(LivenessOptions(), Millis(0));
+  Quiet.m_Quiet = true;
+  BOOST_TEST(!heartbeatDue(Quiet, Millis(29999)));
+  BOOST_TEST(!linkSilent(Quiet, Millis(89999)));
+  BOOST_TEST(linkSilent(Quiet, Millis(90000)));
+  // A watch finds a silent peer in the same time as an ordinary link does, and
+  // blames no silence from before it.
+  watchLink(Quiet, Millis(50000));
+  BOOST_TEST(probeDue(Quiet, Millis(50000)));
+  noteProbe(Quiet, Millis(50000));
+  BOOST_TEST(!probeDue(Quiet, Millis(51499)));
+  watchLink(Quiet, Millis(51900));
+  BOOST_TEST(!linkSilent(Quiet, Millis(52999)));
+  BOOST_TEST(linkSilent(Quiet, Millis(53000)));
+  BOOST_TEST(!linkSilent(Quiet, Millis(54000)));
+  BOOST_TEST(!linkProven(Quiet, Millis(53000)));
+  noteReceived(Quiet, Millis(53000));
+  BOOST_TEST(linkProven(Quiet, Millis(55999)));
   ProgressTimer Timer;
   noteProgress(Timer, Millis(100));
   BOOST_TEST(!progressOverdue(Timer, Millis(5099)));
--- a/tests/daemon/PeerTask.tests.cpp
+++ b/tests/daemon/PeerTask.tests.cpp
@@ -46,6 +46,15 @@
     return Found;
   }
 
+  /// Position of the first event of a kind among all events.
+  std::size_t firstOf(PeerEvent::Kind Kind) {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    std::size_t Index = 0;
+    while (Index < m_Events.size() && m_Events[Index].m_Kind != Kind)
+      ++Index;
+    return Index;
+  }
+
 private:
   std::size_t countLocked(PeerEvent::Kind Kind) {
     std::size_t Count = 0;
@@ -68,6 +77,29 @@
   return Options;
 }
 
+/// Quiet links with short limits; heartbeats of quiet links never come.
+PeerOptions quietOptions(const std::string &Node) {
+  PeerOptions Options = optionsOf(Node, NodeRole::Router);
+  Options.m_Liveness.m_HeartbeatInterval = Millis(100);
+  Options.m_Liveness.m_SilenceLimit = Millis(500);
+  Options.m_Liveness.m_ProbeAfter = Millis(200);
+  Options.m_Liveness.m_ProbeLimit = Millis(400);
+  Options.m_Liveness.m_WatchTime = Millis(400);
+  return Options;
+}
+
+std::string routerHello(const std::string &Node) {
+  return encodeMessage(
+      Hello{NodeId(Node), Incarnation(1), 1, NodeRole::Router, ""});
+}
+
+Forward orderOf(const std::string &Request) {
+  Forward Order;
+  Order.m_Request = RequestId(Request);
+  Order.m_Attempt = Attempt(1);
+  return Order;
+}
+
 std::unique_ptr<PeerTask> startTask(PeerOptions Options, EventList &Events) {
   Result<std::unique_ptr<PeerTask>> Started =
       PeerTask::start(std::move(Options), Events.deliver());
@@ -91,6 +123,14 @@
           for (const std::string &Frame : Frames)
             m_Server.send(Handle, Frame, websocketpp::frame::opcode::binary);
         });
+    m_Server.set_message_handler(
+        [this](websocketpp::connection_hdl,
+               internal::PeerServer::message_ptr Frame) {
+          Result<std::vector<PeerMessage>> Decoded =
+              decodeFrame(Frame->get_payload());
+          for (const PeerMessage &Message : Decoded.value())
+            m_Requests += std::holds_alternative<Forward>(Message) ? 1 : 0;
+        });
     m_Server.listen(boost::asio::ip::tcp::endpoint(
         boost::asio::ip::make_address("127.0.0.1"), 0));
     m_Server.start_accept();
@@ -104,6 +144,7 @@
   }
 
   std::atomic<int> m_Opened{0};
+  std::atomic<int> m_Requests{0};
   std::uint16_t m_Port = 0;
 
 private:
@@ -158,12 +199,12 @@
 
 // Guards against a link that is open but dead holding up a process for ever.
 BOOST_AUTO_TEST_CASE(ALinkThatGoesSilentIsReplaced) {
-  Hello Greeting{NodeId("dead"), Incarnation(1), 1, NodeRole::Router, ""};
+  Hello Greeting{NodeId("dead"), Incarnation(1), 1, NodeRole::Keeper, ""};
   SilentServer Server({encodeMessage(Greeting)});
   EventList Events;
   PeerOptions Options = optionsOf("self", NodeRole::Router);
-  Options.m_SilenceLimit = Millis(300);
-  Options.m_HeartbeatInterval = Millis(100);
+  Options.m_Liveness.m_SilenceLimit = Millis(300);
+  Options.m_Liveness.m_HeartbeatInterval = Millis(100);
   std::unique_ptr<PeerTask> Task = startTask(Options, Events);
   Task->connect(urlOf(Server.m_Port));
   BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Up, 2));
@@ -176,8 +217,8 @@
   EventList First;
   EventList Second;
   PeerOptions Options = optionsOf("a", NodeRole::Router);
-  Options.m_SilenceLimit = Millis(600);
-  Options.m_HeartbeatInterval = Millis(100);
+  Options.m_Liveness.m_SilenceLimit = Millis(600);
+  Options.m_Liveness.m_HeartbeatInterval = Millis(100);
   std::unique_ptr<PeerTask> A = startTask(Options, First);
   Options.m_Self = NodeId("b");
   std::unique_ptr<PeerTask> B = startTask(Options, Second);
@@ -188,6 +229,112 @@
   BOOST_TEST(First.count(PeerEvent::Kind::Message) == 0U);
 }
 
+// Guards against heartbeats of idle links that take the control traffic of a
+// router with hundreds of peers, and against quiet links that are dropped.
+BOOST_AUTO_TEST_CASE(AQuietLinkSendsAlmostNothingAndStaysUp) {
+  EventList First;
+  EventList Second;
+  std::unique_ptr<PeerTask> A = startTask(quietOptions("a"), First);
+  std::unique_ptr<PeerTask> B = startTask(quietOptions("b"), Second);
+  B->connect(urlOf(A->listenPort()));
+  BOOST_REQUIRE(Second.waitFor(PeerEvent::Kind::Up, 1));
+  BOOST_REQUIRE(First.waitFor(PeerEvent::Kind::Up, 1));
+  std::uint64_t Before = B->counters().m_FramesSent;
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  BOOST_TEST(B->counters().m_FramesSent == Before);
+  BOOST_TEST(Second.count(PeerEvent::Kind::Down) == 0U);
+  // Only the side that waits for something probes, and a live peer answers.
+  for (int Step = 0; Step < 15; ++Step) {
+    B->watch({NodeId("a")});
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  BOOST_TEST(B->counters().m_FramesSent >= Before + 3);
+  BOOST_TEST(B->counters().m_FramesReceived >= 3U);
+  BOOST_TEST(Second.count(PeerEvent::Kind::Down) == 0U);
+  BOOST_TEST(First.count(PeerEvent::Kind::Message) == 0U);
+}
+
+// Guards against a request that waits for ever for a peer that has gone silent.
+BOOST_AUTO_TEST_CASE(AWatchedQuietLinkThatGoesSilentIsReplaced) {
+  SilentServer Server({routerHello("dead")});
+  EventList Events;
+  std::unique_ptr<PeerTask> Task = startTask(quietOptions("self"), Events);
+  Task->connect(urlOf(Server.m_Port));
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Up, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  BOOST_TEST(Events.count(PeerEvent::Kind::Down) == 0U);
+  for (int Step = 0; Step < 10; ++Step) {
+    Task->watch({NodeId("dead")});
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  BOOST_TEST(Events.count(PeerEvent::Kind::Down) >= 1U);
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Up, 2));
+}
+
+// Guards against a first request that is sent into a connection that has gone
+// silent for good: nobody could say whether it ran.
+BOOST_AUTO_TEST_CASE(ARequestOverASilentQuietLinkComesBackUnsent) {
+  SilentServer Server({routerHello("dead")});
+  EventList Events;
+  std::unique_ptr<PeerTask> Task = startTask(quietOptions("self"), Events);
+  Task->connect(urlOf(Server.m_Port));
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Up, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  Task->send(NodeId("dead"), orderOf("r1"));
+  Task->send(NodeId("dead"), ForwardCancel{RequestId("r0"), Attempt(1)});
+  Task->send(NodeId("dead"), orderOf("r2"));
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Unsent, 2));
+  std::vector<PeerEvent> Unsent = Events.all(PeerEvent::Kind::Unsent);
+  BOOST_TEST(Unsent[0].m_From == NodeId("dead"));
+  BOOST_TEST(std::get<Forward>(Unsent[0].m_Message).m_Request ==
+             RequestId("r1"));
+  BOOST_TEST(std::get<Forward>(Unsent[1].m_Message).m_Request ==
+             RequestId("r2"));
+  // Down comes after them; else the requests would count as in doubt.
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Down, 1));
+  BOOST_TEST(Events.firstOf(PeerEvent::Kind::Unsent) <
+             Events.firstOf(PeerEvent::Kind::Down));
+  BOOST_TEST(Server.m_Requests == 0);
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Up, 2));
+}
+
+// Guards against requests that a probe holds up for ever or puts out of order.
+BOOST_AUTO_TEST_CASE(RequestsOverALiveQuietLinkArriveInTheirOrder) {
+  EventList First;
+  EventList Second;
+  std::unique_ptr<PeerTask> A = startTask(quietOptions("a"), First);
+  std::unique_ptr<PeerTask> B = startTask(quietOptions("b"), Second);
+  B->connect(urlOf(A->listenPort()));
+  BOOST_REQUIRE(Second.waitFor(PeerEvent::Kind::Up, 1));
+  BOOST_REQUIRE(First.waitFor(PeerEvent::Kind::Up, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  for (int Index = 0; Index < 100; ++Index) {
+    B->send(NodeId("a"), orderOf("r" + std::to_string(Index)));
+    B->send(NodeId("a"),
+            ForwardCancel{RequestId("r" + std::to_string(Index)), Attempt(1)});
+  }
+  BOOST_REQUIRE(First.waitFor(PeerEvent::Kind::Message, 200));
+  std::vector<PeerEvent> Arrived = First.all(PeerEvent::Kind::Message);
+  for (std::size_t Index = 0; Index < 100; ++Index) {
+    const Forward *Order = std::get_if<Forward>(&Arrived[2 * Index].m_Message);
+    BOOST_REQUIRE(Order);
+    BOOST_REQUIRE(Order->m_Request == RequestId("r" + std::to_string(Index)));
+    BOOST_REQUIRE(std::holds_alternative<ForwardCancel>(
+        Arrived[2 * Index + 1].m_Message));
+  }
+  BOOST_TEST(Second.count(PeerEvent::Kind::Unsent) == 0U);
+}
+
+// Guards against a request that is lost because its link broke before it was
+// sent.
+BOOST_AUTO_TEST_CASE(ARequestWithoutALinkComesBackUnsent) {
+  EventList Events;
+  std::unique_ptr<PeerTask> Task = startTask(quietOptions("self"), Events);
+  Task->send(NodeId("nobody"), orderOf("r1"));
+  BOOST_REQUIRE(Events.waitFor(PeerEvent::Kind::Unsent, 1));
+  BOOST_TEST(Events.all(PeerEvent::Kind::Unsent)[0].m_From == NodeId("nobody"));
+}
+
 // Guards against a peer that is started later or again being forgotten.
 BOOST_AUTO_TEST_CASE(ALostProcessIsDialledAgain) {
   EventList Events;
--- a/tests/process/Orders.tests.cpp
+++ b/tests/process/Orders.tests.cpp
@@ -1,4 +1,5 @@
 #include "RouterFleet.hpp"
+#include "vanillaferry/process/ownership.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -118,6 +119,43 @@
   BOOST_TEST(Code == 0, Fleet.historyReport());
 }
 
+// Guards against first requests over an idle link that are lost, refused or
+// left in doubt because the other router has gone silent.
+BOOST_AUTO_TEST_CASE(OrdersForASilentOwnerBehindAnIdleLinkStillRunOnce) {
+  RouterFleet Fleet({3, 3, 1});
+  Membership Members;
+  for (std::size_t I = 0; I < 3; ++I) {
+    Member One;
+    One.m_Node = NodeId("router-" + std::to_string(I));
+    Members.m_Members.push_back(One);
+  }
+  std::size_t Owner = 0;
+  while (NodeId("router-" + std::to_string(Owner)) !=
+         ownerOf(Members, TargetId("ledger")))
+    ++Owner;
+  // Idle links hear nothing for longer than the silence limit.
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  Fleet.router(Owner).freeze();
+  std::vector<std::thread> Callers;
+  std::vector<OperatorReply> Replies(6);
+  for (std::size_t I = 0; I < Replies.size(); ++I)
+    Callers.emplace_back([&, I] {
+      Replies[I] = Fleet.order((Owner + 1 + I % 2) % 3,
+                               "silent-" + std::to_string(I), "{}", 20000);
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  Fleet.router(Owner).thaw();
+  for (std::size_t I = 0; I < Replies.size(); ++I) {
+    BOOST_TEST(Replies[I].m_HttpStatus == 200,
+               "order " << I << ": " << Replies[I].m_Body.dump());
+    BOOST_TEST(runsOf(Fleet, "silent-" + std::to_string(I)) == 1U);
+  }
+  BOOST_TEST(Fleet.waitReady(Owner));
+  int Code = Fleet.checkHistory();
+  BOOST_TEST(Code == 0, Fleet.historyReport());
+}
+
 // Guards against a key that is used without a time of issue and could be run
 // again once it is forgotten.
 BOOST_AUTO_TEST_CASE(AnOrderWithoutAKeyIsRefusedNotRun) {
