Rename the history's CallEnd to HistoryCallEnd

Cause: vanillaferry::CallEnd was defined twice, in the history and in the target client, with different enumerators. Both are linked into the daemon, which breaks the one-definition rule; a file that includes both headers does not compile. Ruled out: no code mixed the two up so far; each file saw one of them. Change: the history's enumeration has a name of its own. Conclusion: found when the decoder tests included both headers.

--- a/include/vanillaferry/process/history.hpp
+++ b/include/vanillaferry/process/history.hpp
@@ -60,7 +60,7 @@
   std::uint64_t m_Version = 0;
 };
 
-enum class CallEnd : std::uint8_t {
+enum class HistoryCallEnd : std::uint8_t {
   Answer,
   /// A refusal, or an explicit error event in a stream.
   Refused,
@@ -77,7 +77,7 @@
   std::string m_Received;
   HistoryTime m_Start = 0;
   HistoryTime m_End = 0;
-  CallEnd m_Outcome = CallEnd::Nothing;
+  HistoryCallEnd m_Outcome = HistoryCallEnd::Nothing;
   /// The answer arrived with its end mark and without a gap.
   bool m_Complete = false;
   /// The refusal said that the request did not run.
--- a/src/core/process/history.cpp
+++ b/src/core/process/history.cpp
@@ -125,9 +125,9 @@
   Call.m_NotRun = Line.flag("not_run");
   std::string Outcome = Line.text("outcome");
   if (Outcome == "answer")
-    Call.m_Outcome = CallEnd::Answer;
+    Call.m_Outcome = HistoryCallEnd::Answer;
   else if (Outcome == "refused")
-    Call.m_Outcome = CallEnd::Refused;
+    Call.m_Outcome = HistoryCallEnd::Refused;
   else if (Outcome != "nothing")
     Line.fault("outcome", "answer, refused or nothing");
   return Call;
--- a/src/core/process/history_check.cpp
+++ b/src/core/process/history_check.cpp
@@ -138,9 +138,9 @@
     bool Ran = Run != ByRequest.end();
     // The answer to a key may be the recorded one of an earlier request.
     bool KeyRan = !Call.m_Key.empty() && ByKey.count(Call.m_Key) != 0;
-    if (Call.m_Outcome == CallEnd::Answer)
+    if (Call.m_Outcome == HistoryCallEnd::Answer)
       checkAnswer(One, Ran || KeyRan || !RunsKnown, Faults);
-    else if (Call.m_Outcome == CallEnd::Nothing)
+    else if (Call.m_Outcome == HistoryCallEnd::Nothing)
       addFault(Faults, HistoryRule::AnswerMissing,
                "request " + Call.m_Request +
                    " got neither an answer nor a "
