Run a fleet under random faults, with links that are cut silently

Cause: no test combined faults, and no test cut a link between processes without a reset. Change: RandomFaults runs 3 keepers, 4 routers, 6 engines and a service under load and by a seed kills, freezes, wipes and cuts, takes zones and VMs out, breaks streams and edits the document from three operators. A TCP proxy in the tests stops forwarding in front of keepers, routers and engines. Processes advertise the proxy by the new setting peer.url, which also serves a forwarded port. The load generator records the router that it asked, and states no longer that a request did not run when an earlier try of it had no answer. Excluded: frozen or cut engines while their zone or VM is out, because a request sent in time would begin late there.

--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -96,8 +96,7 @@
   Self.m_Peers = std::move(Started.value());
   // A fresh keeper shows itself to the others, so that their status names it.
   bool Forming = Self.m_Formation.m_State == FormationState::Forming;
-  std::string Own = "ws://" + Self.m_Settings.m_Peer.m_Address + ":" +
-                    std::to_string(Self.m_Settings.m_Peer.m_Port);
+  std::string Own = peerUrlOf(Self.m_Settings.m_Peer);
   for (const InitialKeeper &Member :
        Forming ? Self.m_Formation.m_Members : Self.m_Settings.m_InitialKeepers)
     if (Member.m_PeerUrl != Own &&
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -68,8 +68,7 @@
   Renewal.m_Incarnation = R.m_Incarnation;
   Renewal.m_AckedGrant = R.m_Lease.m_TakenSequence;
   Renewal.m_Sequence = renewalSent(R.m_Lease, Now);
-  Renewal.m_PeerUrl = "ws://" + R.m_Settings.m_Peer.m_Address + ":" +
-                      std::to_string(R.m_Settings.m_Peer.m_Port);
+  Renewal.m_PeerUrl = peerUrlOf(R.m_Settings.m_Peer);
   Renewal.m_Zone = R.m_Settings.m_Zone;
   Renewal.m_AckedEpoch = R.m_Keeper.m_AckedEpoch;
   Renewal.m_AckedVersion = R.m_Keeper.m_AckedVersion;
--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -70,6 +70,7 @@
   ListenAddress Listen;
   Listen.m_Address = Value["address"].get<std::string>();
   Listen.m_Port = Value["port"].get<std::uint16_t>();
+  Listen.m_Url = Value.value("url", std::string());
   return Listen;
 }
 
@@ -87,6 +88,12 @@
 
 } // namespace
 
+std::string peerUrlOf(const ListenAddress &Listen) {
+  if (!Listen.m_Url.empty())
+    return Listen.m_Url;
+  return "ws://" + Listen.m_Address + ":" + std::to_string(Listen.m_Port);
+}
+
 Result<RouterSettings> loadRouterSettings(const std::string &Path) {
   Result<json> Loaded = loadKind(Path, "router");
   if (!Loaded)
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -15,8 +15,14 @@
 struct ListenAddress {
   std::string m_Address = "127.0.0.1";
   std::uint16_t m_Port = 0;
+  /// Peer addresses only: the websocket URL that other processes use, when it
+  /// differs from address and port (a forwarded port).
+  std::string m_Url;
 };
 
+/// The websocket URL under which other processes reach a peer address.
+std::string peerUrlOf(const ListenAddress &Listen);
+
 /// Settings of a router process.
 struct RouterSettings {
   NodeId m_Node;
--- a/src/daemon/process/settings_schema.cpp
+++ b/src/daemon/process/settings_schema.cpp
@@ -24,7 +24,8 @@
       "required": ["address", "port"],
       "properties": {
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
-        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "url": {"type": "string", "pattern": "^ws://[0-9a-fA-F.:\\[\\]]+"}
       }
     },
     "keepers": {
@@ -69,7 +70,8 @@
       "required": ["address", "port"],
       "properties": {
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
-        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "url": {"type": "string", "pattern": "^ws://[0-9a-fA-F.:\\[\\]]+"}
       }
     },
     "data_folder": {"type": "string", "minLength": 1},
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -69,6 +69,10 @@
   gint64 m_SentUs = 0;
   gint64 m_FirstUs = 0;
   std::uint32_t m_Try = 0;
+  /// An earlier try got no answer, so that a later refusal says nothing of it.
+  bool m_MayHaveRun = false;
+  /// URL of the last router asked.
+  std::string m_Router;
 };
 
 /// How a call ended, for the history.
@@ -141,6 +145,7 @@
                {"outcome", Outcome.m_Kind},
                {"complete", Outcome.m_Whole},
                {"not_run", Outcome.m_NotRun},
+               {"router", Ended.m_Router},
                {"sent", hashOf(answerText(Ended.m_Expected))},
                {"received", Outcome.m_OwnText
                                 ? hashOf(answerText(Ended.m_Expected))
@@ -190,7 +195,7 @@
   ParsedRefusal Parsed = parseRefusal(Self->m_Received);
   CallOutcome Outcome;
   Outcome.m_Kind = "refused";
-  Outcome.m_NotRun = Parsed.m_NotRun;
+  Outcome.m_NotRun = Parsed.m_NotRun && !Self->m_MayHaveRun;
   if (Parsed.m_NotRun && Self->m_Try < L.m_Options.m_Retries) {
     ++Self->m_Try;
     sendCall(Self);
@@ -286,6 +291,7 @@
     g_clear_error(&Fault);
     if (Self->m_Try < Self->m_Load->m_Options.m_Retries) {
       ++Self->m_Try;
+      Self->m_MayHaveRun = true;
       sendCall(Self);
       return;
     }
@@ -302,6 +308,7 @@
   Self->m_Received.clear();
   const std::string &Router =
       L.m_Options.m_Routers[L.m_NextRequest++ % L.m_Options.m_Routers.size()];
+  Self->m_Router = Router;
   Self->m_Message =
       soup_message_new("POST", (Router + "/v1/chat/completions").c_str());
   SoupMessageHeaders *Headers =
--- /dev/null
+++ b/tests/process/LinkProxy.cpp
@@ -0,0 +1,163 @@
+#include "process/LinkProxy.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace vanillaferry::tests {
+
+namespace {
+
+constexpr std::size_t MaxWaitingBytes = 256 * 1024;
+constexpr int PollMs = 20;
+
+sockaddr_in loopback(std::uint16_t Port) {
+  sockaddr_in Address = {};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Address.sin_port = htons(Port);
+  return Address;
+}
+
+int makeSocket() {
+  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int On = 1;
+  ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  return Socket;
+}
+
+bool wouldBlock() { return errno == EAGAIN || errno == EINTR; }
+
+} // namespace
+
+LinkProxy::LinkProxy(std::uint16_t Port, std::uint16_t Target)
+    : m_TargetPort(Target) {
+  m_Listener = makeSocket();
+  int On = 1;
+  ::setsockopt(m_Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+  sockaddr_in Address = loopback(Port);
+  if (::bind(m_Listener, reinterpret_cast<sockaddr *>(&Address),
+             sizeof Address) != 0 ||
+      ::listen(m_Listener, SOMAXCONN) != 0)
+    throw std::runtime_error("the proxy cannot listen");
+  m_Thread = std::thread([this] { run(); });
+}
+
+LinkProxy::~LinkProxy() {
+  m_Stop = true;
+  m_Thread.join();
+  for (std::unique_ptr<Link> &One : m_Links)
+    endLink(*One);
+  ::close(m_Listener);
+}
+
+void LinkProxy::cut(double Share, std::uint64_t Seed) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Random.seed(Seed);
+  m_Share = Share;
+  std::bernoulli_distribution IsCut(Share);
+  for (std::unique_ptr<Link> &One : m_Links)
+    One->m_Cut = IsCut(m_Random);
+}
+
+void LinkProxy::heal() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Share = 0;
+  for (std::unique_ptr<Link> &One : m_Links)
+    One->m_Cut = false;
+}
+
+void LinkProxy::endLink(Link &Broken) {
+  ::close(Broken.m_Caller.m_Socket);
+  ::close(Broken.m_Target.m_Socket);
+}
+
+void LinkProxy::accept() {
+  while (true) {
+    int Caller =
+        ::accept4(m_Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Caller < 0)
+      return;
+    int On = 1;
+    ::setsockopt(Caller, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+    std::unique_ptr<Link> New = std::make_unique<Link>();
+    New->m_Caller.m_Socket = Caller;
+    New->m_Target.m_Socket = makeSocket();
+    sockaddr_in Address = loopback(m_TargetPort);
+    // A refused connection on loopback shows at once or at the first read.
+    if (::connect(New->m_Target.m_Socket,
+                  reinterpret_cast<sockaddr *>(&Address),
+                  sizeof Address) != 0 &&
+        errno != EINPROGRESS)
+      New->m_Broken = true;
+    New->m_Cut = std::bernoulli_distribution(m_Share)(m_Random);
+    m_Links.push_back(std::move(New));
+  }
+}
+
+bool LinkProxy::forward(Side &From, Side &To) {
+  std::array<char, 65536> Buffer;
+  while (!From.m_Ended && From.m_Waiting.size() < MaxWaitingBytes) {
+    ssize_t Count = ::recv(From.m_Socket, Buffer.data(), Buffer.size(), 0);
+    if (Count < 0 && !wouldBlock() && errno != ENOTCONN)
+      return false;
+    if (Count < 0)
+      break;
+    From.m_Ended = Count == 0;
+    From.m_Waiting.insert(From.m_Waiting.end(), Buffer.data(),
+                          Buffer.data() + Count);
+  }
+  while (!From.m_Waiting.empty()) {
+    ssize_t Count = ::send(To.m_Socket, From.m_Waiting.data(),
+                           From.m_Waiting.size(), MSG_NOSIGNAL);
+    if (Count < 0)
+      return wouldBlock() || errno == ENOTCONN;
+    From.m_Waiting.erase(From.m_Waiting.begin(),
+                         From.m_Waiting.begin() + Count);
+  }
+  // Both ends close as a whole; nothing here uses half-closed connections.
+  return !From.m_Ended || !From.m_Waiting.empty();
+}
+
+void LinkProxy::run() {
+  while (!m_Stop) {
+    std::vector<pollfd> Watched = {{m_Listener, POLLIN, 0}};
+    {
+      std::lock_guard<std::mutex> Lock(m_Mutex);
+      for (const std::unique_ptr<Link> &One : m_Links) {
+        if (One->m_Cut)
+          continue;
+        const Side &A = One->m_Caller;
+        const Side &B = One->m_Target;
+        short WantA = B.m_Waiting.empty() ? POLLIN : POLLIN | POLLOUT;
+        short WantB = A.m_Waiting.empty() ? POLLIN : POLLIN | POLLOUT;
+        Watched.push_back({A.m_Socket, WantA, 0});
+        Watched.push_back({B.m_Socket, WantB, 0});
+      }
+    }
+    ::poll(Watched.data(), Watched.size(), PollMs);
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    accept();
+    for (std::unique_ptr<Link> &One : m_Links)
+      if (!One->m_Cut && !One->m_Broken)
+        One->m_Broken = !forward(One->m_Caller, One->m_Target) ||
+                        !forward(One->m_Target, One->m_Caller);
+    for (std::unique_ptr<Link> &One : m_Links)
+      if (One->m_Broken)
+        endLink(*One);
+    m_Links.erase(std::remove_if(m_Links.begin(), m_Links.end(),
+                                 [](const std::unique_ptr<Link> &One) {
+                                   return One->m_Broken;
+                                 }),
+                  m_Links.end());
+  }
+}
+
+} // namespace vanillaferry::tests
--- a/tests/process/RouterFleet.hpp
+++ b/tests/process/RouterFleet.hpp
@@ -2,6 +2,8 @@
 
 #include "ProcessFleet.hpp"
 
+#include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -18,6 +20,8 @@
   std::uint32_t m_ColdLimit = 0;
   std::uint32_t m_MaxConcurrent = 32;
   bool m_Platform = false;
+  /// Links to keepers, routers and engines run through proxies.
+  bool m_Proxied = false;
   std::vector<std::string> m_EngineArguments = {};
 };
 
@@ -39,6 +43,9 @@
   KeeperFleet &keepers() { return m_Keepers; }
   ChildProcess &router(std::size_t Index) { return m_Routers[Index].m_Process; }
   ChildProcess &engine(std::size_t Index) { return m_Engines[Index].m_Process; }
+  /// Only with m_Proxied.
+  LinkProxy &routerLink(std::size_t Index) { return *m_Routers[Index].m_Link; }
+  LinkProxy &engineLink(std::size_t Index) { return *m_Engines[Index].m_Link; }
   std::string routerUrl(std::size_t Index) const;
   std::string engineUrl(std::size_t Index) const;
   std::string serviceUrl() const;
@@ -57,6 +64,11 @@
   /// Edits a section and waits until it is in force.
   OperatorReply editInForce(const std::string &Section, std::uint64_t Expected,
                             const nlohmann::json &Content);
+  /// One edit that does not wait until it is in force; its answer goes into the
+  /// history.
+  OperatorReply recordedEdit(const std::string &Section, std::uint64_t Expected,
+                             const std::string &EditId,
+                             const nlohmann::json &Content, int LimitMs);
   /// Edits one zone's state and returns when the edit was answered.
   OperatorReply setZone(const std::string &Zone, bool InService);
   /// Replaces the platform's VM list; each engine is VM "vm-engine-N".
@@ -72,21 +84,30 @@
   /// Sum of one counter of /metrics over all running routers.
   double counter(const std::string &Name) const;
 
-  /// Adds a line to the history of the run.
+  /// Adds a line to the history of the run; any thread may.
   void note(const nlohmann::json &Line);
   /// Runs check-history over everything recorded; returns its exit code and
   /// leaves its report in the folder.
   int checkHistory();
+  /// The calls that the load generators recorded, one JSON object a line.
+  std::string recordedCalls() const;
+  /// Takes the place of the recorded calls in checkHistory.
+  void replaceRecordedCalls(const std::string &Lines);
   std::string historyReport() const;
 
 private:
   struct Part {
     std::uint16_t m_Port = 0;
     std::uint16_t m_PeerPort = 0;
+    /// Port of the proxy, or the port itself without one: the peer port of a
+    /// router, the HTTP port of an engine.
+    std::uint16_t m_LinkPort = 0;
+    std::unique_ptr<LinkProxy> m_Link;
     ChildProcess m_Process;
   };
 
   void writeRouterSettings(std::size_t Index);
+  void link(Part &Linked, std::uint16_t Target) const;
   void putDocument();
   void put(const std::string &Section, const nlohmann::json &Content);
   nlohmann::json servicesSection() const;
@@ -101,6 +122,7 @@
   std::vector<std::string> m_VmStates;
   ChildProcess m_Load;
   std::size_t m_LoadRuns = 0;
+  std::mutex m_NotesMutex;
   std::uint64_t m_ZonesVersion = 0;
 };
 
