--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -36,13 +36,15 @@
   }
   try {
     Loaded.m_Value = json::parse(File, nullptr, true, true);
-  } catch (const json::parse_error &E) {
+  } catch (const json::exception &E) {
+    // A parse error, or a number beyond the range of a double.
     Loaded.m_Faults.push_back(std::string("not JSON: ") + E.what());
     return Loaded;
   }
-  std::string Kind = Loaded.m_Value.is_object()
-                         ? Loaded.m_Value.value("kind", std::string())
-                         : std::string();
+  // A kind that is no string would make value() throw.
+  bool Named = Loaded.m_Value.is_object() && Loaded.m_Value.contains("kind") &&
+               Loaded.m_Value["kind"].is_string();
+  std::string Kind = Named ? Loaded.m_Value["kind"].get<std::string>() : "";
   const char *Schema = schemaOfKind(Kind);
   if (!Schema) {
     Loaded.m_Faults.push_back("/kind: expected \"router\", \"keeper\" or "
