Let the test proxy release its lock between rounds

Cause: a connection that ended on one side while the other was full made poll return at once, so that the proxy's thread took its mutex again before heal() got it. Ruled out: the fleet; the stack of the hung test shows the proxy's lock. Change: a pause of 200 us without the lock in each round.

--- a/tests/process/LinkProxy.cpp
+++ b/tests/process/LinkProxy.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -143,6 +144,9 @@
       }
     }
     ::poll(Watched.data(), Watched.size(), PollMs);
+    // A side that ended while the other is full makes poll return at once; with
+    // no pause the mutex was taken again before cut() or heal() got it.
+    std::this_thread::sleep_for(std::chrono::microseconds(200));
     std::lock_guard<std::mutex> Lock(m_Mutex);
     accept();
     for (std::unique_ptr<Link> &One : m_Links)
