Send engine orders from the leading keeper

Cause: the core had rules for engine orders, but no keeper accepted or sent one, and the core could not tell an order that was never sent from one whose answer was lost with its leader.

Ruled out: sending again after a change of leader with the same token, because engines that accept equal tokens or ignore tokens would get the order twice; libsoup's own session handling of reused connections, because it may repeat a request by itself.

Change: operators give orders by POST /orders with X-Order-Id and by `vanillaferry order submit|show|list`; a resend gets the first order. The leader commits StartOrder with its term before it sends, so that one process at most sends an order; an order started by another term ends as unknown. The sender checks the quorum lease and the time directly before the first byte, uses a connection of its own, sets TCP_USER_TIMEOUT to the time that is left and repeats only tries that sent nothing. Outcomes done, failed, old_token, unreachable and unknown are recorded through the log and counted, as are the reasons for which orders wait. Ended orders are kept for 24 hours (at least the newest 1000) instead of the newest 1000 only: a forgotten order id would give a second order. The test of that rule now advances the clock past 24 hours and checks which orders stay on both sides of the limit.

--- a/include/vanillaferry/process/engine_orders.hpp
+++ b/include/vanillaferry/process/engine_orders.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanillaferry/process/state_machine.hpp"
+#include "vanillaferry/version/section.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -29,6 +30,8 @@
   WaitForFormerLeader,
   /// The weight store has no load to give.
   WaitForWeightStore,
+  /// Another leader was let to send the order and recorded no outcome.
+  EndAsUnknown,
   Done,
 };
 
@@ -38,15 +41,35 @@
   Millis m_Until;
 };
 
+/// "done", "failed", "old_token", "unreachable", "unknown"; "open" before.
+const char *outcomeName(OrderOutcome Outcome);
+
+/// What is wrong with a submitted order, one sentence for each fault with the
+/// field and the value found. An order needs an engine of the document.
+std::vector<std::string> checkOrder(const EngineOrder &Order,
+                                    const DocumentSettings &Settings);
+
+/// The engine with this id, or null.
+const TargetSettings *findEngine(const DocumentSettings &Settings,
+                                 const TargetId &Target);
+
+/// The section whose operators may give this order: "services" for a change of
+/// role, else "model_versions".
+SectionName sectionOfOrder(const EngineOrder &Order);
+
 /// State of a new leader.
 OrderSender makeOrderSender(double LoadsPerMinute, Millis Now);
 
+/// Takes a changed rate of the weight store.
+void setLoadRate(OrderSender &Sender, double LoadsPerMinute, Millis Now);
+
 /// True for orders that read from the weight store.
 bool readsWeights(const EngineOrder &Order);
 
 /// Decides on sending an order now; Send takes a load from the weight store.
-/// The caller must hold the quorum lease. ChecksFencing is the target's setting
-/// in the document.
+/// Before a send, StartOrder must be committed in the own term. The caller must
+/// hold the quorum lease and not be sending the order. ChecksFencing is the
+/// target's setting in the document.
 OrderDecision decideOrder(OrderSender &Sender, const EngineOrder &Order,
                           bool ChecksFencing, Millis Now);
 
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -24,6 +24,22 @@
   Incarnation m_Incarnation;
 };
 
+/// How an engine order ended.
+enum class OrderOutcome : std::uint8_t {
+  /// Not ended yet.
+  Open,
+  Done,
+  /// The engine answered with an error.
+  Failed,
+  /// The engine refused the fencing token: it has seen a newer order.
+  OldToken,
+  /// Nothing of the order was sent within its time: it did not run.
+  Unreachable,
+  /// The order may have run: it was sent and no answer came, or the leader that
+  /// was about to send it leads no longer.
+  Unknown,
+};
+
 /// An order to an engine that must not be given twice by two leaders.
 struct EngineOrder {
   std::string m_OrderId;
@@ -31,19 +47,33 @@
   /// "load_model", "load_adapter", "load_version" or "change_role".
   std::string m_Action;
   std::string m_Argument;
+  OperatorId m_Operator;
   /// Set by the state machine: the log index of the order.
   std::uint64_t m_FencingToken = 0;
-  bool m_Done = false;
-  std::string m_Result;
+  /// Term of the leader that may send the order; 0 before the start.
+  Term m_StartedIn;
+  OrderOutcome m_Outcome = OrderOutcome::Open;
+  /// What is known of the outcome, for example the engine's answer.
+  std::string m_Detail;
+  UnixMillis m_EndedAt;
 };
 
 struct BeginOrder {
   EngineOrder m_Order;
 };
 
+/// Lets the leader of this term send the order, if no other leader was let
+/// before. It is committed before the first byte leaves, so that at most one
+/// process ever sends an order.
+struct StartOrder {
+  std::string m_OrderId;
+  Term m_Term;
+};
+
 struct EndOrder {
   std::string m_OrderId;
-  std::string m_Result;
+  OrderOutcome m_Outcome = OrderOutcome::Unknown;
+  std::string m_Detail;
 };
 
 /// Lets the journal and edit answers forget what is older than this time.
@@ -51,8 +81,9 @@
   UnixMillis m_Now;
 };
 
-using Command = std::variant<EditSection, AddMember, RemoveMember, JournalBegin,
-                             JournalEnd, BeginOrder, EndOrder, AdvanceClock>;
+using Command =
+    std::variant<EditSection, AddMember, RemoveMember, JournalBegin, JournalEnd,
+                 BeginOrder, EndOrder, AdvanceClock, StartOrder>;
 
 /// What applying a command answered.
 struct NoAnswer {};
@@ -73,8 +104,14 @@
 /// How long the incarnations of a removed node are remembered; a message
 /// cannot be under way for that long.
 constexpr Millis JoinedIncarnationRetention{24LL * 3600 * 1000};
-/// Finished engine orders that are kept for the status page.
+/// Finished engine orders that are kept in any case; older ones are forgotten
+/// after OrderRetention.
 constexpr std::size_t FinishedOrderLimit = 1000;
+/// How long a resend of an order id finds its order at least.
+constexpr Millis OrderRetention{24LL * 3600 * 1000};
+/// Orders that the state holds at most; new ones are refused above it. At about
+/// 300 bytes each they add 3 MB to a snapshot.
+constexpr std::size_t OrderLimit = 10000;
 
 /// Everything the replicated log decides. Equal logs give equal states.
 struct StateMachine {
--- a/src/core/process/engine_orders.cpp
+++ b/src/core/process/engine_orders.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+constexpr const char *ChangeRoleAction = "change_role";
+constexpr std::size_t MaxOrderIdLength = 128;
+/// An order id stands in the path of a URL.
+constexpr const char *OrderIdLetters =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-";
+constexpr std::size_t MaxOrderArgumentLength = 1024;
 constexpr double MillisPerMinute = 60000;
 /// The former leader's clock may run slower by the drift bound of 1%.
 constexpr Millis FormerLeaderWait{OrderTimeout.m_Value +
@@ -34,6 +40,68 @@
 
 } // namespace
 
+const char *outcomeName(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::Open:
+    return "open";
+  case OrderOutcome::Done:
+    return "done";
+  case OrderOutcome::Failed:
+    return "failed";
+  case OrderOutcome::OldToken:
+    return "old_token";
+  case OrderOutcome::Unreachable:
+    return "unreachable";
+  case OrderOutcome::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+const TargetSettings *findEngine(const DocumentSettings &Settings,
+                                 const TargetId &Target) {
+  for (const PoolSettings &Pool : Settings.m_Services)
+    if (Pool.m_Kind == ServiceKind::Engine)
+      for (const TargetSettings &Row : Pool.m_Targets)
+        if (Row.m_Id == Target)
+          return &Row;
+  return nullptr;
+}
+
+SectionName sectionOfOrder(const EngineOrder &Order) {
+  return SectionName(Order.m_Action == ChangeRoleAction
+                         ? ServicesSectionName
+                         : ModelVersionsSectionName);
+}
+
+std::vector<std::string> checkOrder(const EngineOrder &Order,
+                                    const DocumentSettings &Settings) {
+  std::vector<std::string> Faults;
+  auto CheckText = [&Faults](const char *Field, const std::string &Value,
+                             std::size_t Limit) {
+    if (Value.empty())
+      Faults.push_back(std::string(Field) + ": expected a text, got nothing");
+    else if (Value.size() > Limit)
+      Faults.push_back(std::string(Field) + ": expected at most " +
+                       std::to_string(Limit) + " bytes, got " +
+                       std::to_string(Value.size()));
+  };
+  CheckText("order_id", Order.m_OrderId, MaxOrderIdLength);
+  if (Order.m_OrderId.find_first_not_of(OrderIdLetters) != std::string::npos)
+    Faults.push_back("order_id: expected only letters, digits and the "
+                     "characters . _ : -, got \"" +
+                     Order.m_OrderId.substr(0, MaxOrderIdLength) + "\"");
+  CheckText("argument", Order.m_Argument, MaxOrderArgumentLength);
+  if (!readsWeights(Order) && Order.m_Action != ChangeRoleAction)
+    Faults.push_back("action: expected load_model, load_adapter, load_version "
+                     "or change_role, got \"" +
+                     Order.m_Action.substr(0, MaxOrderIdLength) + "\"");
+  if (!findEngine(Settings, Order.m_Target))
+    Faults.push_back("target: expected an engine of section services, got \"" +
+                     Order.m_Target.m_Value.substr(0, MaxOrderIdLength) + "\"");
+  return Faults;
+}
+
 OrderSender makeOrderSender(double LoadsPerMinute, Millis Now) {
   OrderSender Sender;
   Sender.m_LedSince = Now;
@@ -42,6 +110,11 @@
   return Sender;
 }
 
+void setLoadRate(OrderSender &Sender, double LoadsPerMinute, Millis Now) {
+  refill(Sender, Now);
+  Sender.m_LoadsPerMinute = LoadsPerMinute;
+}
+
 bool readsWeights(const EngineOrder &Order) {
   return Order.m_Action == "load_model" || Order.m_Action == "load_adapter" ||
          Order.m_Action == "load_version";
@@ -49,8 +122,10 @@
 
 OrderDecision decideOrder(OrderSender &Sender, const EngineOrder &Order,
                           bool ChecksFencing, Millis Now) {
-  if (Order.m_Done)
+  if (Order.m_Outcome != OrderOutcome::Open)
     return {OrderVerdict::Done, Now};
+  if (Order.m_StartedIn != Term(0))
+    return {OrderVerdict::EndAsUnknown, Now};
   Millis FormerEnd = Sender.m_LedSince + FormerLeaderWait;
   if (!ChecksFencing && Now < FormerEnd)
     return {OrderVerdict::WaitForFormerLeader, FormerEnd};
@@ -72,7 +147,7 @@
 std::vector<EngineOrder> nextOrders(const StateMachine &State) {
   std::map<TargetId, EngineOrder> First;
   for (const std::pair<const std::string, EngineOrder> &Row : State.m_Orders) {
-    if (Row.second.m_Done)
+    if (Row.second.m_Outcome != OrderOutcome::Open)
       continue;
     std::map<TargetId, EngineOrder>::iterator Known =
         First.find(Row.second.m_Target);
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -11,6 +11,9 @@
 template <> struct EnumLimit<EditStatus> {
   static constexpr EditStatus Last = EditStatus::EditIdReused;
 };
+template <> struct EnumLimit<OrderOutcome> {
+  static constexpr OrderOutcome Last = OrderOutcome::Unknown;
+};
 template <> struct EnumLimit<CallState> {
   static constexpr CallState Last = CallState::Released;
 };
@@ -78,9 +81,12 @@
   A("target", O.m_Target);
   A("action", O.m_Action);
   A("argument", O.m_Argument);
+  A("operator", O.m_Operator);
   A("token", O.m_FencingToken);
-  A("done", O.m_Done);
-  A("result", O.m_Result);
+  A("started", O.m_StartedIn);
+  A("outcome", O.m_Outcome);
+  A("detail", O.m_Detail);
+  A("ended", O.m_EndedAt);
 }
 
 template <typename Archive> static void describe(Archive &A, BeginOrder &B) {
@@ -89,7 +95,13 @@
 
 template <typename Archive> static void describe(Archive &A, EndOrder &E) {
   A("id", E.m_OrderId);
-  A("result", E.m_Result);
+  A("outcome", E.m_Outcome);
+  A("detail", E.m_Detail);
+}
+
+template <typename Archive> static void describe(Archive &A, StartOrder &S) {
+  A("id", S.m_OrderId);
+  A("term", S.m_Term);
 }
 
 template <typename Archive> static void describe(Archive &A, AdvanceClock &C) {
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -104,41 +104,58 @@
     return Found->second;
   EngineOrder Order = Input.m_Order;
   Order.m_FencingToken = Index.m_Value;
-  Order.m_Done = false;
-  Order.m_Result.clear();
+  Order.m_StartedIn = Term(0);
+  Order.m_Outcome = OrderOutcome::Open;
+  Order.m_Detail.clear();
   State.m_Orders.emplace(Order.m_OrderId, Order);
   return Order;
 }
 
-/// Drops the oldest finished orders above FinishedOrderLimit.
-void trimOrders(std::map<std::string, EngineOrder> &Orders) {
+/// Drops finished orders that are older than OrderRetention, but keeps the
+/// newest FinishedOrderLimit.
+void forgetOrders(StateMachine &State) {
   std::vector<std::uint64_t> Finished;
-  for (const std::pair<const std::string, EngineOrder> &Row : Orders)
-    if (Row.second.m_Done)
+  for (const std::pair<const std::string, EngineOrder> &Row : State.m_Orders)
+    if (Row.second.m_Outcome != OrderOutcome::Open)
       Finished.push_back(Row.second.m_FencingToken);
   if (Finished.size() <= FinishedOrderLimit)
     return;
   std::sort(Finished.begin(), Finished.end());
   std::uint64_t Oldest = Finished[Finished.size() - FinishedOrderLimit];
-  std::map<std::string, EngineOrder>::iterator Row = Orders.begin();
-  while (Row != Orders.end()) {
-    bool Drop = Row->second.m_Done && Row->second.m_FencingToken < Oldest;
-    Row = Drop ? Orders.erase(Row) : std::next(Row);
+  std::map<std::string, EngineOrder>::iterator Row = State.m_Orders.begin();
+  while (Row != State.m_Orders.end()) {
+    const EngineOrder &Order = Row->second;
+    bool Drop = Order.m_Outcome != OrderOutcome::Open &&
+                Order.m_FencingToken < Oldest &&
+                Order.m_EndedAt.m_Value + OrderRetention.m_Value <
+                    State.m_Clock.m_Value;
+    Row = Drop ? State.m_Orders.erase(Row) : std::next(Row);
   }
 }
 
+CommandAnswer apply(StateMachine &State, LogIndex, const StartOrder &Input) {
+  std::map<std::string, EngineOrder>::iterator Found =
+      State.m_Orders.find(Input.m_OrderId);
+  if (Found == State.m_Orders.end())
+    return NoAnswer();
+  EngineOrder &Order = Found->second;
+  if (Order.m_Outcome == OrderOutcome::Open && Order.m_StartedIn == Term(0))
+    Order.m_StartedIn = Input.m_Term;
+  return Order;
+}
+
 CommandAnswer apply(StateMachine &State, LogIndex, const EndOrder &Input) {
   std::map<std::string, EngineOrder>::iterator Found =
       State.m_Orders.find(Input.m_OrderId);
   if (Found == State.m_Orders.end())
     return NoAnswer();
-  if (!Found->second.m_Done) {
-    Found->second.m_Done = true;
-    Found->second.m_Result = Input.m_Result;
+  EngineOrder &Order = Found->second;
+  if (Order.m_Outcome == OrderOutcome::Open) {
+    Order.m_Outcome = Input.m_Outcome;
+    Order.m_Detail = Input.m_Detail;
+    Order.m_EndedAt = State.m_Clock;
   }
-  EngineOrder Answer = Found->second;
-  trimOrders(State.m_Orders);
-  return Answer;
+  return Order;
 }
 
 void forgetIncarnations(StateMachine &State) {
@@ -159,6 +176,7 @@
   forgetCalls(State.m_Journal, State.m_Clock);
   forgetEditAnswers(State.m_Document, State.m_Clock);
   forgetIncarnations(State);
+  forgetOrders(State);
   return NoAnswer();
 }
 
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -1,6 +1,10 @@
 #include "connection/target_client.hpp"
 
+#include "process/clock.hpp"
+
 #include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -37,6 +41,7 @@
                                               CallHandlers Handlers) {
   std::shared_ptr<TargetCall> Call(new TargetCall(Watcher));
   Call->m_Handlers = std::make_shared<CallHandlers>(std::move(Handlers));
+  Call->m_SendBy = Request.m_SendBy;
   Call->m_Message.reset(
       soup_message_new(Request.m_Method.c_str(), Request.m_Url.c_str()));
   if (!Call->m_Message) {
@@ -70,20 +75,20 @@
                                G_SOCKET_CONNECTION(Stream)));
                    }),
                    Call.get());
-  g_signal_connect(Message, "starting",
-                   G_CALLBACK(+[](SoupMessage *, gpointer Data) {
-                     TargetCall *Self = static_cast<TargetCall *>(Data);
-                     if (Self->m_Handlers->m_MayDispatch &&
-                         !Self->m_Handlers->m_MayDispatch()) {
-                       Self->m_Refused = true;
-                       g_cancellable_cancel(Self->m_Cancel.get());
-                       // A closed socket makes sure that nothing leaves.
-                       shutdown(Self->m_Fd, SHUT_RDWR);
-                       return;
-                     }
-                     Self->m_MayBeSent = true;
-                   }),
-                   Call.get());
+  g_signal_connect(
+      Message, "starting", G_CALLBACK(+[](SoupMessage *, gpointer Data) {
+        TargetCall *Self = static_cast<TargetCall *>(Data);
+        if (!Self->limitSending() || (Self->m_Handlers->m_MayDispatch &&
+                                      !Self->m_Handlers->m_MayDispatch())) {
+          Self->m_Refused = true;
+          g_cancellable_cancel(Self->m_Cancel.get());
+          // A closed socket makes sure that nothing leaves.
+          shutdown(Self->m_Fd, SHUT_RDWR);
+          return;
+        }
+        Self->m_MayBeSent = true;
+      }),
+      Call.get());
   Call->m_Cancel.reset(g_cancellable_new());
   soup_session_send_async(
       Session, Message, G_PRIORITY_DEFAULT, Call->m_Cancel.get(),
@@ -112,7 +117,7 @@
     CallEnd How = m_Refused     ? CallEnd::Forbidden
                   : m_MayBeSent ? CallEnd::Broken
                                 : CallEnd::NotSent;
-    end(How, m_Refused ? "the lease ended before the dispatch"
+    end(How, m_Refused ? "the lease or the time ended before the dispatch"
                        : (Owned ? Owned->message : "no answer"));
     return;
   }
@@ -177,6 +182,17 @@
   m_Reading = false;
 }
 
+bool TargetCall::limitSending() const {
+  if (m_SendBy == Millis(0))
+    return true;
+  std::int64_t Left = (m_SendBy - monotonicNow()).m_Value;
+  if (Left <= 0)
+    return false;
+  unsigned int Limit = static_cast<unsigned int>(Left);
+  return setsockopt(m_Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit,
+                    sizeof Limit) == 0;
+}
+
 void TargetCall::pause() {
   if (m_Done || m_Paused)
     return;
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -3,6 +3,7 @@
 #include "connection/caller.hpp"
 #include "connection/fd_watcher.hpp"
 #include "connection/glib_handle.hpp"
+#include "vanillaferry/process/units.hpp"
 
 #include <functional>
 #include <libsoup/soup.h>
@@ -18,6 +19,10 @@
   HttpFields m_Fields;
   std::string m_ContentType;
   std::string m_Body;
+  /// Monotonic time at which the kernel gives up sending what the target has
+  /// not acknowledged (TCP_USER_TIMEOUT), also after the process has ended; 0
+  /// for the system's own limit.
+  Millis m_SendBy;
 };
 
 struct TargetHead {
@@ -80,6 +85,8 @@
   void read();
   void end(CallEnd How, const std::string &Detail);
   void release();
+  /// Sets TCP_USER_TIMEOUT to the time that is left; false when none is.
+  bool limitSending() const;
 
   std::shared_ptr<FdWatcher> m_Watcher;
   GHandle<SoupMessage> m_Message;
@@ -91,6 +98,7 @@
   std::int64_t m_Length = -1;
   std::int64_t m_Received = 0;
   int m_Fd = -1;
+  Millis m_SendBy;
   std::uint64_t m_Watch = 0;
   bool m_MayBeSent = false;
   bool m_Refused = false;
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -22,6 +22,7 @@
   addZoneCommands(App, Code);
   addFleetCommands(App, Code);
   addKeeperSetCommands(App, Code);
+  addOrderCommands(App, Code);
   addCheckSettingsCommand(App, Code);
   addCheckHistoryCommand(App, Code);
   addGenerateTraceCommand(App, Code);
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -37,6 +37,7 @@
 void addDocumentCommands(CLI::App &App, int &Code);
 void addZoneCommands(CLI::App &App, int &Code);
 void addFleetCommands(CLI::App &App, int &Code);
+void addOrderCommands(CLI::App &App, int &Code);
 void addKeeperSetCommands(CLI::App &App, int &Code);
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
--- a/src/daemon/process/fleet_commands.cpp
+++ b/src/daemon/process/fleet_commands.cpp
@@ -13,6 +13,18 @@
 
 constexpr Millis LocalStatusLimit{3000};
 
+void printOpenOrders(const json &Body) {
+  if (!Body.contains("orders"))
+    return;
+  for (const json &Order : Body["orders"]["rows"])
+    std::cout << "order " << Order.value("order_id", std::string()) << ' '
+              << Order.value("action", std::string()) << " to "
+              << Order.value("target", std::string()) << ' '
+              << Order.value("state", std::string())
+              << (Order.contains("waits_for") ? " for " : "")
+              << Order.value("waits_for", std::string()) << "\n";
+}
+
 void printStatus(const json &Body) {
   std::cout << "leader " << Body.value("leader", std::string()) << ", term "
             << Body["term"] << ", commit " << Body["commit"]
@@ -37,6 +49,7 @@
               << Router.value("epoch", json("?")) << " document "
               << Router.value("document_version", json("?"))
               << (Router.value("leaving", false) ? " leaving" : "") << "\n";
+  printOpenOrders(Body);
   for (const json &Pool : Body["pools"])
     std::cout << "pool " << Pool.value("pool", std::string()) << " running "
               << Pool["running"] << "\n";
--- a/src/daemon/process/internal/keeper_api.hpp
+++ b/src/daemon/process/internal/keeper_api.hpp
@@ -35,6 +35,14 @@
 void getInForce(Keeper &Self, const ExchangePtr &Exchange,
                 const std::string &Version);
 
+// keeper_api_orders.cpp
+void postOrder(Keeper &Self, const ExchangePtr &Exchange,
+               const OperatorSettings &Operator);
+void getOrders(Keeper &Self, const ExchangePtr &Exchange);
+void getOrder(Keeper &Self, const ExchangePtr &Exchange, const std::string &Id);
+/// Numbers of orders and the oldest open ones, for the status.
+nlohmann::json openOrdersJson(const Keeper &Self);
+
 // keeper_api_status.cpp
 void getStatus(Keeper &Self, const ExchangePtr &Exchange);
 void addKeeper(Keeper &Self, const ExchangePtr &Exchange);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "connection/operator_http.hpp"
+#include "connection/order_adapter.hpp"
 #include "connection/peer_task.hpp"
 #include "process/disk_task.hpp"
 #include "process/keeper_formation.hpp"
 #include "process/mailbox.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
+#include "vanillaferry/process/engine_orders.hpp"
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/replication.hpp"
 #include "vanillaferry/process/state_machine.hpp"
@@ -74,6 +76,31 @@
   std::function<void(bool)> m_OnDone;
 };
 
+/// One order that this leader started.
+struct OrderRun {
+  EngineOrder m_Order;
+  /// Start of the first try; OrderTimeout counts from here.
+  Millis m_BegunAt;
+  /// When to try again after a try that sent nothing.
+  Millis m_NextTry;
+  /// False until the start is committed.
+  bool m_Started = false;
+  std::shared_ptr<OrderCall> m_Call;
+  /// Outcome that is to be recorded.
+  std::optional<OrderReply> m_Reply;
+  bool m_Recording = false;
+};
+
+/// Sends orders to engines; present while this keeper leads.
+struct OrderTask {
+  Term m_Term;
+  OrderSender m_Sender;
+  std::map<std::string, std::shared_ptr<OrderRun>> m_Runs;
+  /// Why each open order waits, as counted.
+  std::map<std::string, const char *> m_Waits;
+  Millis m_NextRound;
+};
+
 /// State of the keeper's main task; touched on the GLib main loop only.
 struct Keeper {
   KeeperSettings m_Settings;
@@ -123,6 +150,12 @@
   RenewRequest m_Announced;
   std::set<NodeId> m_Removing;
   std::vector<InForceWait> m_InForceWaits;
+  GHandle<SoupSession> m_OrderSession;
+  std::shared_ptr<FdWatcher> m_OrderWatcher;
+  std::optional<OrderTask> m_Orders;
+  /// Content of the document at m_SettingsVersion, for orders.
+  DocumentSettings m_DocumentSettings;
+  DocumentVersion m_SettingsVersion;
   Millis m_NextLeaseCheck;
   Millis m_NextClock;
   Millis m_NextPromotion;
@@ -153,6 +186,22 @@
 /// that come into force.
 void leaderWork(Keeper &Self, Millis Now);
 
+// order_sender.cpp
+/// Starts all counters of orders at zero.
+void startOrderCounters(Metrics &M);
+/// The document's typed content as it is now.
+const DocumentSettings &documentSettings(Keeper &Self);
+/// Begins the work of a leader; its waiting time counts from now.
+void beginOrders(Keeper &Self, Millis Now);
+/// Cancels all calls; a later leader decides on the orders.
+void endOrders(Keeper &Self);
+/// Sends what may be sent and records what ended.
+void orderWork(Keeper &Self, Millis Now);
+/// Why an open order is not under way: "former_leader", "weight_store",
+/// "earlier_order", "quorum_lease", or "leader" before the first decision; null
+/// while it is being sent.
+const char *orderWait(const Keeper &Self, const std::string &OrderId);
+
 // keeper_forming.cpp
 /// Folder of the write-ahead log within the data folder.
 std::string logFolder(const KeeperSettings &Settings);
--- a/src/daemon/process/internal/operator_command.hpp
+++ b/src/daemon/process/internal/operator_command.hpp
@@ -31,8 +31,8 @@
 /// Prints a refusal to standard error and returns its exit code.
 int reportRefusal(const OperatorReply &Reply);
 
-/// A random id for one edit.
-std::string newEditId();
+/// A random id for one edit or order.
+std::string newEditId(const char *Prefix = "edit");
 
 struct EditInput {
   std::string m_Section;
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -147,6 +147,7 @@
                     std::to_string(Settings.m_Http.m_Port);
   Self->m_Incarnation = Incarnation(randomSeed());
   Self->m_StartedAt = monotonicNow();
+  internal::startOrderCounters(Self->m_Metrics);
   Self->m_Loop = g_main_loop_new(nullptr, FALSE);
   Self->m_PeerMail =
       std::make_unique<Mailbox<PeerEvent>>(nullptr, [Raw](PeerEvent Event) {
@@ -171,6 +172,7 @@
     Code = Self->m_ExitCode;
     logEvent(Event::ProcessStopped, {{"exit_code", Code}});
   }
+  internal::endOrders(*Self);
   internal::stopApi(*Self);
   Self->m_Peers.reset();
   Self->m_Disk.reset();
--- a/src/daemon/process/keeper_api.cpp
+++ b/src/daemon/process/keeper_api.cpp
@@ -110,6 +110,18 @@
   return true;
 }
 
+bool orderCall(const Call &Request) {
+  if (Request.is("POST", 1))
+    postOrder(Request.m_Self, Request.m_Exchange, Request.m_Operator);
+  else if (Request.is("GET", 1))
+    getOrders(Request.m_Self, Request.m_Exchange);
+  else if (Request.is("GET", 2))
+    getOrder(Request.m_Self, Request.m_Exchange, Request.m_Parts[1]);
+  else
+    return false;
+  return true;
+}
+
 bool adminCall(const Call &Request) {
   bool Add = Request.m_Parts[0] == "keepers" && Request.is("POST", 1);
   bool Promote = Request.m_Parts[0] == "keepers" && Request.is("POST", 3) &&
@@ -138,6 +150,8 @@
   const std::string &First = Request.m_Parts[0];
   if (First == "document")
     return documentCall(Request);
+  if (First == "orders")
+    return orderCall(Request);
   if (First == "status" && Request.is("GET", 1)) {
     getStatus(Request.m_Self, Request.m_Exchange);
     return true;
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -141,6 +141,7 @@
       {"document_version", Self.m_State.m_Document.m_Version.m_Value},
       {"epoch", Self.m_State.m_Epoch.m_Value},
       {"journal_entries", Self.m_State.m_Journal.m_Entries.size()},
+      {"orders", openOrdersJson(Self)},
       {"keepers", keepersJson(Self, Now)},
       {"waiting_keepers", strangersJson(Self)},
       {"routers", routersJson(Self, Now)},
@@ -296,6 +297,11 @@
            static_cast<double>(Self.m_State.m_Members.size()));
   setGauge(M, "vanillaferry_journal_entries",
            static_cast<double>(Self.m_State.m_Journal.m_Entries.size()));
+  std::size_t Open = 0;
+  for (const std::pair<const std::string, EngineOrder> &Row :
+       Self.m_State.m_Orders)
+    Open += Row.second.m_Outcome == OrderOutcome::Open ? 1 : 0;
+  setGauge(M, "vanillaferry_engine_orders_open", static_cast<double>(Open));
   Exchange->answerText(200, renderMetrics(M));
 }
 
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -98,6 +98,7 @@
 }
 
 void failWaiting(Keeper &Self) {
+  endOrders(Self);
   std::map<LogIndex, WaitingCommand> Waiting;
   Waiting.swap(Self.m_Applied);
   for (std::pair<const LogIndex, WaitingCommand> &Row : Waiting)
@@ -123,6 +124,7 @@
               {"last_index", lastIndex(Self.m_Replica).m_Value}});
     addCounter(Self.m_Metrics, "vanillaferry_keeper_elections_won_total");
     Self.m_NextClock = Millis(0);
+    beginOrders(Self, monotonicNow());
   }
   for (const KeeperId &Lost : Actions.m_RegressedKeepers)
     logEvent(Event::KeeperPeerRegressed, {{"keeper", Lost.m_Value}});
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -217,6 +217,7 @@
 
 void leaderWork(Keeper &Self, Millis Now) {
   finishInForceWaits(Self, Now);
+  orderWork(Self, Now);
   if (!grantingTable(Self, Now))
     return;
   announceChanges(Self);
--- a/src/daemon/process/operator_command.cpp
+++ b/src/daemon/process/operator_command.cpp
@@ -79,9 +79,9 @@
   return exitCodeOf(Reply.m_HttpStatus);
 }
 
-std::string newEditId() {
-  char Text[40];
-  snprintf(Text, sizeof Text, "edit-%016llx%08llx",
+std::string newEditId(const char *Prefix) {
+  char Text[48];
+  snprintf(Text, sizeof Text, "%s-%016llx%08llx", Prefix,
            static_cast<unsigned long long>(randomSeed()),
            static_cast<unsigned long long>(randomSeed() & 0xffffffffULL));
   return Text;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -158,20 +158,51 @@
       {{"instance", Engine.m_Instance}, {"events", List}, {"next", Next}});
 }
 
+void answerLater(SoupServerMessage *Message, std::uint32_t DelayMs) {
+  soup_server_message_pause(Message);
+  g_timeout_add_full(
+      G_PRIORITY_DEFAULT, DelayMs,
+      [](gpointer Data) -> gboolean {
+        SoupServerMessage *Held = SOUP_SERVER_MESSAGE(Data);
+        // Without a socket the sender has closed its connection meanwhile.
+        if (soup_server_message_get_socket(Held)) {
+          answerJson(Held, 200, {{"done", true}});
+          soup_server_message_unpause(Held);
+        }
+        return G_SOURCE_REMOVE;
+      },
+      g_object_ref(Message), g_object_unref);
+}
+
 void handleOrder(EngineState &Engine, SoupServerMessage *Message) {
   json Body = json::parse(requestBody(Message), nullptr, false);
   if (!Body.is_object()) {
     answerJson(Message, 400, refusal("not JSON"));
     return;
   }
+  const EngineFaults &Faults = Engine.m_Faults;
   std::uint64_t Token = Body.value("fencing_token", std::uint64_t(0));
-  if (Engine.m_Options.m_ChecksFencing && Token < Engine.m_FencingToken) {
+  bool Old = Engine.m_Options.m_ChecksFencing && Token < Engine.m_FencingToken;
+  bool Runs = !Old && Faults.m_OrderStatus == 0;
+  Engine.m_OrderArrivals.push_back({Body.value("order_id", std::string()),
+                                    Token, Runs, g_get_real_time() / 1000});
+  if (Old) {
     answerJson(Message, 409, refusal("old fencing token"));
     return;
   }
+  if (!Runs) {
+    answerJson(Message, static_cast<int>(Faults.m_OrderStatus),
+               refusal("engine refuses the order"));
+    return;
+  }
   Engine.m_FencingToken = std::max(Engine.m_FencingToken, Token);
   Engine.m_Orders.push_back(Body.dump());
-  answerJson(Message, 200, {{"done", true}});
+  if (Faults.m_OrderClose)
+    dropConnection(Message);
+  else if (Faults.m_OrderDelayMs != 0)
+    answerLater(Message, Faults.m_OrderDelayMs);
+  else
+    answerJson(Message, 200, {{"done", true}});
 }
 
 void handleFault(EngineState &Engine, SoupServerMessage *Message) {
@@ -186,6 +217,9 @@
   Faults.m_Times = Body.value("times", 0u);
   Faults.m_NoResume = Body.value("no_resume", false);
   Faults.m_Refuse = Body.value("refuse", false);
+  Faults.m_OrderDelayMs = Body.value("order_delay_ms", 0u);
+  Faults.m_OrderStatus = Body.value("order_status", 0u);
+  Faults.m_OrderClose = Body.value("order_close", false);
   if (Body.value("restart", false))
     restartEngine(Engine);
   if (Body.contains("report_lag_ms"))
@@ -193,6 +227,16 @@
   answerJson(Message, 200, {{"ok", true}});
 }
 
+json orderArrivals(const EngineState &Engine) {
+  json Rows = json::array();
+  for (const OrderArrival &Arrival : Engine.m_OrderArrivals)
+    Rows.push_back({{"order_id", Arrival.m_OrderId},
+                    {"fencing_token", Arrival.m_Token},
+                    {"ran", Arrival.m_Ran},
+                    {"at_unix_ms", Arrival.m_AtUnixMs}});
+  return Rows;
+}
+
 void handleStats(EngineState &Engine, SoupServerMessage *Message) {
   const EngineStats &Stats = Engine.m_Stats;
   json Body = {{"name", Engine.m_Options.m_Name},
@@ -209,6 +253,7 @@
                {"max_running", Stats.m_MaxRunning},
                {"last_arrival_unix_ms", Stats.m_LastArrivalMs},
                {"orders", Engine.m_Orders},
+               {"order_arrivals", orderArrivals(Engine)},
                {"runs", Engine.m_Runs}};
   answerJson(Message, 200, Body);
 }
--- a/src/standin/engine_state.hpp
+++ b/src/standin/engine_state.hpp
@@ -49,6 +49,20 @@
   bool m_NoResume = false;
   /// Answer 503 to every new request, before running it.
   bool m_Refuse = false;
+  /// Run orders but answer them after this time.
+  std::uint32_t m_OrderDelayMs = 0;
+  /// Answer orders with this status without running them; 0 to run them.
+  std::uint32_t m_OrderStatus = 0;
+  /// Run orders and close the connection without an answer.
+  bool m_OrderClose = false;
+};
+
+/// One POST /orders, also when it was refused.
+struct OrderArrival {
+  std::string m_OrderId;
+  std::uint64_t m_Token = 0;
+  bool m_Ran = false;
+  gint64 m_AtUnixMs = 0;
 };
 
 struct EngineStats {
@@ -79,6 +93,7 @@
   std::uint32_t m_CompletedSinceCold = 0;
   std::uint64_t m_FencingToken = 0;
   std::deque<std::string> m_Orders;
+  std::deque<OrderArrival> m_OrderArrivals;
   std::deque<LoadSample> m_Samples;
   /// Runs of each request id since the start.
   std::map<std::string, std::uint32_t> m_Runs;
--- a/tests/core/EngineOrders.tests.cpp
+++ b/tests/core/EngineOrders.tests.cpp
@@ -21,6 +21,27 @@
       applyCommand(State, LogIndex(Index), BeginOrder{Order}));
 }
 
+EngineOrder start(StateMachine &State, std::uint64_t Index,
+                  const std::string &Id, std::uint64_t Leader) {
+  return std::get<EngineOrder>(
+      applyCommand(State, LogIndex(Index), StartOrder{Id, Term(Leader)}));
+}
+
+/// Settings with engine "t" and plain service "ledger".
+DocumentSettings engineAndLedger() {
+  DocumentSettings Settings;
+  for (const char *Id : {"t", "ledger"}) {
+    PoolSettings Pool;
+    Pool.m_Kind =
+        Id == std::string("t") ? ServiceKind::Engine : ServiceKind::Plain;
+    TargetSettings Target;
+    Target.m_Id = TargetId(Id);
+    Pool.m_Targets.push_back(Target);
+    Settings.m_Services.push_back(Pool);
+  }
+  return Settings;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EngineOrders)
@@ -103,18 +124,102 @@
   BOOST_REQUIRE(Next.size() == 2U);
   BOOST_TEST(Next[0].m_OrderId == "z");
   BOOST_TEST(Next[1].m_OrderId == "b");
-  applyCommand(State, LogIndex(9), EndOrder{"z", "done"});
+  applyCommand(State, LogIndex(9), EndOrder{"z", OrderOutcome::Done, ""});
   Next = nextOrders(State);
   BOOST_TEST(Next[0].m_OrderId == "a");
   // A repeated order that is done is not sent again.
   EngineOrder Done = begin(State, 10, orderOf("z", "t", "load_model"));
-  BOOST_TEST(Done.m_Done);
+  BOOST_TEST((Done.m_Outcome == OrderOutcome::Done));
   OrderSender Sender = makeOrderSender(60, Millis(0));
   BOOST_TEST((decideOrder(Sender, Done, true, Millis(100000)).m_Verdict ==
               OrderVerdict::Done));
 }
 
-// Guards against a state that grows with every order ever given.
+// Guards against an order that is sent by two leaders: the first start in the
+// log decides, and nobody sends an order that another one may have sent.
+BOOST_AUTO_TEST_CASE(OneLeaderMaySendAnOrder) {
+  StateMachine State;
+  EngineOrder Order = begin(State, 1, orderOf("o", "t", "change_role"));
+  BOOST_TEST((start(State, 2, "o", 3).m_StartedIn == Term(3)));
+  // A start of another leader, and a late one, change nothing.
+  BOOST_TEST((start(State, 3, "o", 4).m_StartedIn == Term(3)));
+  Order = begin(State, 4, orderOf("o", "t", "change_role"));
+  BOOST_TEST((Order.m_StartedIn == Term(3)));
+  BOOST_TEST(Order.m_FencingToken == 1U);
+  OrderSender Sender = makeOrderSender(60, Millis(0));
+  BOOST_TEST((decideOrder(Sender, Order, true, Millis(100000)).m_Verdict ==
+              OrderVerdict::EndAsUnknown));
+  BOOST_TEST((decideOrder(Sender, Order, false, Millis(0)).m_Verdict ==
+              OrderVerdict::EndAsUnknown));
+  applyCommand(State, LogIndex(5),
+               EndOrder{"o", OrderOutcome::Unknown, "leader changed"});
+  // The first outcome stays, and an order that has ended does not start.
+  applyCommand(State, LogIndex(6), EndOrder{"o", OrderOutcome::Done, ""});
+  Order = start(State, 7, "o", 5);
+  BOOST_TEST((Order.m_Outcome == OrderOutcome::Unknown));
+  BOOST_TEST((Order.m_StartedIn == Term(3)));
+  BOOST_TEST(Order.m_Detail == "leader changed");
+  // An order that ended before its start is never started.
+  begin(State, 8, orderOf("p", "t", "change_role"));
+  applyCommand(State, LogIndex(9),
+               EndOrder{"p", OrderOutcome::Unreachable, ""});
+  BOOST_TEST((start(State, 10, "p", 5).m_StartedIn == Term(0)));
+}
+
+// Guards against a submitted order that states its own token or start.
+BOOST_AUTO_TEST_CASE(SubmittedOrdersBeginOpenWithoutAStart) {
+  StateMachine State;
+  EngineOrder Forged = orderOf("o", "t", "load_model");
+  Forged.m_FencingToken = 1000;
+  Forged.m_StartedIn = Term(9);
+  Forged.m_Outcome = OrderOutcome::Done;
+  Forged.m_Detail = "x";
+  EngineOrder Kept = begin(State, 7, Forged);
+  BOOST_TEST(Kept.m_FencingToken == 7U);
+  BOOST_TEST((Kept.m_StartedIn == Term(0)));
+  BOOST_TEST((Kept.m_Outcome == OrderOutcome::Open));
+  BOOST_TEST(Kept.m_Detail.empty());
+}
+
+// Guards against a changed rate that counts for the time before the change.
+BOOST_AUTO_TEST_CASE(AChangedRateCountsFromItsChange) {
+  OrderSender Sender = makeOrderSender(1, Millis(0));
+  setLoadRate(Sender, 60, Millis(30000));
+  EngineOrder Load = orderOf("o", "t", "load_model");
+  // Half a load is there; the other half takes half a second.
+  OrderDecision Early = decideOrder(Sender, Load, true, Millis(30000));
+  BOOST_TEST((Early.m_Verdict == OrderVerdict::WaitForWeightStore));
+  BOOST_TEST(Early.m_Until == Millis(30500));
+  BOOST_TEST((decideOrder(Sender, Load, true, Millis(30500)).m_Verdict ==
+              OrderVerdict::Send));
+}
+
+// Guards against orders to nowhere, and errors that do not name what is wrong.
+BOOST_AUTO_TEST_CASE(EveryFaultOfASubmittedOrderIsNamed) {
+  DocumentSettings Settings = engineAndLedger();
+  EngineOrder Good = orderOf("o", "t", "load_adapter");
+  Good.m_Argument = "oak@3";
+  BOOST_TEST(checkOrder(Good, Settings).empty());
+  std::vector<std::string> Faults =
+      checkOrder(orderOf("", "ledger", "explode"), Settings);
+  BOOST_REQUIRE(Faults.size() == 4U);
+  BOOST_TEST(Faults[0].find("order_id") == 0U);
+  BOOST_TEST(Faults[1].find("argument") == 0U);
+  BOOST_TEST(Faults[2].find("explode") != std::string::npos);
+  BOOST_TEST(Faults[3].find("ledger") != std::string::npos);
+  Good.m_OrderId = std::string(129, 'x');
+  Good.m_Argument = std::string(1025, 'x');
+  BOOST_TEST(checkOrder(Good, Settings).size() == 2U);
+  Good.m_OrderId = "a/b";
+  Good.m_Argument = "oak@3";
+  BOOST_TEST(checkOrder(Good, Settings).size() == 1U);
+  BOOST_TEST(sectionOfOrder(Good) == SectionName(ModelVersionsSectionName));
+  BOOST_TEST(sectionOfOrder(orderOf("o", "t", "change_role")) ==
+             SectionName(ServicesSectionName));
+}
+
+// Guards against a state that grows with every order ever given, and against
+// an order id that is forgotten while its answer may still be asked for again.
 BOOST_AUTO_TEST_CASE(OldFinishedOrdersAreForgottenAndUnfinishedOnesStay) {
   StateMachine State;
   std::uint64_t Index = 0;
@@ -122,10 +227,18 @@
   for (int I = 0; I < 1200; ++I) {
     std::string Id = "o" + std::to_string(I);
     begin(State, ++Index, orderOf(Id, "u", "change_role"));
-    applyCommand(State, LogIndex(++Index), EndOrder{Id, "done"});
+    applyCommand(State, LogIndex(++Index),
+                 EndOrder{Id, OrderOutcome::Done, ""});
   }
+  applyCommand(State, LogIndex(++Index),
+               AdvanceClock{UnixMillis(OrderRetention.m_Value)});
+  BOOST_TEST(State.m_Orders.size() == 1201U);
+  applyCommand(State, LogIndex(++Index),
+               AdvanceClock{UnixMillis(OrderRetention.m_Value + 1)});
   BOOST_TEST(State.m_Orders.size() == FinishedOrderLimit + 1);
   BOOST_TEST(State.m_Orders.count("open") == 1U);
+  BOOST_TEST(State.m_Orders.count("o199") == 0U);
+  BOOST_TEST(State.m_Orders.count("o200") == 1U);
   BOOST_TEST(State.m_Orders.count("o1199") == 1U);
 }
 
--- a/tests/core/StateCodec.tests.cpp
+++ b/tests/core/StateCodec.tests.cpp
@@ -33,14 +33,16 @@
   Order.m_Target = TargetId("t");
   Order.m_Action = "load_model";
   Order.m_Argument = "m@2";
+  Order.m_Operator = OperatorId("ops");
   return {Edit,
           AddMember{Joining},
           RemoveMember{NodeId("n"), Incarnation(3)},
           Begin,
           End,
           BeginOrder{Order},
-          EndOrder{"order", "done"},
-          AdvanceClock{UnixMillis(12)}};
+          EndOrder{"order", OrderOutcome::OldToken, "HTTP 409"},
+          AdvanceClock{UnixMillis(12)},
+          StartOrder{"order", Term(4)}};
 }
 
 StateMachine busyState() {
--- a/tests/core/mutations.sh
+++ b/tests/core/mutations.sh
@@ -42,6 +42,7 @@
 journal=src/core/request/journal.cpp
 machine=src/core/process/state_machine.cpp
 document=src/core/version/document.cpp
+orders=src/core/process/engine_orders.cpp
 random=Lease/RandomFaultsNeverBreakTheInvariants
 
 mutate "router ignores the end of its lease" $lease 's/return leaseHolds\(Lease, Now\) &&/return/' $random
@@ -69,5 +70,11 @@
 mutate "answers to edits are not kept" $document 's/Doc.m_Answers.emplace\(Edit.m_Edit, std::move\(Keep\)\);//' DocumentEdits
 mutate "edit ids are not compared" $document 's/if \(Kept->second.m_Fingerprint != Fingerprint\)/if (false)/' DocumentEdits
 
+mutate "a second leader may start an order" $machine 's/ && Order.m_StartedIn == Term\(0\)\)/)/' EngineOrders
+mutate "started orders are sent again" $orders 's/if \(Order.m_StartedIn != Term\(0\)\)/if (false)/' EngineOrders
+mutate "order ids are forgotten early" $machine 's/Order.m_FencingToken < Oldest \&\&/Order.m_FencingToken < Oldest;/; s/\n\s+Order.m_EndedAt.m_Value \+ OrderRetention.m_Value <\n\s+State.m_Clock.m_Value;//' EngineOrders
+mutate "orders to engines that ignore tokens go out at once" $orders 's/if \(!ChecksFencing && Now < FormerEnd\)/if (false)/' EngineOrders
+mutate "the weight store has no rate" $orders 's/if \(Sender.m_Loads < WholeLoad\)/if (false)/' EngineOrders
+
 echo "$missed not noticed"
 [ "$missed" -eq 0 ]
