Do not ask a frozen keeper in the tests of engine orders

Requests that asked the frozen leader first waited 10 s each, so the wait for the former leader was over before the test looked at the queue.

Ruled out: a sender that does not wait; the keeper's binary was compared with a fresh link and the order of arrivals was right.

Change: the test asks the other keepers while one is frozen, so that the old leader also wakes within the time of its own order.

Conclusion: the rule held; the test's clock was wrong.

--- a/tests/process/EngineOrders.tests.cpp
+++ b/tests/process/EngineOrders.tests.cpp
@@ -102,7 +102,7 @@
                        orderOf(Id, Action, Target, Argument), Millis(15000));
   }
   std::string state(const std::string &Id) const {
-    OperatorReply Reply = m_Keepers.get("/orders/" + Id);
+    OperatorReply Reply = ask("/orders/" + Id);
     return Reply.m_Body.is_object() ? Reply.m_Body.value("state", "") : "";
   }
   /// Waits until the order has ended and returns its state.
@@ -110,7 +110,7 @@
     std::string State;
     waitUntil(
         [&] {
-          OperatorReply Reply = m_Keepers.get("/orders/" + Id);
+          OperatorReply Reply = ask("/orders/" + Id);
           State =
               Reply.m_Body.is_object() ? Reply.m_Body.value("state", "") : "";
           return Reply.m_Body.is_object() && Reply.m_Body.value("ended", false);
@@ -157,7 +157,22 @@
     return Next;
   }
 
+  /// Freezes a keeper; nobody asks it from then on, since a request to it waits
+  /// for 10 s.
+  void freeze(std::size_t Keeper) {
+    m_Frozen = Keeper;
+    m_Keepers.process(Keeper).freeze();
+  }
+
 private:
+  OperatorReply ask(const std::string &Path) const {
+    OperatorCliSettings Settings = m_Keepers.operatorSettings();
+    if (m_Frozen < m_Keepers.size())
+      Settings.m_Keepers.erase(Settings.m_Keepers.begin() +
+                               static_cast<std::ptrdiff_t>(m_Frozen));
+    return callKeepers(Settings, {"GET", Path, {}, ""}, Millis(15000));
+  }
+
   void put(const std::string &Section, const json &Content) {
     OperatorReply Reply = m_Keepers.edit(Section, 0, "e-" + Section, Content);
     BOOST_REQUIRE_MESSAGE(Reply.m_HttpStatus < 300 && Reply.m_HttpStatus != 0,
@@ -168,6 +183,7 @@
   std::map<std::string, std::uint16_t> m_Ports;
   std::map<std::string, ChildProcess> m_Engines;
   int m_Commands = 0;
+  std::size_t m_Frozen = SIZE_MAX;
 };
 
 std::string resultOf(const char *Result) {
@@ -341,7 +357,7 @@
           202);
   BOOST_REQUIRE(
       waitUntil([&] { return Fleet.arrivals("checks-0").size() == 1; }, 5000));
-  Fleet.keepers().process(Old).freeze();
+  Fleet.freeze(Old);
   Fleet.fault("checks-0", json::object());
   BOOST_REQUIRE_LT(Fleet.nextLeader(Old), Fleet.keepers().size());
   BOOST_TEST(Fleet.outcome("checks-0-0") == "unknown");
@@ -372,7 +388,7 @@
                       202);
   BOOST_REQUIRE(
       waitUntil([&] { return Fleet.state("o-1") == "under_way"; }, 5000));
-  Fleet.keepers().process(Old).freeze();
+  Fleet.freeze(Old);
   BOOST_REQUIRE_LT(Fleet.nextLeader(Old), Fleet.keepers().size());
   BOOST_TEST(Fleet.outcome("o-1") == "unknown");
   Fleet.startEngine("gone");
