Measure cache reuse of returning chats with real processes

The emulated cache counted every turn of a chat in full, as if the earlier turns were separate memory, and evicted chats that a real cache holds.

The emulated engine also names chats by X-Cache-Key in its events, filters, delays and drops events, and copies a prefix from another engine.

--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -16,17 +16,6 @@
 constexpr std::uint32_t BytesPerToken = 4;
 constexpr std::size_t MaxCacheEventsPerAnswer = 1000;
 
-std::uint32_t promptTokens(const json &Messages) {
-  std::size_t Length = 0;
-  for (const json &Message : Messages)
-    Length += Message.value("content", std::string()).size();
-  return static_cast<std::uint32_t>(1 + Length / BytesPerToken);
-}
-
-json refusal(const char *Text) {
-  return {{"error", {{"message", Text}, {"not_run", true}}}};
-}
-
 bool isCold(const EngineState &Engine) {
   return Engine.m_Options.m_ColdLimit != 0 &&
          Engine.m_CompletedSinceCold < Engine.m_Options.m_WarmAfter;
@@ -34,7 +23,8 @@
 
 std::shared_ptr<Generation> startGeneration(EngineState &Engine,
                                             const json &Body,
-                                            const std::string &RequestId) {
+                                            const std::string &RequestId,
+                                            const std::string &CacheKey) {
   std::shared_ptr<Generation> Work = std::make_shared<Generation>();
   Work->m_RequestId = RequestId;
   Work->m_Answer = expectedAnswer(Body);
@@ -51,7 +41,8 @@
   json WithAnswer = Body.at("messages");
   WithAnswer.push_back(
       {{"role", "assistant"}, {"content", answerText(Work->m_Answer)}});
-  Work->m_PrefixToStore = prefixHashes(WithAnswer).back();
+  Work->m_CacheKey = CacheKey;
+  Work->m_Prefixes = prefixHashes(WithAnswer);
   Work->m_StartUs = g_get_monotonic_time();
   Work->m_FirstTokenUs = Engine.m_Options.m_FirstTokenMs * gint64(1000) +
                          gint64(Engine.m_Options.m_PrefillUsPerToken) *
@@ -103,7 +94,8 @@
     dropConnection(Message);
     return;
   }
-  std::shared_ptr<Generation> Work = startGeneration(Engine, Body, RequestId);
+  std::shared_ptr<Generation> Work = startGeneration(
+      Engine, Body, RequestId, requestHeader(Message, "X-Cache-Key"));
   Work->m_Priority = requestHeader(Message, "X-Priority");
   attachReader(Engine, *Work, Message, 0);
   Engine.m_Stats.m_MaxRunning =
@@ -137,25 +129,50 @@
               {"kv_used", Engine.m_Cache.events().size()}});
 }
 
+std::uint64_t numberField(SoupServerMessage *Message, const char *Name) {
+  std::string Text = queryValue(Message, Name);
+  return Text.empty() ? 0 : std::stoull(Text);
+}
+
+json eventJson(const CacheEvent &Event) {
+  json Value = {{"seq", Event.m_Sequence},
+                {"kind", Event.m_Stored ? "store" : "evict"},
+                {"tokens", Event.m_Tokens}};
+  // A keyed event needs no prefix id, which keeps answers small.
+  if (Event.m_Key.empty())
+    Value["prefix"] = Event.m_Prefix;
+  else
+    Value["key"] = Event.m_Key;
+  return Value;
+}
+
 void handleCacheEvents(EngineState &Engine, SoupServerMessage *Message) {
-  std::string After = queryValue(Message, "after");
-  std::uint64_t Sequence = After.empty() ? 0 : std::stoull(After);
+  std::uint64_t After = numberField(Message, "after");
+  std::uint64_t LastCount = numberField(Message, "last");
+  std::string Kind = queryValue(Message, "kind");
+  gint64 Visible =
+      g_get_monotonic_time() - gint64(Engine.m_Options.m_EventLagMs) * 1000;
+  std::uint64_t Newest = Engine.m_Cache.lastSequence();
+  if (LastCount != 0 && Newest > LastCount)
+    After = std::max(After, Newest - LastCount);
   json List = json::array();
-  std::uint64_t Next = Sequence;
+  std::uint64_t Next = After;
+  std::uint64_t Told = 0;
   for (const CacheEvent &Event : Engine.m_Cache.events()) {
-    if (Event.m_Sequence <= Sequence)
+    if (Event.m_Sequence <= After)
       continue;
-    if (List.size() >= MaxCacheEventsPerAnswer)
+    if (Event.m_At > Visible || List.size() >= MaxCacheEventsPerAnswer)
       break;
-    List.push_back({{"seq", Event.m_Sequence},
-                    {"kind", Event.m_Stored ? "store" : "evict"},
-                    {"prefix", Event.m_Prefix},
-                    {"tokens", Event.m_Tokens}});
+    ++Told;
     Next = Event.m_Sequence;
+    if (Kind.empty() || Kind == (Event.m_Stored ? "store" : "evict"))
+      List.push_back(eventJson(Event));
   }
-  answerJson(
-      Message, 200,
-      {{"instance", Engine.m_Instance}, {"events", List}, {"next", Next}});
+  answerJson(Message, 200,
+             {{"instance", Engine.m_Instance},
+              {"events", List},
+              {"next", Next},
+              {"lost", Next - After - Told}});
 }
 
 void handleOrder(EngineState &Engine, SoupServerMessage *Message) {
@@ -186,6 +203,8 @@
   Faults.m_Times = Body.value("times", 0u);
   Faults.m_NoResume = Body.value("no_resume", false);
   Faults.m_Refuse = Body.value("refuse", false);
+  if (Body.contains("exports_left"))
+    Faults.m_ExportsLeft = Body["exports_left"].get<std::uint32_t>();
   if (Body.value("restart", false))
     restartEngine(Engine);
   if (Body.contains("report_lag_ms"))
@@ -205,6 +224,8 @@
                {"cold_overloads", Stats.m_ColdOverloads},
                {"prompt_tokens", Stats.m_PromptTokens},
                {"cached_tokens", Stats.m_CachedTokens},
+               {"exported", Stats.m_Exported},
+               {"imported", Stats.m_Imported},
                {"running", runningCount(Engine)},
                {"max_running", Stats.m_MaxRunning},
                {"last_arrival_unix_ms", Stats.m_LastArrivalMs},
@@ -213,20 +234,6 @@
   answerJson(Message, 200, Body);
 }
 
-void handleKv(EngineState &Engine, SoupServerMessage *Message, bool Import) {
-  json Body = json::parse(requestBody(Message), nullptr, false);
-  if (!Body.is_object() || !Body.contains("messages")) {
-    answerJson(Message, 400, refusal("needs messages"));
-    return;
-  }
-  std::uint64_t Prefix = prefixHashes(Body["messages"]).back();
-  std::uint32_t Tokens = promptTokens(Body["messages"]);
-  if (Import)
-    Engine.m_Cache.store(Prefix, Tokens);
-  bool Known = Engine.m_Cache.contains(Prefix);
-  answerJson(Message, Known ? 200 : 404, {{"prefix", Prefix}, {"held", Known}});
-}
-
 void handleRequest(EngineState &Engine, SoupServerMessage *Message,
                    const std::string &Path) {
   if (Path == "/v1/chat/completions")
@@ -239,8 +246,10 @@
     handleCacheEvents(Engine, Message);
   else if (Path == "/orders")
     handleOrder(Engine, Message);
-  else if (Path == "/kv/export" || Path == "/kv/import")
-    handleKv(Engine, Message, Path == "/kv/import");
+  else if (Path == "/kv/export")
+    handleKvExport(Engine, Message);
+  else if (Path == "/kv/import")
+    handleKvImport(Engine, Message);
   else if (Path == "/fault")
     handleFault(Engine, Message);
   else if (Path == "/stats")
@@ -262,10 +271,23 @@
 
 } // namespace
 
+std::uint32_t promptTokens(const json &Messages) {
+  std::size_t Length = 0;
+  for (const json &Message : Messages)
+    Length += Message.value("content", std::string()).size();
+  return static_cast<std::uint32_t>(1 + Length / BytesPerToken);
+}
+
+json refusal(const char *Text) {
+  return {{"error", {{"message", Text}, {"not_run", true}}}};
+}
+
 int runEngine(const EngineOptions &Options) {
   EngineState Engine;
   Engine.m_Options = Options;
   Engine.m_Cache = PrefixLru(Options.m_CacheTokens);
+  Engine.m_Cache.setEventLoss(Options.m_EventLoss);
+  Engine.m_Peers = soup_session_new();
   Engine.m_Instance = std::to_string(g_get_real_time());
   g_timeout_add(TickMs, &onTick, &Engine);
   return serve(Options.m_Port,
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -25,6 +25,12 @@
   bool m_ChecksFencing = true;
   /// Reports by /load are this old.
   std::uint32_t m_ReportLagMs = 0;
+  /// Cache events are told this late.
+  std::uint32_t m_EventLagMs = 0;
+  /// Every Nth cache event is dropped; 0 for none.
+  std::uint32_t m_EventLoss = 0;
+  /// Time that the copy of a prefix from another engine takes.
+  std::uint32_t m_CopyMs = 20;
   /// File for "run" lines of a history; empty for none.
   std::string m_Record;
   /// A stream without a connection is cancelled after this time.
--- a/src/standin/engine_generation.cpp
+++ b/src/standin/engine_generation.cpp
@@ -65,8 +65,9 @@
   Work.m_Finished = true;
   ++Engine.m_Stats.m_Completed;
   ++Engine.m_CompletedSinceCold;
-  Engine.m_Cache.store(Work.m_PrefixToStore,
-                       Work.m_PromptTokens + Work.m_Answer.m_Tokens);
+  Engine.m_Cache.store(Work.m_Prefixes,
+                       Work.m_PromptTokens + Work.m_Answer.m_Tokens,
+                       Work.m_CacheKey);
 }
 
 void completeReader(Generation &Work) {
--- a/src/standin/engine_state.hpp
+++ b/src/standin/engine_state.hpp
@@ -8,6 +8,8 @@
 #include <libsoup/soup.h>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace vanillaferry::standin {
@@ -22,7 +24,9 @@
   std::uint32_t m_FirstIndex = 0;
   std::uint32_t m_PromptTokens = 0;
   std::uint32_t m_CachedTokens = 0;
-  std::uint64_t m_PrefixToStore = 0;
+  /// Hashes of the prompt's messages and of the answer.
+  std::vector<std::uint64_t> m_Prefixes;
+  std::string m_CacheKey;
   gint64 m_StartUs = 0;
   gint64 m_FirstTokenUs = 0;
   bool m_Stream = true;
@@ -49,6 +53,8 @@
   bool m_NoResume = false;
   /// Answer 503 to every new request, before running it.
   bool m_Refuse = false;
+  /// Drop the connection of every export after this many.
+  std::optional<std::uint32_t> m_ExportsLeft;
 };
 
 struct EngineStats {
@@ -60,6 +66,8 @@
   std::uint64_t m_ColdOverloads = 0;
   std::uint64_t m_PromptTokens = 0;
   std::uint64_t m_CachedTokens = 0;
+  std::uint64_t m_Exported = 0;
+  std::uint64_t m_Imported = 0;
   std::uint32_t m_MaxRunning = 0;
   gint64 m_LastArrivalMs = 0;
 };
@@ -80,10 +88,18 @@
   std::uint64_t m_FencingToken = 0;
   std::deque<std::string> m_Orders;
   std::deque<LoadSample> m_Samples;
+  /// Reads exports of other engines.
+  SoupSession *m_Peers = nullptr;
   /// Runs of each request id since the start.
   std::map<std::string, std::uint32_t> m_Runs;
 };
 
+/// POST /kv/export and /kv/import.
+void handleKvExport(EngineState &Engine, SoupServerMessage *Message);
+void handleKvImport(EngineState &Engine, SoupServerMessage *Message);
+
+std::uint32_t promptTokens(const nlohmann::json &Messages);
+nlohmann::json refusal(const char *Text);
 std::uint32_t runningCount(const EngineState &Engine);
 /// Drops all work and the cache, as a restart does.
 void restartEngine(EngineState &Engine);
--- a/src/standin/load.cpp
+++ b/src/standin/load.cpp
@@ -1,6 +1,8 @@
 #include "load.hpp"
 
 #include "answer.hpp"
+#include "load_result.hpp"
+#include "load_sampler.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -9,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <random>
 #include <xxhash.h>
 
@@ -19,25 +22,17 @@
 using nlohmann::json;
 
 constexpr int MaxConnections = 2000;
+constexpr std::uint32_t SampleMs = 250;
 
 struct Chat {
   std::string m_Id;
   json m_Messages = json::array();
   std::uint32_t m_Turn = 0;
   bool m_Busy = false;
-};
-
-struct LoadResult {
-  std::uint64_t m_Sent = 0;
-  std::uint64_t m_Whole = 0;
-  std::uint64_t m_Lost = 0;
-  std::uint64_t m_Wrong = 0;
-  std::uint64_t m_ExplicitErrors = 0;
-  std::map<std::string, std::uint64_t> m_Refused;
-  std::uint64_t m_PromptTokens = 0;
-  std::uint64_t m_CachedTokens = 0;
-  std::vector<double> m_FirstEventMs;
-  std::map<std::string, std::uint64_t> m_ByPlacement;
+  /// Prompt and answer of the last turn, which its engine has stored.
+  std::uint64_t m_StoredTokens = 0;
+  gint64 m_EndedUs = 0;
+  std::string m_LastTarget;
 };
 
 struct Load {
@@ -51,6 +46,7 @@
   std::uint64_t m_NextRequest = 0;
   gint64 m_StartUs = 0;
   bool m_Ended = false;
+  bool m_Sampling = false;
   std::ofstream m_History;
 };
 
@@ -89,6 +85,7 @@
   bool m_Done = false;
   bool m_Error = false;
   std::uint64_t m_PromptTokens = 0;
+  std::uint64_t m_CompletionTokens = 0;
   std::uint64_t m_CachedTokens = 0;
 };
 
@@ -116,6 +113,7 @@
     }
     if (Value.contains("usage") && Value["usage"].is_object()) {
       Parsed.m_PromptTokens = Value["usage"].value("prompt_tokens", 0u);
+      Parsed.m_CompletionTokens = Value["usage"].value("completion_tokens", 0u);
       Parsed.m_CachedTokens =
           Value["usage"]["prompt_tokens_details"].value("cached_tokens", 0u);
     }
@@ -154,6 +152,7 @@
   Chat &C = L.m_Chats[Self->m_Chat];
   writeHistory(*Self, Outcome);
   C.m_Busy = false;
+  C.m_EndedUs = g_get_monotonic_time();
   --L.m_Running;
   if (Whole) {
     C.m_Messages.push_back(
@@ -163,6 +162,7 @@
   if (!Whole || C.m_Turn >= L.m_Options.m_Turns) {
     C.m_Messages = json::array();
     C.m_Turn = 0;
+    C.m_StoredTokens = 0;
     C.m_Id = "chat-" + std::to_string(L.m_Random());
   }
   if (L.m_Ended && L.m_Running == 0)
@@ -200,6 +200,37 @@
   endCall(Self, Outcome);
 }
 
+/// Counts a whole answer, and what its chat can reuse from it.
+void countWhole(const Call &Ended, const ParsedStream &Parsed) {
+  Load &L = *Ended.m_Load;
+  LoadResult &R = L.m_Result;
+  Chat &C = L.m_Chats[Ended.m_Chat];
+  ReuseCount Answer;
+  Answer.m_Turns = 1;
+  Answer.m_PromptTokens = Parsed.m_PromptTokens;
+  Answer.m_CachedTokens = Parsed.m_CachedTokens;
+  Answer.m_ReusableTokens = std::min(C.m_StoredTokens, Parsed.m_PromptTokens);
+  C.m_StoredTokens = Parsed.m_PromptTokens + Parsed.m_CompletionTokens;
+  const char *Field = soup_message_headers_get_one(
+      soup_message_get_response_headers(Ended.m_Message), "X-Placement");
+  std::string Placement = Field ? Field : "none";
+  std::string Last = C.m_Turn > 0 ? C.m_LastTarget : "";
+  C.m_LastTarget = placementTarget(Placement);
+  if (Ended.m_SentUs - L.m_StartUs <
+      static_cast<gint64>(L.m_Options.m_WarmUpSeconds * 1e6))
+    return;
+  ++R.m_ByPlacement[Placement];
+  addReuse(R.m_All, Answer);
+  if (C.m_Turn > 0) {
+    addReuse(R.m_Returning, Answer);
+    addReuse(R.m_ByWhy[placementWhy(Placement)], Answer);
+    if (Last != C.m_LastTarget)
+      addReuse(R.m_MovedFrom[Last], Answer);
+  }
+  R.m_FirstEventMs.push_back(
+      static_cast<double>(Ended.m_FirstUs - Ended.m_SentUs) / 1000);
+}
+
 void checkAnswer(const CallPtr &Self) {
   Load &L = *Self->m_Load;
   LoadResult &R = L.m_Result;
@@ -211,13 +242,7 @@
   std::string Expected = answerText(Self->m_Expected);
   if (Parsed.m_Done && Parsed.m_Text == Expected) {
     ++R.m_Whole;
-    R.m_PromptTokens += Parsed.m_PromptTokens;
-    R.m_CachedTokens += Parsed.m_CachedTokens;
-    R.m_FirstEventMs.push_back(
-        static_cast<double>(Self->m_FirstUs - Self->m_SentUs) / 1000);
-    const char *Placement = soup_message_headers_get_one(
-        soup_message_get_response_headers(Self->m_Message), "X-Placement");
-    ++R.m_ByPlacement[Placement ? Placement : "none"];
+    countWhole(*Self, Parsed);
     CallOutcome Outcome;
     Outcome.m_Whole = true;
     endCall(Self, Outcome);
@@ -321,13 +346,20 @@
                           nullptr, &onSent, new CallPtr(Self));
 }
 
+bool mayBegin(const Load &L, std::size_t Index) {
+  const Chat &C = L.m_Chats[Index];
+  gint64 Pause = static_cast<gint64>(L.m_Options.m_MinPauseSeconds * 1e6);
+  return !C.m_Busy &&
+         (C.m_Turn == 0 || g_get_monotonic_time() - C.m_EndedUs >= Pause);
+}
+
 void startCall(Load &L) {
   std::size_t Index = L.m_Random() % L.m_Chats.size();
-  for (std::size_t I = 0; I < L.m_Chats.size() && L.m_Chats[Index].m_Busy; ++I)
+  for (std::size_t I = 0; I < L.m_Chats.size() && !mayBegin(L, Index); ++I)
     Index = (Index + 1) % L.m_Chats.size();
-  Chat &C = L.m_Chats[Index];
-  if (C.m_Busy)
+  if (!mayBegin(L, Index))
     return;
+  Chat &C = L.m_Chats[Index];
   C.m_Busy = true;
   C.m_Messages.push_back(
       {{"role", "user"},
@@ -373,30 +405,27 @@
   return G_SOURCE_CONTINUE;
 }
 
-double quantile(std::vector<double> Values, double Share) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  return Values[static_cast<std::size_t>(
-      static_cast<double>(Values.size() - 1) * Share)];
-}
-
-void printResult(const Load &L) {
-  const LoadResult &R = L.m_Result;
-  json Out = {{"sent", R.m_Sent},
-              {"whole", R.m_Whole},
-              {"lost", R.m_Lost},
-              {"wrong", R.m_Wrong},
-              {"explicit_errors", R.m_ExplicitErrors},
-              {"refused", R.m_Refused},
-              {"cache_reuse", R.m_PromptTokens == 0
-                                  ? 0.0
-                                  : static_cast<double>(R.m_CachedTokens) /
-                                        static_cast<double>(R.m_PromptTokens)},
-              {"first_event_ms_p50", quantile(R.m_FirstEventMs, 0.5)},
-              {"first_event_ms_p95", quantile(R.m_FirstEventMs, 0.95)},
-              {"placements", R.m_ByPlacement.size()}};
-  std::cout << Out.dump() << "\n";
+/// Samples the engines' loads at once; samples without load have no skew.
+gboolean onSampleTimer(gpointer Data) {
+  Load &L = *static_cast<Load *>(Data);
+  gint64 From = static_cast<gint64>(L.m_Options.m_WarmUpSeconds * 1e6);
+  if (L.m_Ended)
+    return G_SOURCE_REMOVE;
+  if (L.m_Sampling || g_get_monotonic_time() - L.m_StartUs < From)
+    return G_SOURCE_CONTINUE;
+  L.m_Sampling = true;
+  sampleLoads(L.m_Session, L.m_Options.m_Engines,
+              [&L](const std::vector<double> &Loads) {
+                L.m_Sampling = false;
+                double Sum = std::accumulate(Loads.begin(), Loads.end(), 0.0);
+                if (L.m_Ended || Sum == 0)
+                  return;
+                double Mean = Sum / static_cast<double>(Loads.size());
+                L.m_Result.m_MeanLoads.push_back(Mean);
+                L.m_Result.m_Skews.push_back(
+                    *std::max_element(Loads.begin(), Loads.end()) / Mean);
+              });
+  return G_SOURCE_CONTINUE;
 }
 
 } // namespace
@@ -417,8 +446,10 @@
   L.m_Loop = g_main_loop_new(nullptr, FALSE);
   L.m_StartUs = g_get_monotonic_time();
   g_timeout_add(1, &onStartTimer, &L);
+  if (!Options.m_Engines.empty())
+    g_timeout_add(SampleMs, &onSampleTimer, &L);
   g_main_loop_run(L.m_Loop);
-  printResult(L);
+  std::cout << resultText(L.m_Result) << "\n";
   g_object_unref(L.m_Session);
   g_main_loop_unref(L.m_Loop);
   return L.m_Result.m_Lost + L.m_Result.m_Wrong == 0 ? 0 : 1;
--- a/src/standin/load.hpp
+++ b/src/standin/load.hpp
@@ -23,6 +23,13 @@
   std::string m_History;
   /// Share of requests sent with batch priority.
   double m_BatchShare = 0.2;
+  /// Seconds at the start whose requests are checked but not counted in reuse
+  /// and first-event times.
+  double m_WarmUpSeconds = 0;
+  /// Seconds that a chat rests at least between two turns.
+  double m_MinPauseSeconds = 0;
+  /// Engines whose load is sampled for the skew; empty for none.
+  std::vector<std::string> m_Engines;
   /// Router answers 503 with not_run: try the next router this often.
   std::uint32_t m_Retries = 0;
 };
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -30,6 +30,12 @@
                       "Refuse orders with an old fencing token");
   Command->add_option("--report-lag-ms", Options.m_ReportLagMs,
                       "Age of load reports");
+  Command->add_option("--event-lag-ms", Options.m_EventLagMs,
+                      "Age of cache events when they are told");
+  Command->add_option("--event-loss", Options.m_EventLoss,
+                      "Drop every Nth cache event; 0 for none");
+  Command->add_option("--copy-ms", Options.m_CopyMs,
+                      "Time of a copy from another engine");
   Command->add_option("--record", Options.m_Record,
                       "File for run lines of a history");
   Command->add_option("--resume-window-ms", Options.m_ResumeWindowMs,
@@ -73,6 +79,12 @@
   Command->add_option("--retries", Options.m_Retries,
                       "Tries at other routers after a refusal");
   Command->add_option("--history", Options.m_History, "History file");
+  Command->add_option("--warm-up", Options.m_WarmUpSeconds,
+                      "Seconds at the start that are not counted in reuse");
+  Command->add_option("--min-pause", Options.m_MinPauseSeconds,
+                      "Least seconds between two turns of a chat");
+  Command->add_option("--engine", Options.m_Engines,
+                      "Engine URLs whose load is sampled for the skew");
   Command->callback([&Options, &Code] { Code = runLoad(Options); });
 }
 
--- a/src/standin/prefix_lru.cpp
+++ b/src/standin/prefix_lru.cpp
@@ -1,5 +1,7 @@
 #include "prefix_lru.hpp"
 
+#include <glib.h>
+
 namespace vanillaferry::standin {
 
 namespace {
@@ -22,19 +24,30 @@
   return 0;
 }
 
-void PrefixLru::store(std::uint64_t Prefix, std::uint32_t Tokens) {
+void PrefixLru::store(const std::vector<std::uint64_t> &Hashes,
+                      std::uint32_t Tokens, const std::string &Key) {
+  std::uint64_t Prefix = Hashes.back();
   auto Found = m_Index.find(Prefix);
   if (Found != m_Index.end()) {
     m_Order.splice(m_Order.begin(), m_Order, Found->second);
     return;
   }
-  m_Order.push_front({Prefix, Tokens});
+  for (std::uint64_t Shorter : Hashes)
+    erase(Shorter);
+  m_Order.push_front({Prefix, Tokens, Key});
   m_Index[Prefix] = m_Order.begin();
   m_Used += Tokens;
   record(true, m_Order.front());
   evict();
 }
 
+const StoredPrefix *PrefixLru::find(const std::string &Key) const {
+  for (const StoredPrefix &One : m_Order)
+    if (One.m_Key == Key)
+      return &One;
+  return nullptr;
+}
+
 bool PrefixLru::contains(std::uint64_t Prefix) const {
   return m_Index.count(Prefix) != 0;
 }
@@ -45,9 +58,18 @@
   m_Used = 0;
 }
 
+void PrefixLru::erase(std::uint64_t Prefix) {
+  auto Found = m_Index.find(Prefix);
+  if (Found == m_Index.end())
+    return;
+  m_Used -= Found->second->m_Tokens;
+  m_Order.erase(Found->second);
+  m_Index.erase(Found);
+}
+
 void PrefixLru::evict() {
   while (m_Used > m_Capacity && m_Order.size() > 1) {
-    Stored Oldest = m_Order.back();
+    StoredPrefix Oldest = m_Order.back();
     m_Order.pop_back();
     m_Index.erase(Oldest.m_Prefix);
     m_Used -= Oldest.m_Tokens;
@@ -55,11 +77,15 @@
   }
 }
 
-void PrefixLru::record(bool IsStore, const Stored &Item) {
+void PrefixLru::record(bool IsStore, const StoredPrefix &Item) {
   if (m_Events.size() >= MaxEvents)
     m_Events.erase(m_Events.begin(),
                    m_Events.begin() + static_cast<long>(MaxEvents / 2));
-  m_Events.push_back({m_NextSequence++, IsStore, Item.m_Prefix, Item.m_Tokens});
+  std::uint64_t Sequence = m_NextSequence++;
+  if (m_LoseEvery != 0 && Sequence % m_LoseEvery == 0)
+    return;
+  m_Events.push_back({Sequence, IsStore, Item.m_Prefix, Item.m_Tokens,
+                      Item.m_Key, g_get_monotonic_time()});
 }
 
 } // namespace vanillaferry::standin
--- a/src/standin/prefix_lru.hpp
+++ b/src/standin/prefix_lru.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <list>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -13,6 +14,17 @@
   bool m_Stored = true;
   std::uint64_t m_Prefix = 0;
   std::uint32_t m_Tokens = 0;
+  /// X-Cache-Key of the request that stored it.
+  std::string m_Key;
+  /// Microseconds.
+  std::int64_t m_At = 0;
+};
+
+/// One stored prefix.
+struct StoredPrefix {
+  std::uint64_t m_Prefix = 0;
+  std::uint32_t m_Tokens = 0;
+  std::string m_Key;
 };
 
 /// Prefix cache of an emulated engine: least recently used, bounded by tokens.
@@ -22,26 +34,31 @@
 
   /// Tokens of the longest stored prefix.
   std::uint32_t lookup(const std::vector<std::uint64_t> &Hashes);
-  /// Stores a prefix; each step records an event.
-  void store(std::uint64_t Prefix, std::uint32_t Tokens);
+  /// Stores the last of these prefixes, each of which extends the one before;
+  /// each step records an event. Shorter ones that are held become part of it,
+  /// since their tokens are in memory once.
+  void store(const std::vector<std::uint64_t> &Hashes, std::uint32_t Tokens,
+             const std::string &Key);
+  /// The most recently used prefix with this key; null when there is none.
+  const StoredPrefix *find(const std::string &Key) const;
   bool contains(std::uint64_t Prefix) const;
   void clear();
   const std::vector<CacheEvent> &events() const { return m_Events; }
+  std::uint64_t lastSequence() const { return m_NextSequence - 1; }
+  /// Leaves out every Nth event, as a gap; 0 for none.
+  void setEventLoss(std::uint32_t EveryNth) { m_LoseEvery = EveryNth; }
 
 private:
-  struct Stored {
-    std::uint64_t m_Prefix;
-    std::uint32_t m_Tokens;
-  };
-
+  void erase(std::uint64_t Prefix);
   void evict();
-  void record(bool IsStore, const Stored &Item);
+  void record(bool IsStore, const StoredPrefix &Item);
 
   std::uint64_t m_Capacity;
   std::uint64_t m_Used = 0;
   std::uint64_t m_NextSequence = 1;
-  std::list<Stored> m_Order;
-  std::unordered_map<std::uint64_t, std::list<Stored>::iterator> m_Index;
+  std::uint32_t m_LoseEvery = 0;
+  std::list<StoredPrefix> m_Order;
+  std::unordered_map<std::uint64_t, std::list<StoredPrefix>::iterator> m_Index;
   std::vector<CacheEvent> m_Events;
 };
 
