Offer freed places to waiting requests at once

Cause: a request that waits at its full holder was looked at only in the round of periodic work, every 50 ms. Requests that arrived in between took the freed places, so with short answers batch requests waited out their 10 s and other turns left their engine.

Change: the end of a run decides the waiting requests of its pool before the end is reported.

--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -144,6 +144,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Session>> m_Sessions;
   std::unordered_map<RequestId, std::shared_ptr<Run>> m_Runs;
   std::map<RequestId, ParkedOrder> m_ParkedOrders;
+  bool m_DecidingParked = false;
   std::map<RequestId, JournalCall> m_JournalBegins;
   std::map<RequestId, JournalCall> m_JournalEnds;
 
