Prefer the longest copy of a chat's prefix among an owner's targets

Cause: an owner chose the least loaded of its targets that held any part of a chat's prefix, so a chat returned to a target that it had left some turns ago, with a short copy.

Change: the longest copy comes first, load decides between equal ones. The new test fails with the former choice.

--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -36,6 +36,17 @@
   return !B || targetLoad(A.m_State) < targetLoad(B->m_State);
 }
 
+/// A target that the chat left some turns ago still holds a part of its prefix,
+/// so the longest copy comes first, and load decides between equal ones.
+bool isBetterHolder(const OwnedTarget &A, const OwnedTarget *B,
+                    std::uint64_t Chat) {
+  Tokens Held = heldTokens(A.m_Prefixes, Chat);
+  if (Held.m_Value <= 0 || !B)
+    return Held.m_Value > 0;
+  Tokens Other = heldTokens(B->m_Prefixes, Chat);
+  return Held == Other ? lessLoaded(A, B) : Other < Held;
+}
+
 Candidates findCandidates(const OwnerPool &Pool,
                           const PlacementRequest &Request, Millis Now) {
   std::uint32_t Limit = boundLimit(
@@ -56,8 +67,7 @@
           heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0;
       continue;
     }
-    if (lessLoaded(Target, Best.m_Holder) &&
-        heldTokens(Target.m_Prefixes, Request.m_Chat).m_Value > 0)
+    if (isBetterHolder(Target, Best.m_Holder, Request.m_Chat))
       Best.m_Holder = &Target;
     if (lessLoaded(Target, Best.m_Least))
       Best.m_Least = &Target;
--- a/tests/core/Placement.tests.cpp
+++ b/tests/core/Placement.tests.cpp
@@ -204,6 +204,24 @@
   BOOST_TEST(Redirects.m_ByChat.size() < 10U);
 }
 
+// Guards against a chat that returns to a target with an old, short copy
+// although the target of its last turn has a place.
+BOOST_AUTO_TEST_CASE(TheLongestCopyComesBeforeTheLeastLoad) {
+  OwnerPool Pool = makeOwner(4);
+  rememberChat(Pool.m_Targets[engine(0)].m_Prefixes, 7, Tokens(100));
+  rememberChat(Pool.m_Targets[engine(2)].m_Prefixes, 7, Tokens(300));
+  for (std::size_t I : {0, 1, 1, 1, 2, 2, 3, 3, 3})
+    startRequest(Pool.m_Targets[engine(I)].m_State);
+  PlacementRequest Request;
+  Request.m_Chat = 7;
+  Request.m_Target = engine(1);
+  PlacementDecision Decision = decidePlacement(Pool, Request, Millis());
+  BOOST_TEST(Decision.m_Target == engine(2));
+  rememberChat(Pool.m_Targets[engine(0)].m_Prefixes, 7, Tokens(300));
+  Decision = decidePlacement(Pool, Request, Millis());
+  BOOST_TEST(Decision.m_Target == engine(0));
+}
+
 // Guards against cache events that arrive late taking back newer knowledge,
 // and against an unnoticed gap.
 BOOST_AUTO_TEST_CASE(LateCacheEventsAreIgnoredAndGapsReported) {
