Correct the owner's prefix tables by cache events

Cause: a router's prefix table was its own estimate only. Where the document states another cache size than the engine has, chats wait for and go to engines that have evicted them, and a new owner knew nothing of its target's cache.

Change: requests carry X-Cache-Key, by which the engine names chats in its events. The owner reads the events of each target every 5 s: the last 256 of all kinds at first, then evictions only. An eviction is not believed for a chat that ran there since the poll before; for lost events as many of the oldest other chats are dropped; a new instance is learned anew.

--- a/examples/bench-cache.sh
+++ b/examples/bench-cache.sh
@@ -9,7 +9,8 @@
 # TOKENS (answer length), INTERVAL (milliseconds
 # between tokens), PAUSE (least seconds between two turns), WARM_UP
 # (seconds that are not counted), CACHE (tokens of each engine), BOUND, LAG
-# (milliseconds), SEED, ZONE_OUT (second at which zone Howrah is taken out),
+# (milliseconds), ENGINE_CACHE (their real size, when the document is wrong),
+# EVENT_LAG (milliseconds), EVENT_LOSS (every Nth), SEED, ZONE_OUT (second at which zone Howrah is taken out),
 # EXPORTS (true or false).
 set -euo pipefail
 build=$(realpath "${1:-build}")
@@ -66,7 +67,7 @@
 engine_options=()
 for i in $(seq "$engines"); do
   start "e$i" "$standin" engine --name "e$i" --port $((port + 400 + i)) --token-interval-ms "${INTERVAL:-60}" \
-    --cache-tokens "${CACHE:-30000}" --report-lag-ms "${LAG:-0}" --cold-limit 0
+    --cache-tokens "${ENGINE_CACHE:-${CACHE:-30000}}" --report-lag-ms "${LAG:-0}" --event-lag-ms "${EVENT_LAG:-0}" --event-loss "${EVENT_LOSS:-0}" --cold-limit 0
   engine_options+=(--engine "http://127.0.0.1:$((port + 400 + i))")
   targets+=("{\"id\":\"e$i\",\"vm\":\"vm-e$i\",\"zone\":\"${zones[$((i % 4))]}\",\"url\":\"http://127.0.0.1:$((port + 400 + i))\",\"max_concurrent\":32,\"cold_limit\":32,\"cache_tokens\":${CACHE:-30000},\"checks_fencing\":true,\"resumes\":true,\"exports_kv\":${EXPORTS:-true}}")
 done
--- a/include/vanillaferry/process/prefix_cache.hpp
+++ b/include/vanillaferry/process/prefix_cache.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +22,8 @@
   struct Entry {
     std::uint64_t m_Chat = 0;
     Tokens m_Tokens;
+    /// Round in which the chat ran here last; 0 when only events told of it.
+    std::uint64_t m_Round = 0;
   };
   Tokens m_Capacity;
   Tokens m_Used;
@@ -29,6 +32,11 @@
   std::unordered_map<std::uint64_t, std::list<Entry>::iterator> m_ByChat;
   /// Number of the last cache event taken.
   std::uint64_t m_LastEvent = 0;
+  /// Counts the polls of cache events.
+  std::uint64_t m_Round = 1;
+  /// Restart identity of the target that the events belong to; empty before the
+  /// first answer.
+  std::string m_Instance;
 
   PrefixTable() = default;
   PrefixTable(PrefixTable &&) = default;
@@ -64,6 +72,39 @@
 /// events (numbers already taken) are ignored.
 bool takeCacheEvents(PrefixTable &Table, const std::vector<CacheEvent> &Events);
 
+/// One answer to GET /cache/events.
+struct CacheAnswer {
+  std::string m_Instance;
+  std::vector<CacheEvent> m_Events;
+  /// Number of the last event that the answer covers.
+  std::uint64_t m_Next = 0;
+  /// Covered events that the target dropped before it could tell them.
+  std::uint64_t m_Lost = 0;
+};
+
+/// What an answer changed.
+struct CacheCorrection {
+  /// Chats dropped because the target evicted them.
+  std::uint64_t m_Evicted = 0;
+  /// Chats dropped because events are missing.
+  std::uint64_t m_Doubtful = 0;
+  /// The target restarted; its events are to be asked for from the start.
+  bool m_NewInstance = false;
+};
+
+/// Begins a round; returns the number to ask for events after.
+std::uint64_t beginCachePoll(PrefixTable &Table);
+
+/// Takes an answer to the present round. Events may be late: an eviction is not
+/// believed for a chat that ran here in this round or the one before. Each
+/// missing event may have been the eviction of one chat, so the table drops as
+/// many of its oldest chats, again without those that ran lately. After a
+/// restart it keeps only the latter.
+CacheCorrection takeCacheAnswer(PrefixTable &Table, const CacheAnswer &Answer);
+
+/// Sets the instance after a restart that a load report showed.
+void startInstance(PrefixTable &Table, const std::string &Instance);
+
 /// The table's chats, most recently used first, for export from a leaving
 /// target.
 std::vector<std::uint64_t> rememberedChats(const PrefixTable &Table,
--- a/src/core/process/prefix_cache.cpp
+++ b/src/core/process/prefix_cache.cpp
@@ -14,12 +14,46 @@
   }
 }
 
+/// The target's word that it stored a chat. It does not count as a run, which
+/// would protect the chat from a later eviction.
+void noteStored(PrefixTable &Table, const CacheEvent &Event) {
+  // A late event must not make the chat look shorter than the owner knows.
+  if (Event.m_Tokens <= heldTokens(Table, Event.m_Chat))
+    return;
+  auto Known = Table.m_ByChat.find(Event.m_Chat);
+  std::uint64_t Round =
+      Known == Table.m_ByChat.end() ? 0 : Known->second->m_Round;
+  rememberChat(Table, Event.m_Chat, Event.m_Tokens);
+  auto Stored = Table.m_ByChat.find(Event.m_Chat);
+  if (Stored != Table.m_ByChat.end())
+    Stored->second->m_Round = Round;
+}
+
+/// True when the chat ran here so lately that a late event may be older.
+bool ranLately(const PrefixTable &Table, const PrefixTable::Entry &Entry) {
+  return Entry.m_Round != 0 && Entry.m_Round + 1 >= Table.m_Round;
+}
+
+/// Drops up to Count chats that did not run lately, the oldest first.
+std::uint64_t dropOldest(PrefixTable &Table, std::uint64_t Count) {
+  std::uint64_t Dropped = 0;
+  for (auto It = Table.m_Recent.end();
+       It != Table.m_Recent.begin() && Dropped < Count;) {
+    --It;
+    if (ranLately(Table, *It))
+      continue;
+    Table.m_Used = Table.m_Used - It->m_Tokens;
+    Table.m_ByChat.erase(It->m_Chat);
+    It = Table.m_Recent.erase(It);
+    ++Dropped;
+  }
+  return Dropped;
+}
+
 void takeEvent(PrefixTable &Table, const CacheEvent &Event) {
   switch (Event.m_Kind) {
   case CacheEventKind::Stored:
-    // A late event must not make the chat look shorter than the owner knows.
-    if (Event.m_Tokens > heldTokens(Table, Event.m_Chat))
-      rememberChat(Table, Event.m_Chat, Event.m_Tokens);
+    noteStored(Table, Event);
     return;
   case CacheEventKind::Evicted:
     forgetChat(Table, Event.m_Chat);
@@ -30,6 +64,20 @@
   }
 }
 
+/// Returns whether the event evicted a chat that was believed to be held.
+bool takeAnswerEvent(PrefixTable &Table, const CacheEvent &Event) {
+  auto Known = Table.m_ByChat.find(Event.m_Chat);
+  bool Held = Known != Table.m_ByChat.end();
+  if (Event.m_Kind != CacheEventKind::Evicted) {
+    takeEvent(Table, Event);
+    return false;
+  }
+  if (!Held || ranLately(Table, *Known->second))
+    return false;
+  forgetChat(Table, Event.m_Chat);
+  return true;
+}
+
 } // namespace
 
 Tokens heldTokens(const PrefixTable &Table, std::uint64_t Chat) {
@@ -44,9 +92,10 @@
   if (It != Table.m_ByChat.end()) {
     Table.m_Used = Table.m_Used - It->second->m_Tokens + Size;
     It->second->m_Tokens = Size;
+    It->second->m_Round = Table.m_Round;
     Table.m_Recent.splice(Table.m_Recent.begin(), Table.m_Recent, It->second);
   } else {
-    Table.m_Recent.push_front(PrefixTable::Entry{Chat, Size});
+    Table.m_Recent.push_front(PrefixTable::Entry{Chat, Size, Table.m_Round});
     Table.m_ByChat[Chat] = Table.m_Recent.begin();
     Table.m_Used = Table.m_Used + Size;
   }
@@ -82,6 +131,37 @@
   return Complete;
 }
 
+std::uint64_t beginCachePoll(PrefixTable &Table) {
+  ++Table.m_Round;
+  return Table.m_LastEvent;
+}
+
+CacheCorrection takeCacheAnswer(PrefixTable &Table, const CacheAnswer &Answer) {
+  CacheCorrection Done;
+  if (!Table.m_Instance.empty() && Table.m_Instance != Answer.m_Instance) {
+    // The numbers asked for belong to the former instance.
+    Done.m_NewInstance = true;
+    Done.m_Doubtful = dropOldest(Table, Table.m_Recent.size());
+    startInstance(Table, Answer.m_Instance);
+    return Done;
+  }
+  bool First = Table.m_LastEvent == 0;
+  Table.m_Instance = Answer.m_Instance;
+  for (const CacheEvent &Event : Answer.m_Events)
+    if (Event.m_Number > Table.m_LastEvent && takeAnswerEvent(Table, Event))
+      ++Done.m_Evicted;
+  if (!First)
+    Done.m_Doubtful = dropOldest(Table, Answer.m_Lost);
+  if (Answer.m_Next > Table.m_LastEvent)
+    Table.m_LastEvent = Answer.m_Next;
+  return Done;
+}
+
+void startInstance(PrefixTable &Table, const std::string &Instance) {
+  Table.m_Instance = Instance;
+  Table.m_LastEvent = 0;
+}
+
 std::vector<std::uint64_t> rememberedChats(const PrefixTable &Table,
                                            std::size_t Limit) {
   std::vector<std::uint64_t> Chats;
--- a/src/core/request/placement_owner.cpp
+++ b/src/core/request/placement_owner.cpp
@@ -251,6 +251,8 @@
   if (!takeLoadReport(It->second.m_State, Report, Now))
     return;
   clearPrefixes(It->second.m_Prefixes);
+  if (It->second.m_Prefixes.m_Instance != Report.m_Instance)
+    startInstance(It->second.m_Prefixes, Report.m_Instance);
   dropRedirects(Pool.m_Redirects, Target);
 }
 
--- a/src/daemon/connection/engine_adapter.cpp
+++ b/src/daemon/connection/engine_adapter.cpp
@@ -1,5 +1,8 @@
 #include "connection/engine_adapter.hpp"
 
+#include "vanillaferry/request/placement.hpp"
+
+#include <charconv>
 #include <cstdio>
 #include <cstring>
 #include <nlohmann/json.hpp>
@@ -12,6 +15,9 @@
 using nlohmann::json;
 
 constexpr std::size_t BytesPerToken = 4;
+/// Events that a new owner learns from, about 17 KB.
+constexpr std::uint64_t LearnedEvents = 256;
+constexpr std::size_t CacheKeyLength = 16;
 constexpr const char *DoneEvent = "data: [DONE]";
 
 /// Length of the blank line that starts at this line end; 0 when the event
@@ -64,6 +70,49 @@
 
 } // namespace
 
+namespace {
+
+std::optional<std::uint64_t> chatOfKey(const std::string &Key) {
+  std::uint64_t Chat = 0;
+  const char *End = Key.data() + Key.size();
+  std::from_chars_result Parsed = std::from_chars(Key.data(), End, Chat, 16);
+  if (Key.size() != CacheKeyLength || Parsed.ec != std::errc() ||
+      Parsed.ptr != End)
+    return std::nullopt;
+  return Chat;
+}
+
+std::uint64_t numberOf(const json &Object, const char *Name) {
+  auto Found = Object.find(Name);
+  return Found != Object.end() && Found->is_number_unsigned()
+             ? Found->get<std::uint64_t>()
+             : 0;
+}
+
+std::string stringOf(const json &Object, const char *Name) {
+  auto Found = Object.find(Name);
+  return Found != Object.end() && Found->is_string() ? Found->get<std::string>()
+                                                     : std::string();
+}
+
+std::optional<CacheEvent> parseCacheEvent(const json &Value) {
+  if (!Value.is_object())
+    return std::nullopt;
+  std::optional<std::uint64_t> Chat = chatOfKey(stringOf(Value, "key"));
+  std::string Kind = stringOf(Value, "kind");
+  if (!Chat || (Kind != "store" && Kind != "evict"))
+    return std::nullopt;
+  CacheEvent Event;
+  Event.m_Number = numberOf(Value, "seq");
+  Event.m_Kind =
+      Kind == "store" ? CacheEventKind::Stored : CacheEventKind::Evicted;
+  Event.m_Chat = *Chat;
+  Event.m_Tokens = Tokens(static_cast<std::int64_t>(numberOf(Value, "tokens")));
+  return Event;
+}
+
+} // namespace
+
 Result<ChatBody> parseChatBody(const std::string &Body) {
   json Value = json::parse(Body, nullptr, false);
   if (!Value.is_object())
@@ -144,6 +193,36 @@
   return "data: " + RefusalText + "\n\n";
 }
 
+std::string cacheKey(std::uint64_t Chat) {
+  char Key[CacheKeyLength + 1];
+  std::snprintf(Key, sizeof Key, "%016llx",
+                static_cast<unsigned long long>(Chat));
+  return Key;
+}
+
+std::string cacheEventsPath(std::uint64_t After) {
+  std::string Path = "/cache/events?after=" + std::to_string(After);
+  return Path + (After == 0 ? "&last=" + std::to_string(LearnedEvents)
+                            : "&kind=evict");
+}
+
+std::optional<CacheAnswer> parseCacheEvents(const std::string &Text) {
+  json Value = json::parse(Text, nullptr, false);
+  if (!Value.is_object() || !Value.contains("instance") ||
+      !Value["instance"].is_string() || !Value.contains("events") ||
+      !Value["events"].is_array() || !Value.contains("next") ||
+      !Value["next"].is_number_unsigned())
+    return std::nullopt;
+  CacheAnswer Answer;
+  Answer.m_Instance = Value["instance"].get<std::string>();
+  Answer.m_Next = Value["next"].get<std::uint64_t>();
+  Answer.m_Lost = numberOf(Value, "lost");
+  for (const json &One : Value["events"])
+    if (std::optional<CacheEvent> Event = parseCacheEvent(One))
+      Answer.m_Events.push_back(*Event);
+  return Answer;
+}
+
 TargetRequest engineRequest(const std::string &Url, const Forward &Order,
                             std::optional<std::uint64_t> ResumeAt) {
   TargetRequest Request;
@@ -151,6 +230,8 @@
   Request.m_Url = Url + "/v1/chat/completions";
   Request.m_ContentType = "application/json";
   Request.m_Fields.emplace_back("X-Request-Id", Order.m_Request.m_Value);
+  Request.m_Fields.emplace_back("X-Cache-Key",
+                                cacheKey(hashChat(Order.m_Chat)));
   Request.m_Fields.emplace_back(
       "X-Priority",
       Order.m_Priority == Priority::Latency ? "latency" : "batch");
@@ -177,6 +258,23 @@
   return Cancel;
 }
 
+TargetRequest engineImport(const std::string &Url, const std::string &Source,
+                           std::uint64_t Chat) {
+  TargetRequest Import;
+  Import.m_Method = "POST";
+  Import.m_Url = Url + "/kv/import";
+  Import.m_ContentType = "application/json";
+  Import.m_Body = json{{"source", Source}, {"key", cacheKey(Chat)}}.dump();
+  return Import;
+}
+
+std::optional<Tokens> parseImported(const std::string &Text) {
+  json Value = json::parse(Text, nullptr, false);
+  if (!Value.is_object() || !Value.contains("held") || Value["held"] != true)
+    return std::nullopt;
+  return Tokens(static_cast<std::int64_t>(numberOf(Value, "tokens")));
+}
+
 bool statesNotRun(const std::string &Body) {
   json Value = json::parse(Body, nullptr, false);
   return Value.is_object() && Value.contains("error") &&
--- a/src/daemon/connection/engine_adapter.hpp
+++ b/src/daemon/connection/engine_adapter.hpp
@@ -2,6 +2,7 @@
 
 #include "connection/target_client.hpp"
 #include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/prefix_cache.hpp"
 #include "vanillaferry/process/result.hpp"
 #include "vanillaferry/process/target_state.hpp"
 
@@ -51,6 +52,10 @@
 /// An event that tells the caller why its stream ends.
 std::string errorEvent(const std::string &RefusalText);
 
+/// The chat's name in X-Cache-Key, cache events and KV orders: its hash in 16
+/// hexadecimal digits.
+std::string cacheKey(std::uint64_t Chat);
+
 /// A chat request for an engine. ResumeAt is the engine's own event offset of
 /// a stream that it already generates.
 TargetRequest engineRequest(const std::string &Url, const Forward &Order,
@@ -66,6 +71,22 @@
 /// like a complete one.
 bool isWholeJson(const std::string &Body);
 
+/// Path of GET /cache/events after an event; after none it asks for the last
+/// events of all kinds, which a new owner learns from, later for evictions
+/// only.
+std::string cacheEventsPath(std::uint64_t After);
+
+/// The answer to it; empty when malformed. Events without a key that the
+/// router gave are left out.
+std::optional<CacheAnswer> parseCacheEvents(const std::string &Text);
+
+/// Orders an engine to copy a chat's KV cache from another engine.
+TargetRequest engineImport(const std::string &Url, const std::string &Source,
+                           std::uint64_t Chat);
+
+/// Tokens that the answer to it says are held now; empty when none.
+std::optional<Tokens> parseImported(const std::string &Text);
+
 /// GET /load; empty when malformed.
 std::optional<LoadReport> parseLoadReport(const std::string &Text);
 
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -89,6 +89,53 @@
             });
 }
 
+void takeCacheEvents(Router &R, const PoolId &Pool, const TargetId &Target,
+                     const std::string &Text) {
+  TargetPoll &Poll = R.m_Polls[Target];
+  Poll.m_CacheRunning = false;
+  OwnedTarget *Own = findOwned(R, Pool, Target);
+  std::optional<CacheAnswer> Answer = parseCacheEvents(Text);
+  if (!Answer || !Own) {
+    addCounter(R.m_Metrics, "vanillaferry_cache_poll_failures_total");
+    return;
+  }
+  addCounter(R.m_Metrics, "vanillaferry_cache_event_bytes_total", Text.size());
+  CacheCorrection Done = takeCacheAnswer(Own->m_Prefixes, *Answer);
+  addCounter(R.m_Metrics, "vanillaferry_cache_evictions_total", Done.m_Evicted);
+  addCounter(R.m_Metrics, "vanillaferry_cache_doubtful_total", Done.m_Doubtful);
+  if (Answer->m_Lost > 0)
+    addCounter(R.m_Metrics, "vanillaferry_cache_lost_events_total",
+               Answer->m_Lost);
+  if (Done.m_NewInstance) {
+    // The load report, asked for at once, starts the cold ramp.
+    Poll.m_Next = Millis();
+    Poll.m_CacheNext = Millis();
+    logEvent(Event::CacheRestarted, {{"target", Target.m_Value},
+                                     {"instance", Answer->m_Instance},
+                                     {"dropped", Done.m_Doubtful}});
+  }
+}
+
+void pollCache(Router &R, const PoolId &Pool, const TargetSettings &Target,
+               Millis Now) {
+  OwnedTarget *Own = findOwned(R, Pool, Target.m_Id);
+  TargetPoll &Poll = R.m_Polls[Target.m_Id];
+  if (!Own || Target.m_CacheTokens.m_Value <= 0 || Poll.m_CacheRunning ||
+      Poll.m_CacheNext > Now)
+    return;
+  Poll.m_CacheNext = Now + Millis(CachePollMs);
+  Poll.m_CacheRunning = true;
+  std::uint64_t After = beginCachePoll(Own->m_Prefixes);
+  addCounter(R.m_Metrics, "vanillaferry_cache_polls_total");
+  fetchText(R.m_PollSession.get(), Target.m_Url + cacheEventsPath(After),
+            PollTimeoutMs,
+            [&R, Pool, Id = Target.m_Id,
+             Alive = std::weak_ptr<bool>(R.m_Alive)](const std::string &Text) {
+              if (!Alive.expired())
+                takeCacheEvents(R, Pool, Id, Text);
+            });
+}
+
 } // namespace
 
 void checkPolls(Router &R) {
@@ -100,8 +147,10 @@
        R.m_Document.m_Services) {
     if (Row.second.m_Kind != ServiceKind::Engine)
       continue;
-    for (const TargetSettings &Target : Row.second.m_Targets)
+    for (const TargetSettings &Target : Row.second.m_Targets) {
       pollTarget(R, Row.first, Target, Now);
+      pollCache(R, Row.first, Target, Now);
+    }
   }
 }
 
--- a/src/daemon/process/poller.hpp
+++ b/src/daemon/process/poller.hpp
@@ -12,6 +12,10 @@
 /// the report only shows restarts.
 constexpr std::int64_t LoadPollMs = 1000;
 
+/// Time between two reads of one target's cache events. Evictions correct the
+/// placement of chats that return after minutes, so they need no hurry.
+constexpr std::int64_t CachePollMs = 5000;
+
 /// Reads the VM list and the load reports and cache events of owned targets.
 void checkPolls(Router &R);
 
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -95,6 +95,9 @@
 struct TargetPoll {
   Millis m_Next;
   bool m_Running = false;
+  /// The same for cache events.
+  Millis m_CacheNext;
+  bool m_CacheRunning = false;
   /// The target takes no new work before this time, after a failed connection.
   Millis m_FailedUntil;
   std::uint32_t m_Failures = 0;
