Copy the chats of a leaving engine to the engines that rank next

Cause: when a zone was taken out, all chats of its engines computed their prefixes anew, although the engines still ran and could export.

Change: the owner of an engine that left the view orders the engine that now ranks first for each of the last used chats to import the prefix, at most 256 chats, 20 a second, 4 at a time, for 20 s; three failures in a row end it. It tells that engine's owner (message prefix_copied), which remembers the chat there and drops its redirect. Nothing is sent to the leaving engine but the read by the importing one. Counters, events 4005 and 4006.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -345,12 +345,22 @@
   TargetId m_Target;
 };
 
+/// Tells the owner of a target that the target imported a chat's prefix.
+struct PrefixCopied {
+  PoolId m_Pool;
+  TargetId m_Target;
+  /// Hash of the chat's id.
+  std::uint64_t m_Chat = 0;
+  Tokens m_Tokens;
+};
+
 /// Every message between two of the system's processes.
 using PeerMessage =
     std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
                  JournalBegin, JournalEnd, JournalAnswer, Forward,
                  ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
                  ForwardCancel, ForwardCredit, Placed, IdentityClaim,
-                 IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest>;
+                 IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest,
+                 PrefixCopied>;
 
 } // namespace vanillaferry
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -38,6 +38,7 @@
 KIND(LoadUpdate, 20)
 KIND(LoadTotals, 21)
 KIND(RenewRequest, 22)
+KIND(PrefixCopied, 23)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -320,4 +321,12 @@
   Visit("t", Data.m_Target);
 }
 
+template <typename V, typename M, IfMessage<M, PrefixCopied> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("p", Data.m_Pool);
+  Visit("t", Data.m_Target);
+  Visit("c", Data.m_Chat);
+  Visit("s", Data.m_Tokens);
+}
+
 } // namespace vanillaferry::internal
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -45,6 +45,9 @@
       notePlaced(Pool->second.m_Redirects, hashChat(Message.m_Chat),
                  Message.m_Home, Message.m_Target);
   }
+  void operator()(PrefixCopied &Message) {
+    takePrefixCopied(m_Router, Message);
+  }
   void operator()(Grant &Message) { takeGrantMessage(m_Router, Message); }
   void operator()(LoadTotals &Message) { takeLoadTotals(m_Router, Message); }
   void operator()(RenewRequest &) {
@@ -108,6 +111,11 @@
     if (Row.second->m_Call)
       Row.second->m_Call->cancel();
   }
+  for (const std::pair<const TargetId, TargetExport> &Row : m_Exports)
+    for (const std::pair<const std::uint64_t, PrefixCopy> &Copy :
+         Row.second.m_Copies)
+      if (Copy.second.m_Call)
+        Copy.second.m_Call->cancel();
 }
 
 void initializeRouter(Router &R, RouterSettings Settings) {
@@ -217,6 +225,7 @@
   checkQueues(R);
   checkJournal(R);
   checkPolls(R);
+  checkExports(R);
   checkDrained(R);
 }
 
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -4,6 +4,7 @@
 #include "connection/http_front.hpp"
 #include "connection/peer_task.hpp"
 #include "connection/target_client.hpp"
+#include "process/exporter.hpp"
 #include "process/mailbox.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
@@ -138,6 +139,10 @@
   std::map<PoolId, OwnerPool> m_OwnerPools;
   std::map<PoolId, FirstTokenWindow> m_FirstTokens;
   std::map<TargetId, TargetPoll> m_Polls;
+  /// Copies from targets that left the view.
+  std::map<TargetId, TargetExport> m_Exports;
+  /// Owned engines that were in service at the last tick.
+  std::set<TargetId> m_SeenInService;
   /// Residual counts of the last grant.
   std::map<TargetId, std::uint32_t> m_Residual;
 
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -336,6 +336,15 @@
     SAME(m_Home);
     SAME(m_Target);
   }
+  {
+    PrefixCopied Sent{PoolId("p"), TargetId("t"), 0xfedcba9876543210U,
+                      Tokens(900)};
+    PrefixCopied Got = roundTrip(Sent);
+    SAME(m_Pool);
+    SAME(m_Target);
+    SAME(m_Chat);
+    SAME(m_Tokens);
+  }
 }
 
 // Guards against a batch that loses or reorders messages.
--- a/tests/process/RouterFleet.cpp
+++ b/tests/process/RouterFleet.cpp
@@ -189,7 +189,7 @@
          {"cache_tokens", 200000},
          {"checks_fencing", true},
          {"resumes", true},
-         {"exports_kv", true}});
+         {"exports_kv", I != m_Plan.m_WithoutExport}});
   }
   json Ledger = {{"id", "ledger"},       {"vm", "vm-ledger"},
                  {"zone", "north"},      {"url", serviceUrl()},
--- a/tests/process/RouterFleet.hpp
+++ b/tests/process/RouterFleet.hpp
@@ -2,6 +2,7 @@
 
 #include "ProcessFleet.hpp"
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   std::uint32_t m_ColdLimit = 0;
   std::uint32_t m_MaxConcurrent = 32;
   bool m_Platform = false;
+  /// This engine's KV cache cannot be exported; none by default.
+  std::size_t m_WithoutExport = SIZE_MAX;
   std::vector<std::string> m_EngineArguments = {};
 };
 
