--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -4,6 +4,7 @@
 #include "connection/http_front.hpp"
 #include "connection/peer_task.hpp"
 #include "connection/target_client.hpp"
+#include "process/exporter.hpp"
 #include "process/mailbox.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
@@ -95,6 +96,9 @@
 struct TargetPoll {
   Millis m_Next;
   bool m_Running = false;
+  /// The same for cache events.
+  Millis m_CacheNext;
+  bool m_CacheRunning = false;
   /// The target takes no new work before this time, after a failed connection.
   Millis m_FailedUntil;
   std::uint32_t m_Failures = 0;
@@ -140,6 +144,10 @@
   std::map<PoolId, OwnerPool> m_OwnerPools;
   std::map<PoolId, FirstTokenWindow> m_FirstTokens;
   std::map<TargetId, TargetPoll> m_Polls;
+  /// Copies from targets that left the view.
+  std::map<TargetId, TargetExport> m_Exports;
+  /// Owned engines that were in service at the last tick.
+  std::set<TargetId> m_SeenInService;
   /// Residual counts of the last grant.
   std::map<TargetId, std::uint32_t> m_Residual;
 
@@ -149,6 +157,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Session>> m_Sessions;
   std::unordered_map<RequestId, std::shared_ptr<Run>> m_Runs;
   std::map<RequestId, ParkedOrder> m_ParkedOrders;
+  bool m_DecidingParked = false;
   std::map<RequestId, JournalCall> m_JournalBegins;
   std::map<RequestId, JournalCall> m_JournalEnds;
 
--- a/tests/process/RouterFleet.hpp
+++ b/tests/process/RouterFleet.hpp
@@ -2,6 +2,7 @@
 
 #include "ProcessFleet.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,8 @@
   std::vector<int> m_ListLagMs = {};
   /// Links to keepers, routers and engines run through proxies.
   bool m_Proxied = false;
+  /// This engine's KV cache cannot be exported; none by default.
+  std::size_t m_WithoutExport = SIZE_MAX;
   std::vector<std::string> m_EngineArguments = {};
 };
 
