--- a/include/vanillaferry/process/vm_reports.hpp
+++ b/include/vanillaferry/process/vm_reports.hpp
@@ -13,8 +13,9 @@
   Millis m_LeaseTime{3000};
   /// Lists are this old at most: the lag of 3 s and the read interval.
   Millis m_ListLag{4000};
-  /// The word of one router alone, or of one whose lease has ended, counts for
-  /// this time, so that one list that stands still keeps no VM out for ever.
+  /// The report of one router alone, or of one whose lease has ended, counts
+  /// for this time, so that one list that stands still keeps no VM out for
+  /// ever.
   Millis m_SingleMaxAge{60000};
 };
 
--- a/include/vanillaferry/version/pool.hpp
+++ b/include/vanillaferry/version/pool.hpp
@@ -83,7 +83,7 @@
   std::uint64_t m_Report = 0;
   /// Number of the report that the leader has taken.
   std::uint64_t m_ReportTaken = 0;
-  /// Leaving by the word of the fleet, whatever the own list says.
+  /// Leaving by the reports of other routers, whatever the own list says.
   std::set<VmId> m_FleetLeaving;
 };
 
--- a/src/core/process/prefix_cache.cpp
+++ b/src/core/process/prefix_cache.cpp
@@ -14,7 +14,7 @@
   }
 }
 
-/// The target's word that it stored a chat. It does not count as a run, which
+/// The target reported that it stored a chat. It does not count as a run, which
 /// would protect the chat from a later eviction.
 void noteStored(PrefixTable &Table, const CacheEvent &Event) {
   // A late event must not make the chat look shorter than the owner knows.
--- a/src/core/process/vm_reports.cpp
+++ b/src/core/process/vm_reports.cpp
@@ -25,7 +25,7 @@
   return Now < Node.m_RenewedAt + Reports.m_Options.m_LeaseTime;
 }
 
-/// Drops nodes that are gone and whose word no longer counts.
+/// Drops nodes that are gone and whose reports no longer count.
 void pruneNodes(VmReports &Reports, Millis Now) {
   const VmReportOptions &Options = Reports.m_Options;
   for (auto It = Reports.m_Nodes.begin(); It != Reports.m_Nodes.end();) {
@@ -35,19 +35,19 @@
 }
 
 /// What all reports together say of one VM.
-struct VmWord {
+struct VmStatements {
   /// When each router saw the leave, and whether that router is live.
   std::vector<std::pair<Millis, bool>> m_Leaving;
   std::optional<Millis> m_ReturnedAt;
 };
 
-bool isLeaving(const VmWord &Word, const VmReportOptions &Options, Millis Now) {
+bool isLeaving(const VmStatements &All, const VmReportOptions &Options,
+               Millis Now) {
   std::size_t Confirmed = 0;
   bool Fresh = false;
-  for (const std::pair<Millis, bool> &Turn : Word.m_Leaving) {
+  for (const std::pair<Millis, bool> &Turn : All.m_Leaving) {
     // A return seen more than the lag of lists after the leave is newer.
-    if (Word.m_ReturnedAt &&
-        Turn.first + Options.m_ListLag <= *Word.m_ReturnedAt)
+    if (All.m_ReturnedAt && Turn.first + Options.m_ListLag <= *All.m_ReturnedAt)
       continue;
     Confirmed += Turn.second ? 1 : 0;
     Fresh = Fresh || Now < Turn.first + Options.m_SingleMaxAge;
@@ -94,19 +94,19 @@
     return Reports.m_Leaving;
   Reports.m_LeavingAt = Now;
   Reports.m_Leaving.clear();
-  std::map<VmId, VmWord> Words;
+  std::map<VmId, VmStatements> ByVm;
   for (const std::pair<const NodeId, NodeVmReport> &Row : Reports.m_Nodes)
     for (const std::pair<const VmId, NodeVmReport::Turn> &Turn :
          Row.second.m_Turns) {
-      VmWord &Word = Words[Turn.first];
+      VmStatements &All = ByVm[Turn.first];
       Millis At = Turn.second.m_At;
       if (!Turn.second.m_Returned)
-        Word.m_Leaving.emplace_back(At, Row.second.m_Taken != 0 &&
-                                            isLive(Reports, Row.second, Now));
-      else if (!Word.m_ReturnedAt || *Word.m_ReturnedAt < At)
-        Word.m_ReturnedAt = At;
+        All.m_Leaving.emplace_back(At, Row.second.m_Taken != 0 &&
+                                           isLive(Reports, Row.second, Now));
+      else if (!All.m_ReturnedAt || *All.m_ReturnedAt < At)
+        All.m_ReturnedAt = At;
     }
-  for (const std::pair<const VmId, VmWord> &Row : Words)
+  for (const std::pair<const VmId, VmStatements> &Row : ByVm)
     if (isLeaving(Row.second, Reports.m_Options, Now))
       Reports.m_Leaving.insert(Row.first);
   return Reports.m_Leaving;
