--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -96,6 +96,11 @@
   VmId m_Vm;
 };
 
+/// An availability zone that operators have taken out of service.
+struct ZoneOut {
+  ZoneId m_Zone;
+};
+
 /// A router asks the leader to grant or renew its node lease.
 struct Renew {
   NodeId m_Node;
@@ -120,6 +125,8 @@
   /// True when m_Vms is that report; it is left out once it was taken.
   bool m_VmsStated = false;
   std::vector<VmStatement> m_Vms;
+  /// Version of the manifest that the node acts on; 0 for none.
+  std::uint64_t m_ManifestHeld = 0;
 };
 
 /// The leader's answer to Renew.
@@ -151,6 +158,14 @@
   /// False while reports may be missing: the set then ends no VM's leave.
   bool m_VmsComplete = false;
   std::vector<LeavingVm> m_LeavingVms;
+  /// Version of the manifest in force; 0 when there is none.
+  std::uint64_t m_ManifestVersion = 0;
+  /// Version that m_ManifestDelta applies to; 0 for the empty text.
+  std::uint64_t m_ManifestBase = 0;
+  /// Edit script to the manifest in force; empty when the node holds it.
+  std::string m_ManifestDelta;
+  /// All availability zones that are out of service.
+  std::vector<ZoneOut> m_ZonesOut;
 };
 
 /// A router reports its running requests between two renewals. It says nothing
@@ -384,6 +399,12 @@
   Tokens m_Tokens;
 };
 
+/// A keeper whose disk is not part of the keeper set asks for its vote.
+struct JoinKeepers {
+  KeeperId m_Keeper;
+  std::string m_PeerUrl;
+};
+
 /// Every message between two of the system's processes.
 using PeerMessage =
     std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
@@ -391,6 +412,6 @@
                  ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
                  ForwardCancel, ForwardCredit, Placed, IdentityClaim,
                  IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest,
-                 PrefixCopied>;
+                 PrefixCopied, JoinKeepers>;
 
 } // namespace vanillaferry
--- a/include/vanillaferry/process/reason.hpp
+++ b/include/vanillaferry/process/reason.hpp
@@ -22,12 +22,14 @@
   KeyExpired = 109,
   KeyFromFuture = 110,
   AccountDisabled = 111,
+  UnknownRoute = 112,
   // Limits.
   AccountConcurrency = 200,
   AccountRate = 201,
   QueueFull = 202,
   DeadlineUnreachable = 203,
   StreamTooLarge = 204,
+  ColdTargets = 205,
   // The fleet's state.
   NoLease = 300,
   NotReady = 301,
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -81,14 +81,45 @@
   UnixMillis m_Now;
 };
 
-using Command =
-    std::variant<EditSection, AddMember, RemoveMember, JournalBegin, JournalEnd,
-                 BeginOrder, EndOrder, AdvanceClock, StartOrder>;
+/// Replaces the manifest if the version is higher than the one held and the
+/// edit script was made from the one held.
+struct ReplaceManifest {
+  std::uint64_t m_Version = 0;
+  /// Version of the text that m_Delta applies to; 0 for the empty text.
+  std::uint64_t m_BaseVersion = 0;
+  /// Edit script of makeTextDelta().
+  std::string m_Delta;
+};
+
+/// Takes all targets of an availability zone out of service or back.
+struct SetZoneOut {
+  ZoneId m_Zone;
+  bool m_Out = false;
+};
+
+using Command = std::variant<EditSection, AddMember, RemoveMember, JournalBegin,
+                             JournalEnd, BeginOrder, EndOrder, AdvanceClock,
+                             StartOrder, ReplaceManifest, SetZoneOut>;
 
 /// What applying a command answered.
 struct NoAnswer {};
-using CommandAnswer =
-    std::variant<NoAnswer, EditAnswer, JournalAnswer, EngineOrder>;
+
+/// What became of a ReplaceManifest.
+enum class ManifestOutcome : std::uint8_t {
+  InForce,
+  /// The version held is as high or higher; nothing changed.
+  Superseded,
+  /// The edit script was made from another version; it must be made anew.
+  BaseChanged,
+};
+struct ManifestAnswer {
+  ManifestOutcome m_Outcome = ManifestOutcome::InForce;
+  /// Version held after the command.
+  std::uint64_t m_Version = 0;
+};
+
+using CommandAnswer = std::variant<NoAnswer, EditAnswer, JournalAnswer,
+                                   EngineOrder, ManifestAnswer>;
 
 /// Incarnations of a node that joined, oldest first; incarnations are random,
 /// so only this order tells a restarted process from a late message of the old
@@ -113,6 +144,12 @@
 /// 300 bytes each they add 3 MB to a snapshot.
 constexpr std::size_t OrderLimit = 10000;
 
+/// The manifest in force, as the operator sent it.
+struct StoredManifest {
+  std::uint64_t m_Version = 0;
+  std::string m_Text;
+};
+
 /// Everything the replicated log decides. Equal logs give equal states.
 struct StateMachine {
   LogIndex m_Applied;
@@ -123,6 +160,10 @@
   Journal m_Journal;
   std::map<std::string, EngineOrder> m_Orders;
   UnixMillis m_Clock;
+  /// A change of the manifest or of the zones that are out also raises the
+  /// document's version, by which routers learn of changes.
+  StoredManifest m_Manifest;
+  std::vector<ZoneId> m_ZonesOut;
 };
 
 /// True when an AddMember of this incarnation would be ignored because another
--- /dev/null
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/units.hpp"
+#include "vanillaferry/request/rate_window.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillaferry {
+
+/// One part of a prompt; requests share their first parts.
+struct PromptPart {
+  std::string m_Id;
+  Tokens m_Tokens;
+};
+
+/// Load that a target states itself.
+struct TargetReport {
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+  std::uint32_t m_Slots = 0;
+};
+
+/// A target as the platform lists it.
+struct ListedTarget {
+  TargetId m_Id;
+  PoolId m_Service;
+  /// IP:PORT.
+  std::string m_Address;
+  ZoneId m_Zone;
+  /// Requests that it runs at once.
+  std::uint32_t m_Slots = 0;
+  bool m_Leaving = false;
+  /// Rest of its cold start; 0 when it is warm.
+  Millis m_ColdLeft;
+};
+
+/// What this router knows of one target, from its own requests and from the
+/// reports in the answers.
+struct DispatchTarget {
+  ListedTarget m_Listed;
+  /// Own requests that run there.
+  std::uint32_t m_Running = 0;
+  std::optional<TargetReport> m_Report;
+  Millis m_ReportedAt;
+  /// Own starts less own ends since the report.
+  std::int64_t m_SinceReport = 0;
+  /// Own dispatches of the last moments, against the cold limit.
+  RateWindow m_Starts;
+  /// Own dispatches per window, since a target may turn cold unannounced; 0 for
+  /// no limit.
+  double m_ColdShare = 0;
+  Millis m_ColdUntil;
+  /// Share of failed requests, as a moving average.
+  double m_FailureRate = 0;
+  std::uint32_t m_FailuresInRow = 0;
+  /// Gets nothing before this time, unless every target is paused.
+  Millis m_PausedUntil;
+};
+
+/// What all dispatches to a service keep to.
+struct DispatchLimits {
+  /// The part of the mean load that a target may carry above it.
+  double m_Spread = 1.3;
+};
+
+/// The targets of one service.
+struct DispatchPool {
+  std::map<TargetId, DispatchTarget> m_Targets;
+  DispatchLimits m_Limits;
+  bool m_Engine = false;
+};
+
+/// Why no target was chosen.
+enum class NoTarget : std::uint8_t {
+  None,
+  /// None is listed, in service and untried.
+  NoneInService,
+  AllFull,
+  /// Each has as many requests as a cold target bears.
+  ColdLimit,
+};
+
+/// What a request asks of its target.
+struct DispatchNeed {
+  /// Hash of the prompt parts that other requests share; 0 for none.
+  std::uint64_t m_PrefixHash = 0;
+  Tokens m_PrefixTokens;
+  std::set<TargetId> m_Excluded;
+  std::set<ZoneId> m_ZonesOut;
+  /// Breaks ties between equal targets.
+  std::uint64_t m_Random = 0;
+};
+
+struct DispatchChoice {
+  TargetId m_Target;
+  NoTarget m_Refusal = NoTarget::None;
+  /// Estimated load of the chosen target and mean of the pool, for the log.
+  double m_Load = 0;
+  double m_Mean = 0;
+  /// When a place is expected to be free.
+  Millis m_RetryAfter;
+};
+
+/// Chooses a target. Requests that share a prompt prefix go to the same few
+/// engines by rendezvous hashing (Thaler and Ravishankar 1998), so that every
+/// router finds the copy without knowing the caches; a longer prefix is worth
+/// a narrower choice. Within the choice, and where all of it carries more than
+/// the spread allows, the least loaded target is taken.
+DispatchChoice chooseTarget(DispatchPool &Pool, const DispatchNeed &Need,
+                            Millis Now);
+
+/// Replaces the pool's targets by the listed ones. Targets that left are kept
+/// while own requests run there, but are not chosen.
+void takeListedTargets(DispatchPool &Pool,
+                       const std::vector<ListedTarget> &Listed, Millis ColdTime,
+                       bool FirstList, Millis Now);
+
+/// How a request at a target ended, as far as the target's state is concerned.
+enum class TargetOutcome : std::uint8_t {
+  Served,
+  /// It stated that it did not run the request.
+  Refused,
+  Failed,
+  /// No connection came up.
+  Unreachable,
+  /// The router ended the request for its own reasons.
+  Abandoned,
+};
+
+void noteStarted(DispatchTarget &Target, Millis Now);
+void noteEnded(DispatchTarget &Target, TargetOutcome How, Millis Now);
+void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
+
+/// Estimated requests at the target, with those of other routers.
+double estimatedLoad(const DispatchTarget &Target, Millis Now);
+
+/// This router's share of a limit per second that all routers keep together.
+/// With more routers than the limit allows requests, only the routers that rank
+/// first for the target get a share, of one.
+double coldShareOf(double LimitPerSecond, const TargetId &Target,
+                   const NodeId &Self, const std::vector<NodeId> &Routers);
+
+/// Hash of all prompt parts but the last, which no other request has.
+std::uint64_t hashSharedPrefix(const std::vector<PromptPart> &Parts,
+                               Tokens &SharedTokens);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/include/vanillaferry/request/rate_window.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "vanillaferry/process/units.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+
+namespace vanillaferry {
+
+/// Times of the events of a sliding window.
+struct RateWindow {
+  Millis m_Length{1000};
+  std::deque<Millis> m_Times;
+};
+
+void noteEvent(RateWindow &Window, Millis Now);
+std::size_t eventsWithin(RateWindow &Window, Millis Now);
+
+/// Limit on the repeats of a service's requests that one router may send. All
+/// routers together keep the limit when each keeps its share, so it holds
+/// without messages, also for a router that is cut off.
+struct RepeatBudget {
+  /// Repeats per request of the window.
+  double m_Ratio = 0.2;
+  /// Repeats per window that need no requests; this router's share.
+  double m_Extra = 0;
+  RateWindow m_Requests;
+  RateWindow m_Repeats;
+};
+
+RepeatBudget makeRepeatBudget(double Ratio, double Extra, Millis Length);
+
+/// Takes one repeat from the budget; false when it is spent.
+bool takeRepeat(RepeatBudget &Budget, Millis Now);
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/core/process/keeper_repair.cpp
@@ -0,0 +1,101 @@
+#include "vanillaferry/process/keeper_repair.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+using Addresses = std::vector<KeeperAddress>;
+
+const KeeperAddress *findByUrl(const Addresses &All,
+                               const KeeperAddress &Like) {
+  Addresses::const_iterator Found =
+      std::find_if(All.begin(), All.end(), [&Like](const KeeperAddress &Each) {
+        return Each.m_PeerUrl == Like.m_PeerUrl &&
+               Each.m_Keeper != Like.m_Keeper;
+      });
+  return Found == All.end() ? nullptr : &*Found;
+}
+
+bool contains(const Addresses &All, const KeeperId &Keeper) {
+  return std::any_of(
+      All.begin(), All.end(),
+      [&Keeper](const KeeperAddress &Each) { return Each.m_Keeper == Keeper; });
+}
+
+bool isRemoved(const KeeperSet &Set, const KeeperId &Keeper) {
+  return std::find(Set.m_Removed.begin(), Set.m_Removed.end(), Keeper) !=
+         Set.m_Removed.end();
+}
+
+RepairStep step(RepairStep::Kind What, const KeeperAddress &Keeper) {
+  return {What, Keeper};
+}
+
+/// A learner that may get its vote, or what must go first.
+RepairStep promotionStep(const Replica &State) {
+  for (const KeeperId &Ready : caughtUpLearners(State))
+    for (const KeeperAddress &Learner : State.m_Set.m_Learners) {
+      if (Learner.m_Keeper != Ready)
+        continue;
+      const KeeperAddress *Former = findByUrl(State.m_Set.m_Voters, Learner);
+      return Former ? step(RepairStep::Kind::Remove, *Former)
+                    : step(RepairStep::Kind::Promote, Learner);
+    }
+  return {};
+}
+
+RepairStep additionStep(const Replica &State,
+                        const std::map<KeeperId, JoiningKeeper> &Joining,
+                        Millis Now) {
+  const KeeperSet &Set = State.m_Set;
+  for (const std::pair<const KeeperId, JoiningKeeper> &Row : Joining) {
+    const KeeperAddress &Address = Row.second.m_Address;
+    if (Row.second.m_LastAsked + JoinRequestLifetime < Now ||
+        contains(Set.m_Voters, Row.first) ||
+        contains(Set.m_Learners, Row.first) || isRemoved(Set, Row.first))
+      continue;
+    const KeeperAddress *Former = findByUrl(Set.m_Learners, Address);
+    return Former ? step(RepairStep::Kind::Remove, *Former)
+                  : step(RepairStep::Kind::AddLearner, Address);
+  }
+  return {};
+}
+
+bool isSilent(const Replica &State, const KeeperId &Keeper, Millis Now) {
+  std::map<KeeperId, PeerProgress>::const_iterator Peer =
+      State.m_Peers.find(Keeper);
+  Millis Last = State.m_LedSince;
+  if (Peer != State.m_Peers.end())
+    Last = std::max(Last, Peer->second.m_LastAnswer);
+  return Last + LostVoterSilence < Now;
+}
+
+RepairStep removalStep(const Replica &State, std::size_t MinVoters,
+                       Millis Now) {
+  if (State.m_Set.m_Voters.size() <= MinVoters)
+    return {};
+  for (const Addresses *All : {&State.m_Set.m_Learners, &State.m_Set.m_Voters})
+    for (const KeeperAddress &Each : *All)
+      if (Each.m_Keeper != State.m_Self && isSilent(State, Each.m_Keeper, Now))
+        return step(RepairStep::Kind::Remove, Each);
+  return {};
+}
+
+} // namespace
+
+RepairStep nextRepair(const Replica &State,
+                      const std::map<KeeperId, JoiningKeeper> &Joining,
+                      std::size_t MinVoters, Millis Now) {
+  if (State.m_Role != ReplicaRole::Leader)
+    return {};
+  RepairStep Next = promotionStep(State);
+  if (Next.m_Kind == RepairStep::Kind::None)
+    Next = additionStep(State, Joining, Now);
+  if (Next.m_Kind == RepairStep::Kind::None)
+    Next = removalStep(State, MinVoters, Now);
+  return Next;
+}
+
+} // namespace vanillaferry
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -132,6 +132,9 @@
   Granted.m_Version = State.m_Document.m_Version;
   Granted.m_Sections =
       changedSections(State.m_Document, Request.m_AckedVersion);
+  Granted.m_ManifestVersion = State.m_Manifest.m_Version;
+  for (const ZoneId &Zone : State.m_ZonesOut)
+    Granted.m_ZonesOut.push_back({Zone});
   Granted.m_Totals = poolTotals(Table, Now);
   Granted.m_Residual =
       residualLoads(Table, State, Request.m_Node, Request.m_Incarnation, Now);
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -6,7 +6,7 @@
 namespace vanillaferry {
 
 /// Raised when a field changes its meaning; older snapshots are then refused.
-constexpr std::uint32_t StateFormat = 1;
+constexpr std::uint32_t StateFormat = 2;
 
 template <> struct EnumLimit<EditStatus> {
   static constexpr EditStatus Last = EditStatus::EditIdReused;
@@ -108,6 +108,24 @@
   A("now", C.m_Now);
 }
 
+template <typename Archive>
+static void describe(Archive &A, ReplaceManifest &R) {
+  A("version", R.m_Version);
+  A("base", R.m_BaseVersion);
+  A("delta", R.m_Delta);
+}
+
+template <typename Archive> static void describe(Archive &A, SetZoneOut &S) {
+  A("zone", S.m_Zone);
+  A("out", S.m_Out);
+}
+
+template <typename Archive>
+static void describe(Archive &A, StoredManifest &M) {
+  A("version", M.m_Version);
+  A("text", M.m_Text);
+}
+
 template <typename Archive>
 static void describe(Archive &A, SectionRevision &R) {
   A("version", R.m_Version);
@@ -176,6 +194,8 @@
   A("journal", S.m_Journal);
   A("orders", S.m_Orders);
   A("clock", S.m_Clock);
+  A("manifest", S.m_Manifest);
+  A("zones_out", S.m_ZonesOut);
 }
 
 namespace {
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -1,5 +1,7 @@
 #include "vanillaferry/process/state_machine.hpp"
 
+#include "vanillaferry/version/text_delta.hpp"
+
 #include <algorithm>
 
 namespace vanillaferry {
@@ -180,6 +182,39 @@
   return NoAnswer();
 }
 
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const ReplaceManifest &Input) {
+  StoredManifest &Held = State.m_Manifest;
+  if (Input.m_Version <= Held.m_Version)
+    return ManifestAnswer{ManifestOutcome::Superseded, Held.m_Version};
+  const std::string Empty;
+  bool FromEmpty = Input.m_BaseVersion == 0;
+  if (!FromEmpty && Input.m_BaseVersion != Held.m_Version)
+    return ManifestAnswer{ManifestOutcome::BaseChanged, Held.m_Version};
+  Result<std::string> Text =
+      applyTextDelta(FromEmpty ? Empty : Held.m_Text, Input.m_Delta);
+  if (!Text)
+    return ManifestAnswer{ManifestOutcome::BaseChanged, Held.m_Version};
+  Held = StoredManifest{Input.m_Version, std::move(Text.value())};
+  State.m_Document.m_Version = DocumentVersion(Index.m_Value);
+  return ManifestAnswer{ManifestOutcome::InForce, Held.m_Version};
+}
+
+CommandAnswer apply(StateMachine &State, LogIndex Index,
+                    const SetZoneOut &Input) {
+  std::vector<ZoneId> &Out = State.m_ZonesOut;
+  std::vector<ZoneId>::iterator Found =
+      std::find(Out.begin(), Out.end(), Input.m_Zone);
+  if ((Found != Out.end()) == Input.m_Out)
+    return NoAnswer();
+  if (Input.m_Out)
+    Out.push_back(Input.m_Zone);
+  else
+    Out.erase(Found);
+  State.m_Document.m_Version = DocumentVersion(Index.m_Value);
+  return NoAnswer();
+}
+
 } // namespace
 
 bool isReplaced(const StateMachine &State, const NodeId &Node,
--- /dev/null
+++ b/src/core/request/dispatch.cpp
@@ -0,0 +1,266 @@
+#include "vanillaferry/request/dispatch.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <xxhash.h>
+
+namespace vanillaferry {
+
+namespace {
+
+/// Longer than the second of the limit, because dispatches of a second may
+/// arrive closer together than they left.
+constexpr Millis ColdWindow{1200};
+/// An older report says little about short requests.
+constexpr Millis ReportLifetime{3000};
+constexpr Millis FirstPause{300};
+constexpr Millis LongestPause{4000};
+constexpr std::uint32_t LargestPauseStep = 4;
+constexpr double FailureWeight = 0.1;
+/// Load by which a target looks fuller for each failed request of ten.
+constexpr double FailurePenalty = 30;
+/// Requests above the mean that are always allowed, so that a nearly idle pool
+/// still keeps requests of a prefix together.
+constexpr double SpreadSlack = 2;
+/// Prefixes from this size on keep to fewer engines: reading them again costs
+/// more than waiting behind a few requests.
+constexpr Tokens LongPrefix{4000};
+constexpr std::size_t LongPrefixChoices = 2;
+constexpr std::size_t ShortPrefixChoices = 4;
+constexpr Millis RetryWhenFull{400};
+constexpr Millis RetryWhenNone{700};
+
+struct Candidate {
+  DispatchTarget *m_Target = nullptr;
+  double m_Load = 0;
+  std::uint64_t m_Rank = 0;
+};
+
+std::uint64_t rankOf(const TargetId &Target, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Target.m_Value.data(), Target.m_Value.size(),
+                              Seed);
+}
+
+bool isOpen(const DispatchTarget &Target, const DispatchNeed &Need) {
+  return !Target.m_Listed.m_Leaving &&
+         Need.m_Excluded.count(Target.m_Listed.m_Id) == 0 &&
+         Need.m_ZonesOut.count(Target.m_Listed.m_Zone) == 0;
+}
+
+bool withinColdLimit(DispatchTarget &Target, Millis Now) {
+  return Target.m_ColdShare <= 0 ||
+         static_cast<double>(eventsWithin(Target.m_Starts, Now)) + 1 <=
+             Target.m_ColdShare;
+}
+
+/// Listed targets that may get a request; those without a pause if any.
+std::vector<Candidate> openTargets(DispatchPool &Pool, const DispatchNeed &Need,
+                                   Millis Now) {
+  std::vector<Candidate> Open;
+  std::vector<Candidate> Paused;
+  for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets) {
+    DispatchTarget &Target = Row.second;
+    if (!isOpen(Target, Need))
+      continue;
+    Candidate Each{&Target,
+                   estimatedLoad(Target, Now) +
+                       FailurePenalty * Target.m_FailureRate,
+                   rankOf(Row.first, Need.m_PrefixHash ? Need.m_PrefixHash
+                                                       : Need.m_Random)};
+    (Target.m_PausedUntil > Now ? Paused : Open).push_back(Each);
+  }
+  return Open.empty() ? Paused : Open;
+}
+
+bool isFull(const DispatchTarget &Target, Millis Now) {
+  std::uint32_t Slots = std::max(Target.m_Listed.m_Slots, std::uint32_t(1));
+  return estimatedLoad(Target, Now) >= static_cast<double>(Slots);
+}
+
+void keepIf(std::vector<Candidate> &All,
+            const std::function<bool(const Candidate &)> &Keep) {
+  All.erase(
+      std::remove_if(All.begin(), All.end(),
+                     [&Keep](const Candidate &Each) { return !Keep(Each); }),
+      All.end());
+}
+
+double meanLoad(const std::vector<Candidate> &All) {
+  double Total = 0;
+  for (const Candidate &Each : All)
+    Total += Each.m_Load;
+  return All.empty() ? 0 : Total / static_cast<double>(All.size());
+}
+
+const Candidate &leastLoaded(const std::vector<Candidate> &All) {
+  return *std::min_element(
+      All.begin(), All.end(), [](const Candidate &A, const Candidate &B) {
+        return A.m_Load < B.m_Load ||
+               (A.m_Load == B.m_Load && A.m_Rank > B.m_Rank);
+      });
+}
+
+/// The least loaded of the engines that rank first for the prefix and carry no
+/// more than the spread allows; null when all of them carry more.
+const Candidate *preferred(std::vector<Candidate> &All,
+                           const DispatchNeed &Need, double Bound) {
+  std::sort(All.begin(), All.end(), [](const Candidate &A, const Candidate &B) {
+    return A.m_Rank > B.m_Rank;
+  });
+  std::size_t Choices =
+      Need.m_PrefixTokens < LongPrefix ? ShortPrefixChoices : LongPrefixChoices;
+  const Candidate *Best = nullptr;
+  for (std::size_t Index = 0; Index < std::min(Choices, All.size()); ++Index) {
+    const Candidate &Each = All[Index];
+    if (Each.m_Load <= Bound && (!Best || Each.m_Load < Best->m_Load))
+      Best = &Each;
+  }
+  return Best;
+}
+
+DispatchChoice refused(NoTarget Why, Millis RetryAfter) {
+  DispatchChoice Choice;
+  Choice.m_Refusal = Why;
+  Choice.m_RetryAfter = RetryAfter;
+  return Choice;
+}
+
+Millis pauseAfter(std::uint32_t Failures) {
+  std::uint32_t Step = std::min(Failures - 1, LargestPauseStep);
+  return std::min(Millis(FirstPause.m_Value << Step), LongestPause);
+}
+
+} // namespace
+
+DispatchChoice chooseTarget(DispatchPool &Pool, const DispatchNeed &Need,
+                            Millis Now) {
+  std::vector<Candidate> All = openTargets(Pool, Need, Now);
+  if (All.empty())
+    return refused(NoTarget::NoneInService, RetryWhenNone);
+  double Mean = meanLoad(All);
+  keepIf(All,
+         [Now](const Candidate &Each) { return !isFull(*Each.m_Target, Now); });
+  if (All.empty())
+    return refused(NoTarget::AllFull, RetryWhenFull);
+  keepIf(All, [Now](const Candidate &Each) {
+    return withinColdLimit(*Each.m_Target, Now);
+  });
+  if (All.empty())
+    return refused(NoTarget::ColdLimit, RetryWhenFull);
+  const Candidate *Chosen = nullptr;
+  if (Need.m_PrefixHash != 0)
+    Chosen = preferred(All, Need, Mean * Pool.m_Limits.m_Spread + SpreadSlack);
+  if (!Chosen)
+    Chosen = &leastLoaded(All);
+  DispatchChoice Choice;
+  Choice.m_Target = Chosen->m_Target->m_Listed.m_Id;
+  Choice.m_Load = Chosen->m_Load;
+  Choice.m_Mean = Mean;
+  return Choice;
+}
+
+void takeListedTargets(DispatchPool &Pool,
+                       const std::vector<ListedTarget> &Listed, Millis ColdTime,
+                       bool FirstList, Millis Now) {
+  std::set<TargetId> Present;
+  for (const ListedTarget &Entry : Listed) {
+    Present.insert(Entry.m_Id);
+    bool IsNew = Pool.m_Targets.count(Entry.m_Id) == 0;
+    DispatchTarget &Target = Pool.m_Targets[Entry.m_Id];
+    Target.m_Listed = Entry;
+    Target.m_Starts.m_Length = ColdWindow;
+    if (Entry.m_ColdLeft > Millis(0))
+      Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdLeft);
+    if (IsNew && !FirstList)
+      Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + ColdTime);
+  }
+  std::map<TargetId, DispatchTarget>::iterator Row = Pool.m_Targets.begin();
+  while (Row != Pool.m_Targets.end()) {
+    if (Present.count(Row->first) != 0) {
+      ++Row;
+      continue;
+    }
+    Row->second.m_Listed.m_Leaving = true;
+    Row =
+        Row->second.m_Running > 0 ? std::next(Row) : Pool.m_Targets.erase(Row);
+  }
+}
+
+void noteStarted(DispatchTarget &Target, Millis Now) {
+  ++Target.m_Running;
+  ++Target.m_SinceReport;
+  noteEvent(Target.m_Starts, Now);
+}
+
+void noteEnded(DispatchTarget &Target, TargetOutcome How, Millis Now) {
+  if (Target.m_Running > 0)
+    --Target.m_Running;
+  --Target.m_SinceReport;
+  if (How == TargetOutcome::Abandoned || How == TargetOutcome::Refused)
+    return;
+  bool Failed = How != TargetOutcome::Served;
+  Target.m_FailureRate +=
+      FailureWeight * ((Failed ? 1.0 : 0.0) - Target.m_FailureRate);
+  if (!Failed) {
+    Target.m_FailuresInRow = 0;
+    Target.m_PausedUntil = Millis();
+    return;
+  }
+  ++Target.m_FailuresInRow;
+  // A single failed answer may be the request's own fault.
+  if (How == TargetOutcome::Unreachable || Target.m_FailuresInRow > 1)
+    Target.m_PausedUntil = Now + pauseAfter(Target.m_FailuresInRow);
+}
+
+void noteReport(DispatchTarget &Target, const TargetReport &Report,
+                Millis Now) {
+  Target.m_Report = Report;
+  Target.m_ReportedAt = Now;
+  Target.m_SinceReport = 0;
+}
+
+double estimatedLoad(const DispatchTarget &Target, Millis Now) {
+  double Own = static_cast<double>(Target.m_Running);
+  if (!Target.m_Report || Target.m_ReportedAt + ReportLifetime < Now)
+    return Own;
+  double Stated = static_cast<double>(Target.m_Report->m_Running) +
+                  static_cast<double>(Target.m_Report->m_Waiting) +
+                  static_cast<double>(Target.m_SinceReport);
+  return std::max(Own, Stated);
+}
+
+double coldShareOf(double LimitPerSecond, const TargetId &Target,
+                   const NodeId &Self, const std::vector<NodeId> &Routers) {
+  if (LimitPerSecond <= 0)
+    return 0;
+  double Count = static_cast<double>(std::max(Routers.size(), std::size_t(1)));
+  if (Count <= LimitPerSecond)
+    return static_cast<double>(
+        static_cast<std::int64_t>(LimitPerSecond / Count));
+  std::uint64_t Seed = rankOf(Target, 0);
+  auto ScoreOf = [Seed](const NodeId &Node) {
+    return XXH3_64bits_withSeed(Node.m_Value.data(), Node.m_Value.size(), Seed);
+  };
+  std::uint64_t Own = ScoreOf(Self);
+  double Before = 0;
+  for (const NodeId &Other : Routers)
+    if (ScoreOf(Other) > Own)
+      ++Before;
+  // Below one, no request is within the share.
+  constexpr double NoShare = 0.5;
+  return Before + 1 <= LimitPerSecond ? 1 : NoShare;
+}
+
+std::uint64_t hashSharedPrefix(const std::vector<PromptPart> &Parts,
+                               Tokens &SharedTokens) {
+  SharedTokens = Tokens(0);
+  std::uint64_t Hash = 0;
+  for (std::size_t Index = 0; Index + 1 < Parts.size(); ++Index) {
+    const PromptPart &Part = Parts[Index];
+    Hash = XXH3_64bits_withSeed(Part.m_Id.data(), Part.m_Id.size(), Hash);
+    SharedTokens = SharedTokens + Part.m_Tokens;
+  }
+  return Hash;
+}
+
+} // namespace vanillaferry
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -39,6 +39,7 @@
 KIND(LoadTotals, 21)
 KIND(RenewRequest, 22)
 KIND(PrefixCopied, 23)
+KIND(JoinKeepers, 24)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -139,6 +140,11 @@
   Visit("v", Data.m_Vm);
 }
 
+template <typename V, typename M, IfMessage<M, ZoneOut> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("z", Data.m_Zone);
+}
+
 template <typename V, typename M, IfMessage<M, Renew> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("n", Data.m_Node);
@@ -157,6 +163,7 @@
   Visit("h", Data.m_VmsHeld);
   Visit("w", Data.m_VmsStated);
   Visit("x", Data.m_Vms);
+  Visit("f", Data.m_ManifestHeld);
 }
 
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
@@ -176,6 +183,10 @@
   Visit("h", Data.m_VmsListed);
   Visit("o", Data.m_VmsComplete);
   Visit("l", Data.m_LeavingVms);
+  Visit("mv", Data.m_ManifestVersion);
+  Visit("mb", Data.m_ManifestBase);
+  Visit("md", Data.m_ManifestDelta);
+  Visit("zo", Data.m_ZonesOut);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
@@ -350,4 +361,10 @@
   Visit("s", Data.m_Tokens);
 }
 
+template <typename V, typename M, IfMessage<M, JoinKeepers> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("k", Data.m_Keeper);
+  Visit("u", Data.m_PeerUrl);
+}
+
 } // namespace vanillaferry::internal
--- a/src/daemon/connection/operator_http.cpp
+++ b/src/daemon/connection/operator_http.cpp
@@ -85,6 +85,10 @@
   send(HttpStatus, "text/plain; charset=utf-8", Text);
 }
 
+void HttpExchange::answerJsonText(int HttpStatus, const std::string &Text) {
+  send(HttpStatus, "application/json", Text);
+}
+
 void HttpExchange::send(int HttpStatus, const char *ContentType,
                         const std::string &Body) {
   if (m_Answered)
--- a/src/daemon/connection/operator_http.hpp
+++ b/src/daemon/connection/operator_http.hpp
@@ -30,6 +30,8 @@
   /// Sends the answer; only the first call counts.
   void answer(int HttpStatus, const nlohmann::json &Body);
   void answerText(int HttpStatus, const std::string &Text);
+  /// Sends JSON that was kept as text.
+  void answerJsonText(int HttpStatus, const std::string &Text);
 
 private:
   void send(int HttpStatus, const char *ContentType, const std::string &Body);
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -23,6 +23,17 @@
   return Value ? Value : "";
 }
 
+HttpFields allFields(SoupMessageHeaders *Headers) {
+  HttpFields Fields;
+  SoupMessageHeadersIter Iter;
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  soup_message_headers_iter_init(&Iter, Headers);
+  while (soup_message_headers_iter_next(&Iter, &Name, &Value))
+    Fields.emplace_back(Name, Value);
+  return Fields;
+}
+
 } // namespace
 
 GHandle<SoupSession> makeTargetSession() {
@@ -130,6 +141,7 @@
   Head.m_Status = static_cast<int>(soup_message_get_status(m_Message.get()));
   Head.m_ContentType = fieldOf(Headers, "Content-Type");
   Head.m_RequestId = fieldOf(Headers, "X-Request-Id");
+  Head.m_Fields = allFields(Headers);
   std::shared_ptr<CallHandlers> Handlers = m_Handlers;
   Handlers->m_OnHead(Head);
   if (m_Done)
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -30,6 +30,8 @@
   std::string m_ContentType;
   /// The target's X-Request-Id; empty when it sends none.
   std::string m_RequestId;
+  /// All fields of the head, as the target wrote them.
+  HttpFields m_Fields;
 };
 
 /// How one HTTP exchange with a target ended.
--- /dev/null
+++ b/src/daemon/gateway/exchange.cpp
@@ -0,0 +1,328 @@
+#include "gateway/exchange.hpp"
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace vanillaferry {
+
+namespace {
+
+/// A target on the same network accepts within a few milliseconds; a longer
+/// wait means a lost packet or a target that is gone.
+constexpr Millis ConnectTimeout{400};
+/// Times the objective after which a silent try is given up for another one.
+constexpr std::int64_t PatienceFactor = 2;
+constexpr Millis LeastPatience{350};
+/// Less is not enough for a target to answer.
+constexpr Millis LeastTimeLeft{15};
+/// Refused and unreachable targets that one request may walk.
+constexpr int MaxTries = 4;
+constexpr Millis RetryWithoutLease{700};
+
+std::string hostOf(const std::string &Field) {
+  return Field.substr(0, Field.find(':'));
+}
+
+std::string seconds(Millis Time) {
+  constexpr double MillisPerSecond = 1000;
+  char Text[24];
+  std::snprintf(Text, sizeof Text, "%.2f",
+                static_cast<double>(Time.m_Value) / MillisPerSecond);
+  return Text;
+}
+
+std::uint64_t hashText(const std::string &Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+} // namespace
+
+void Exchange::start(Gateway &G, std::shared_ptr<Caller> Sender,
+                     CallerRequest Request) {
+  std::shared_ptr<Exchange> Self =
+      std::make_shared<Exchange>(G, std::move(Sender), std::move(Request));
+  G.m_Exchanges.insert(Self);
+  Self->begin();
+}
+
+Exchange::Exchange(Gateway &G, std::shared_ptr<Caller> Sender,
+                   CallerRequest Request)
+    : m_Gateway(G), m_Caller(std::move(Sender)), m_Raw(std::move(Request)),
+      m_Begun(monotonicNow()) {}
+
+void Exchange::begin() {
+  m_Caller->m_OnGone = [Weak = weak_from_this()] {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onCallerGone();
+  };
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_requests_total");
+  if (!admit())
+    return;
+  startTimers();
+  dispatch();
+}
+
+bool Exchange::admit() {
+  Result<RoutedRequest> Decoded = m_Gateway.m_Protocol->m_ReadRequest(m_Raw);
+  if (!Decoded) {
+    refuse(RefusalReason::MalformedRequest, Millis(0), Decoded.error().m_Text);
+    return false;
+  }
+  m_Request = std::move(Decoded.value());
+  const RouteTable &Routes = m_Gateway.m_Control.m_Routes;
+  if (Routes.m_Manifest.m_Version == 0 ||
+      !leaseHolds(m_Gateway.m_Lease, monotonicNow())) {
+    refuse(RefusalReason::NoLease, RetryWithoutLease,
+           "this router does not know what is in force at present");
+    return false;
+  }
+  const ManifestRoute *Route =
+      findRoute(Routes, hostOf(m_Request.m_Host), m_Raw.m_Path);
+  if (!Route) {
+    refuse(RefusalReason::UnknownRoute, Millis(0),
+           "no route has this host and path");
+    return false;
+  }
+  m_Route = *Route;
+  const ManifestAccount *Account = findAccount(Routes, m_Request.m_ApiKey);
+  if (Account)
+    m_Account = Account->m_Id;
+  else if (!m_Route.m_Public && !Routes.m_Manifest.m_Accounts.empty()) {
+    refuse(RefusalReason::UnknownApiKey, Millis(0),
+           "no client account has this API key");
+    return false;
+  }
+  m_Service = chooseService(m_Route, hashText(m_Request.m_Id.m_Value));
+  if (isStream())
+    m_Priority = Account && Account->m_Priority ? *Account->m_Priority
+                                                : m_Route.m_Priority;
+  return true;
+}
+
+void Exchange::startTimers() {
+  Millis Limit = m_Route.m_Timeout;
+  if (m_Request.m_TimeLeft)
+    Limit = std::min(Limit, *m_Request.m_TimeLeft);
+  m_Deadline = m_Begun + Limit;
+  m_DeadlineTimer.start(Limit.m_Value, [Weak = weak_from_this()] {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onDeadline();
+    return false;
+  });
+  m_Need.m_PrefixHash =
+      hashSharedPrefix(m_Request.m_PromptParts, m_Need.m_PrefixTokens);
+  m_Need.m_Random = hashText(m_Request.m_Id.m_Value);
+  m_Events.m_LastId = m_Request.m_LastEvent;
+  if (GatewayPool *Pool = findPool(m_Gateway, m_Service))
+    noteEvent(Pool->m_Repeats.m_Requests, m_Begun);
+}
+
+void Exchange::dispatch() {
+  Millis Now = monotonicNow();
+  GatewayPool *Pool = findPool(m_Gateway, m_Service);
+  if (timeLeft() < LeastTimeLeft)
+    return onDeadline();
+  if (!Pool)
+    return refuseChoice({TargetId(), NoTarget::NoneInService, 0, 0, Millis()});
+  m_Need.m_ZonesOut = m_Gateway.m_Control.m_ZonesOut;
+  DispatchChoice Choice = chooseTarget(Pool->m_Dispatch, m_Need, Now);
+  if (Choice.m_Refusal != NoTarget::None || m_Tries >= MaxTries)
+    return refuseChoice(Choice);
+  send(Pool->m_Dispatch.m_Targets[Choice.m_Target], Choice);
+}
+
+void Exchange::send(DispatchTarget &Target, const DispatchChoice &Choice) {
+  Millis Now = monotonicNow();
+  ++m_Tries;
+  noteStarted(Target, Now);
+  m_Try.emplace();
+  m_Try->m_Target = Target.m_Listed.m_Id;
+  m_Try->m_StartedAt = Now;
+  m_Events.m_Rest.clear();
+  logEvent(Event::RequestSent,
+           {{"request", m_Request.m_Id.m_Value},
+            {"route", m_Route.m_Name},
+            {"target", m_Try->m_Target.m_Value},
+            {"try", m_Tries},
+            {"load", static_cast<std::int64_t>(Choice.m_Load)},
+            {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
+            {"list_age_ms", (Now - m_Gateway.m_TargetList.m_LastRead).m_Value},
+            {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
+            {"left_ms", timeLeft().m_Value}});
+  CallHandlers Handlers;
+  std::weak_ptr<Exchange> Weak = weak_from_this();
+  Handlers.m_MayDispatch = [Weak] {
+    std::shared_ptr<Exchange> Self = Weak.lock();
+    if (!Self || Self->m_Done ||
+        !leaseHolds(Self->m_Gateway.m_Lease, monotonicNow()))
+      return false;
+    Self->m_ConnectTimer.stop();
+    ++Self->m_Ran;
+    return true;
+  };
+  Handlers.m_OnHead = [Weak](const TargetHead &Head) {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onHead(Head);
+  };
+  Handlers.m_OnData = [Weak](const char *Data, std::size_t Size) {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onData(Data, Size);
+  };
+  Handlers.m_OnEnd = [Weak](CallEnd How, const std::string &Detail) {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onEnd(How, Detail);
+  };
+  m_Try->m_Call =
+      TargetCall::start(m_Gateway.m_TargetSession.get(), *m_Gateway.m_Watcher,
+                        targetRequest(Target), std::move(Handlers));
+  m_ConnectTimer.start(ConnectTimeout.m_Value, [Weak] {
+    std::shared_ptr<Exchange> Self = Weak.lock();
+    if (Self && Self->m_Try && !Self->m_Try->m_Call->mayBeSent()) {
+      Self->m_Try->m_Call->cancel();
+      Self->onEnd(CallEnd::NotSent, "no connection in time");
+    }
+    return false;
+  });
+  std::int64_t Patience = std::max(
+      LeastPatience.m_Value, PatienceFactor * m_Route.m_Objective.m_Value);
+  m_PatienceTimer.start(Patience, [Weak] {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->onImpatient();
+    return false;
+  });
+}
+
+TargetRequest Exchange::targetRequest(const DispatchTarget &Target) const {
+  DispatchFields Added;
+  Added.m_Target = Target.m_Listed.m_Id;
+  Added.m_TimeLeft = timeLeft();
+  Added.m_Account = m_Account;
+  Added.m_LastEvent = m_Events.m_LastId;
+  Added.m_Priority = m_Priority;
+  TargetRequest Request;
+  Request.m_Method = m_Raw.m_Method;
+  Request.m_Url = "http://" + Target.m_Listed.m_Address + m_Raw.m_Path +
+                  (m_Raw.m_Query.empty() ? "" : "?" + m_Raw.m_Query);
+  Request.m_Fields = m_Gateway.m_Protocol->m_TargetFields(m_Request, Added);
+  Request.m_ContentType = m_Request.m_ContentType;
+  Request.m_Body = m_Raw.m_Body;
+  return Request;
+}
+
+void Exchange::refuseChoice(const DispatchChoice &Choice) {
+  if (m_Kept || m_Ran > 0)
+    return fail(RefusalReason::TargetFailed, "no other target took it");
+  switch (Choice.m_Refusal) {
+  case NoTarget::ColdLimit:
+    return refuse(RefusalReason::ColdTargets, Choice.m_RetryAfter,
+                  "all targets have as many requests as they bear when cold");
+  case NoTarget::AllFull:
+    return refuse(RefusalReason::QueueFull, Choice.m_RetryAfter,
+                  "all targets are full");
+  case NoTarget::NoneInService:
+  case NoTarget::None:
+    return refuse(RefusalReason::NoTargetInService,
+                  std::max(Choice.m_RetryAfter, Millis(300)),
+                  "no target in service can be reached");
+  }
+}
+
+void Exchange::refuse(RefusalReason Reason, Millis RetryAfter,
+                      const std::string &Why) {
+  int Status = refusalHttpStatus(Reason);
+  countRefusal(m_Gateway.m_Metrics, Reason);
+  logEvent(Event::RequestRefused,
+           {{"request", m_Request.m_Id.m_Value},
+            {"reason", refusalName(Reason)},
+            {"why", Why},
+            {"retry_after_ms", RetryAfter.m_Value},
+            {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version}});
+  HttpFields Fields;
+  if (RetryAfter > Millis(0))
+    Fields.emplace_back("Retry-After", seconds(RetryAfter));
+  if (m_Gateway.m_DrainingSince)
+    Fields.emplace_back("Connection", "close");
+  m_Caller->respond(Status, "application/json",
+                    refusalJson({Reason, NotRun::True, Why}, m_Caller->m_Id),
+                    Fields);
+  finish(refusalName(Reason), Status);
+}
+
+void Exchange::onDeadline() {
+  if (m_Done)
+    return;
+  if (m_StreamStarted) {
+    m_Caller->breakOff();
+    return finish("deadline_in_stream", 200);
+  }
+  if (m_Ran == 0 && !m_Kept)
+    return refuse(RefusalReason::DeadlineUnreachable, Millis(0),
+                  "no target could be reached in time");
+  fail(RefusalReason::DeadlinePassed, "the time is over");
+}
+
+void Exchange::onImpatient() {
+  if (m_Done || !m_Try || m_StreamStarted || !repeatable())
+    return;
+  if (isStream() ? m_FirstEvent.has_value() : m_Try->m_Answer.has_value())
+    return;
+  if (!mayRetry())
+    return;
+  m_Try->m_Call->cancel();
+  closeTry(TargetOutcome::Failed);
+  retryOrFail(RetryReason::StreamSilent, "no answer in time");
+}
+
+void Exchange::onCallerGone() {
+  if (!m_Done)
+    finish("caller_left", 0);
+}
+
+void Exchange::closeTry(TargetOutcome How) {
+  if (!m_Try)
+    return;
+  if (DispatchTarget *Target =
+          findTarget(m_Gateway, m_Service, m_Try->m_Target))
+    noteEnded(*Target, How, monotonicNow());
+  m_Need.m_Excluded.insert(m_Try->m_Target);
+  m_ConnectTimer.stop();
+  m_PatienceTimer.stop();
+  m_Try.reset();
+}
+
+void Exchange::finish(const char *Outcome, int Status) {
+  if (m_Done)
+    return;
+  std::shared_ptr<Exchange> Self = shared_from_this();
+  m_Done = true;
+  Millis Now = monotonicNow();
+  std::string Target = m_Try ? m_Try->m_Target.m_Value : "";
+  if (m_Try) {
+    if (m_Try->m_Call)
+      m_Try->m_Call->cancel();
+    closeTry(TargetOutcome::Abandoned);
+  }
+  m_DeadlineTimer.stop();
+  logEvent(Event::RequestEnded,
+           {{"request", m_Request.m_Id.m_Value},
+            {"outcome", Outcome},
+            {"status", Status},
+            {"target", Target},
+            {"tries", m_Tries},
+            {"first_ms", m_FirstEvent ? (*m_FirstEvent - m_Begun).m_Value : -1},
+            {"total_ms", (Now - m_Begun).m_Value}});
+  m_Gateway.m_Exchanges.erase(Self);
+}
+
+bool Exchange::repeatable() const {
+  return m_Route.m_Kind == RequestKind::Idempotent ||
+         (isStream() && m_Route.m_Resumable);
+}
+
+Millis Exchange::timeLeft() const { return m_Deadline - monotonicNow(); }
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -0,0 +1,197 @@
+#include "gateway/exchange.hpp"
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirection = 300;
+constexpr int FirstServerError = 500;
+constexpr int MisdirectedRequest = 421;
+constexpr double MillisPerSecond = 1000;
+
+bool isSuccess(int Status) {
+  return Status >= FirstSuccess && Status < FirstRedirection;
+}
+
+} // namespace
+
+void Exchange::onHead(const TargetHead &Head) {
+  if (m_Done || !m_Try)
+    return;
+  m_Try->m_Answer = m_Gateway.m_Protocol->m_ReadAnswer(Head);
+  m_Try->m_Status = Head.m_Status;
+  m_Try->m_ContentType = Head.m_ContentType;
+  const TargetAnswer &Answer = *m_Try->m_Answer;
+  DispatchTarget *Target = findTarget(m_Gateway, m_Service, m_Try->m_Target);
+  if (Target && Answer.m_Report)
+    noteReport(*Target, *Answer.m_Report, monotonicNow());
+  if (Answer.m_NotRun || Head.m_Status == MisdirectedRequest) {
+    --m_Ran;
+    m_Try->m_Call->cancel();
+    closeTry(TargetOutcome::Refused);
+    return retryOrFail(RetryReason::TargetRefused, "the target refused it");
+  }
+  if (Answer.m_Request != m_Request.m_Id) {
+    m_Try->m_Call->cancel();
+    closeTry(TargetOutcome::Failed);
+    retryOrFail(RetryReason::StreamBroken,
+                "the answer belongs to another request");
+  }
+}
+
+void Exchange::onData(const char *Data, std::size_t Size) {
+  if (m_Done || !m_Try || !m_Try->m_Answer)
+    return;
+  bool Relayed =
+      isStream() && isSuccess(m_Try->m_Status) && m_Try->m_Answer->m_Signed;
+  if (!Relayed) {
+    m_Try->m_Body.append(Data, Size);
+    return;
+  }
+  std::string Events = takeEvents(m_Events, Data, Size);
+  if (!Events.empty())
+    relayEvents(Events);
+}
+
+void Exchange::relayEvents(const std::string &Events) {
+  if (!m_FirstEvent) {
+    m_FirstEvent = monotonicNow();
+    observe(m_Gateway.m_Metrics, "vanillaferry_first_event_seconds",
+            static_cast<double>((*m_FirstEvent - m_Begun).m_Value) /
+                MillisPerSecond);
+  }
+  if (!m_StreamStarted) {
+    m_StreamStarted = true;
+    // Answers of a continued stream keep the head of the first target.
+    if (!m_Caller->startStream(m_Try->m_ContentType, m_Try->m_Answer->m_Fields))
+      return finish("caller_left", 0);
+  }
+  m_Caller->append(Events);
+}
+
+void Exchange::onEnd(CallEnd How, const std::string &Detail) {
+  if (m_Done || !m_Try)
+    return;
+  switch (How) {
+  case CallEnd::NotSent:
+    closeTry(TargetOutcome::Unreachable);
+    return retryOrFail(RetryReason::ConnectFailed, Detail);
+  case CallEnd::Forbidden:
+    closeTry(TargetOutcome::Abandoned);
+    return refuseChoice({TargetId(), NoTarget::NoneInService, 0, 0, Millis()});
+  case CallEnd::Broken:
+    closeTry(TargetOutcome::Failed);
+    return retryOrFail(RetryReason::StreamBroken, Detail);
+  case CallEnd::Complete:
+    break;
+  }
+  if (isStream() && isSuccess(m_Try->m_Status) && m_Try->m_Answer->m_Signed)
+    endStream();
+  else
+    endWhole();
+}
+
+void Exchange::endStream() {
+  if (!m_Events.m_Rest.empty()) {
+    // Bytes after the last empty line belong to the answer as well.
+    std::string Rest = std::move(m_Events.m_Rest);
+    m_Events.m_Rest.clear();
+    relayEvents(Rest);
+  }
+  if (m_Done)
+    return;
+  std::string Target = m_Try->m_Target.m_Value;
+  closeTry(TargetOutcome::Served);
+  if (m_StreamStarted)
+    m_Caller->finish();
+  else
+    return fail(RefusalReason::TargetFailed, "the stream had no event");
+  finish("complete", FirstSuccess);
+}
+
+void Exchange::endWhole() {
+  KeptAnswer Answer{m_Try->m_Status, m_Try->m_ContentType,
+                    std::move(m_Try->m_Body), m_Try->m_Answer->m_Fields};
+  bool Success = isSuccess(Answer.m_Status);
+  if (Success && !m_Try->m_Answer->m_Signed) {
+    closeTry(TargetOutcome::Failed);
+    return retryOrFail(RetryReason::StreamBroken, "the answer is not signed");
+  }
+  bool Failed = Answer.m_Status >= FirstServerError;
+  closeTry(Failed ? TargetOutcome::Failed : TargetOutcome::Served);
+  if (!Failed || !repeatable() || m_StreamStarted)
+    return deliver(Answer);
+  m_Kept = std::move(Answer);
+  retryOrFail(RetryReason::TargetUnavailable, "the target failed");
+}
+
+bool Exchange::mayRetry() {
+  if (m_Ran > 0 && (!repeatable() || m_Ran >= m_Route.m_MaxTargets))
+    return false;
+  GatewayPool *Pool = findPool(m_Gateway, m_Service);
+  return Pool && takeRepeat(Pool->m_Repeats, monotonicNow());
+}
+
+void Exchange::retryOrFail(RetryReason Why, const std::string &Detail) {
+  if (m_Done)
+    return;
+  bool Free =
+      Why == RetryReason::ConnectFailed || Why == RetryReason::StreamSilent;
+  bool Allowed = m_Ran == 0 || (repeatable() && m_Ran < m_Route.m_MaxTargets);
+  if (!Allowed || (!Free && !mayRetry())) {
+    if (m_Ran == 0 && !m_StreamStarted)
+      return refuse(RefusalReason::QueueFull, Millis(400), Detail);
+    return fail(RefusalReason::TargetFailed, Detail);
+  }
+  countRetry(m_Gateway.m_Metrics, Why);
+  logEvent(Event::RequestRetried, {{"request", m_Request.m_Id.m_Value},
+                                   {"reason", retryName(Why)},
+                                   {"why", Detail},
+                                   {"tries", m_Tries}});
+  dispatch();
+}
+
+void Exchange::deliver(const KeptAnswer &Answer) {
+  if (m_StreamStarted) {
+    m_Caller->breakOff();
+    return finish("stream_broken", FirstSuccess);
+  }
+  HttpFields Fields = Answer.m_Fields;
+  if (m_Gateway.m_DrainingSince)
+    Fields.emplace_back("Connection", "close");
+  m_FirstEvent = monotonicNow();
+  observe(m_Gateway.m_Metrics, "vanillaferry_answer_seconds",
+          static_cast<double>((*m_FirstEvent - m_Begun).m_Value) /
+              MillisPerSecond);
+  m_Caller->respond(Answer.m_Status, Answer.m_ContentType, Answer.m_Body,
+                    Fields);
+  finish("answered", Answer.m_Status);
+}
+
+void Exchange::fail(RefusalReason Reason, const std::string &Why) {
+  if (m_Kept && !m_StreamStarted) {
+    KeptAnswer Answer = std::move(*m_Kept);
+    return deliver(Answer);
+  }
+  countRefusal(m_Gateway.m_Metrics, Reason);
+  int Status = refusalHttpStatus(Reason);
+  if (m_StreamStarted) {
+    m_Caller->breakOff();
+    return finish("stream_broken", FirstSuccess);
+  }
+  // A 503 would state that the request has not run.
+  logEvent(Event::RequestRefused, {{"request", m_Request.m_Id.m_Value},
+                                   {"reason", refusalName(Reason)},
+                                   {"why", Why},
+                                   {"ran", m_Ran}});
+  m_Caller->respond(Status, "application/json",
+                    refusalJson({Reason, NotRun::Unknown, Why}, m_Caller->m_Id),
+                    {});
+  finish(refusalName(Reason), Status);
+}
+
+} // namespace vanillaferry
--- /dev/null
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -0,0 +1,174 @@
+#include "gateway/gateway.hpp"
+
+#include "process/clock.hpp"
+#include "process/log.hpp"
+#include "vanillaferry/version/text_delta.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+/// A leader that leaves a renewal unanswered for this long is left for the
+/// next keeper; a keeper with a twentieth of a core may need half of it.
+constexpr Millis KeeperSilence{600};
+/// Pause before another keeper is asked when the last one knew no leader.
+constexpr Millis UnknownLeaderPause{150};
+
+void askKeeper(Gateway &G, const std::string &Url, Millis When) {
+  G.m_Keeper.m_Url = Url;
+  G.m_Keeper.m_LastAnswer = monotonicNow();
+  G.m_Lease.m_NextRenewal = When;
+}
+
+void askNextKeeper(Gateway &G, Millis When) {
+  const std::vector<std::string> &Known = G.m_Keeper.m_Known;
+  G.m_Keeper.m_Next = (G.m_Keeper.m_Next + 1) % Known.size();
+  askKeeper(G, Known[G.m_Keeper.m_Next], When);
+  logEvent(Event::KeeperChanged, {{"url", G.m_Keeper.m_Url}});
+}
+
+void sendRenewal(Gateway &G, Millis Now) {
+  Renew Renewal;
+  Renewal.m_Node = G.m_Settings.m_Node;
+  Renewal.m_Incarnation = G.m_Incarnation;
+  Renewal.m_AckedGrant = G.m_Lease.m_TakenSequence;
+  Renewal.m_Sequence = renewalSent(G.m_Lease, Now);
+  Renewal.m_PeerUrl = peerUrlOf(G.m_Settings.m_Peer);
+  Renewal.m_Zone = G.m_Settings.m_Zone;
+  Renewal.m_AckedEpoch = G.m_Control.m_Epoch;
+  Renewal.m_AckedVersion = G.m_Control.m_Version;
+  Renewal.m_Leaving = G.m_DrainingSince.has_value();
+  Renewal.m_ManifestHeld = G.m_Control.m_Routes.m_Manifest.m_Version;
+  G.m_Keeper.m_LastRenewal = Now;
+  G.m_Peers->sendToUrl(G.m_Keeper.m_Url, std::move(Renewal));
+}
+
+/// Takes the manifest of a grant; false when it cannot be read, and the whole
+/// text is then asked for.
+bool takeManifest(Gateway &G, const Grant &Granted) {
+  ControlState &Control = G.m_Control;
+  std::uint64_t Held = Control.m_Routes.m_Manifest.m_Version;
+  if (Granted.m_ManifestVersion <= Held || Granted.m_ManifestDelta.empty())
+    return Granted.m_ManifestVersion <= Held;
+  if (Granted.m_ManifestBase != 0 && Granted.m_ManifestBase != Held)
+    return false;
+  Result<std::string> Text = applyTextDelta(
+      Granted.m_ManifestBase == 0 ? std::string() : Control.m_ManifestText,
+      Granted.m_ManifestDelta);
+  Result<Manifest> Content = Text ? G.m_Protocol->m_ReadManifest(Text.value())
+                                  : Result<Manifest>(Text.error());
+  if (!Content) {
+    logEvent(Event::SectionRefused, {{"section", "manifest"},
+                                     {"version", Granted.m_ManifestVersion},
+                                     {"fault", Content.error().m_Text}});
+    return false;
+  }
+  Control.m_ManifestText = std::move(Text.value());
+  Control.m_Routes = makeRouteTable(std::move(Content.value()));
+  const CallerLimits &Limits = Control.m_Routes.m_Manifest.m_Limits;
+  HttpLimits Front;
+  Front.m_MaxHeader = Limits.m_MaxHeader;
+  Front.m_MaxBody = Limits.m_MaxBody;
+  Front.m_SlowSender = Limits.m_HeaderTimeout;
+  G.m_Front->setLimits(Front);
+  rebuildPools(G);
+  logEvent(Event::ManifestApplied,
+           {{"version", Granted.m_ManifestVersion},
+            {"routes", static_cast<std::uint64_t>(
+                           Control.m_Routes.m_Manifest.m_Routes.size())}});
+  return true;
+}
+
+void takeZones(Gateway &G, const Grant &Granted) {
+  std::set<ZoneId> Out;
+  std::string Names;
+  for (const ZoneOut &Each : Granted.m_ZonesOut) {
+    Out.insert(Each.m_Zone);
+    Names += (Names.empty() ? "" : ",") + Each.m_Zone.m_Value;
+  }
+  if (Out == G.m_Control.m_ZonesOut)
+    return;
+  G.m_Control.m_ZonesOut = std::move(Out);
+  logEvent(Event::ZonesOutApplied, {{"zones", Names}});
+}
+
+void takeMembers(Gateway &G, const Grant &Granted) {
+  if (Granted.m_Members.empty())
+    return;
+  G.m_Control.m_Epoch = Granted.m_Epoch;
+  G.m_Control.m_Routers.clear();
+  for (const Member &Each : Granted.m_Members)
+    G.m_Control.m_Routers.push_back(Each.m_Node);
+  logEvent(Event::MembersChanged,
+           {{"epoch", Granted.m_Epoch.m_Value},
+            {"members", static_cast<std::uint64_t>(Granted.m_Members.size())}});
+  rebuildPools(G);
+}
+
+void takeGrantMessage(Gateway &G, const Grant &Granted) {
+  Millis Now = monotonicNow();
+  bool Held = leaseHolds(G.m_Lease, Now);
+  if (!takeGrant(G.m_Lease, Granted, Now))
+    return;
+  G.m_Keeper.m_LastAnswer = Now;
+  std::uint64_t Before = G.m_Control.m_Version.m_Value;
+  bool Understood = takeManifest(G, Granted);
+  takeZones(G, Granted);
+  takeMembers(G, Granted);
+  if (Understood)
+    G.m_Control.m_Version = Granted.m_Version;
+  else
+    G.m_Control.m_Routes.m_Manifest.m_Version = 0;
+  // The leader learns at once that the change is in force here.
+  if (!Understood || Before != Granted.m_Version.m_Value)
+    G.m_Lease.m_NextRenewal = Now;
+  if (!Held && leaseHolds(G.m_Lease, Now))
+    logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
+}
+
+void takeRedirect(Gateway &G, const RedirectLeader &Redirect) {
+  Millis Now = monotonicNow();
+  if (Redirect.m_PeerUrl.empty())
+    return askNextKeeper(G, Now + UnknownLeaderPause);
+  if (Redirect.m_PeerUrl == G.m_Keeper.m_Url)
+    return;
+  learnKeepers(G, {Redirect.m_PeerUrl});
+  askKeeper(G, Redirect.m_PeerUrl, Now);
+}
+
+} // namespace
+
+void learnKeepers(Gateway &G, const std::vector<std::string> &Urls) {
+  std::vector<std::string> &Known = G.m_Keeper.m_Known;
+  for (const std::string &Url : Urls) {
+    if (std::find(Known.begin(), Known.end(), Url) != Known.end())
+      continue;
+    Known.push_back(Url);
+    G.m_Peers->connect(Url);
+  }
+}
+
+void renewWhenDue(Gateway &G) {
+  Millis Now = monotonicNow();
+  bool Unanswered = G.m_Keeper.m_LastAnswer < G.m_Keeper.m_LastRenewal;
+  if (Unanswered &&
+      Now - G.m_Keeper.m_LastAnswer > G.m_Lease.m_RenewInterval + KeeperSilence)
+    askNextKeeper(G, Now);
+  if (renewalDue(G.m_Lease, Now))
+    sendRenewal(G, Now);
+}
+
+void takeControlMessage(Gateway &G, PeerMessage Message) {
+  if (const Grant *Granted = std::get_if<Grant>(&Message))
+    takeGrantMessage(G, *Granted);
+  else if (const RedirectLeader *Leader = std::get_if<RedirectLeader>(&Message))
+    takeRedirect(G, *Leader);
+  else if (std::get_if<RenewRequest>(&Message))
+    sendRenewal(G, monotonicNow());
+  else
+    addCounter(G.m_Metrics, "vanillaferry_unexpected_messages_total");
+}
+
+} // namespace vanillaferry
--- a/src/daemon/process/command_line.cpp
+++ b/src/daemon/process/command_line.cpp
@@ -28,6 +28,7 @@
   addGenerateTraceCommand(App, Code);
   addReplayCommand(App, Code);
   addRouterCommand(App, Code);
+  addGatewayCommand(App, Code);
   try {
     App.parse(Count, Arguments);
   } catch (const CLI::ParseError &E) {
--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -44,5 +44,6 @@
 void addGenerateTraceCommand(CLI::App &App, int &Code);
 void addReplayCommand(CLI::App &App, int &Code);
 void addRouterCommand(CLI::App &App, int &Code);
+void addGatewayCommand(CLI::App &App, int &Code);
 
 } // namespace vanillaferry
--- a/src/daemon/process/internal/keeper_api.hpp
+++ b/src/daemon/process/internal/keeper_api.hpp
@@ -35,6 +35,12 @@
 void getInForce(Keeper &Self, const ExchangePtr &Exchange,
                 const std::string &Version);
 
+// keeper_manifest.cpp
+void putManifest(Keeper &Self, const ExchangePtr &Exchange);
+void getManifest(Keeper &Self, const ExchangePtr &Exchange);
+void postZone(Keeper &Self, const ExchangePtr &Exchange,
+              const std::string &Zone, bool Out);
+
 // keeper_api_orders.cpp
 void postOrder(Keeper &Self, const ExchangePtr &Exchange,
                const OperatorSettings &Operator);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -3,12 +3,14 @@
 #include "connection/operator_http.hpp"
 #include "connection/order_adapter.hpp"
 #include "connection/peer_task.hpp"
+#include "connection/platform_protocol.hpp"
 #include "process/disk_task.hpp"
 #include "process/keeper_formation.hpp"
 #include "process/mailbox.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
 #include "vanillaferry/process/engine_orders.hpp"
+#include "vanillaferry/process/keeper_repair.hpp"
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/replication.hpp"
 #include "vanillaferry/process/state_machine.hpp"
@@ -156,6 +158,15 @@
   /// Content of the document at m_SettingsVersion, for orders.
   DocumentSettings m_DocumentSettings;
   DocumentVersion m_SettingsVersion;
+  /// How manifests are written here; without one the keeper takes none.
+  const PlatformProtocol *m_Protocol = nullptr;
+  /// Texts of the last manifests by version, for edit scripts to routers that
+  /// hold one of them.
+  std::map<std::uint64_t, std::string> m_RecentManifests;
+  /// Keepers that asked for a vote, with the time of their last request.
+  std::map<KeeperId, JoiningKeeper> m_Joining;
+  Millis m_NextJoin;
+  Millis m_NextRepair;
   Millis m_NextLeaseCheck;
   Millis m_NextClock;
   Millis m_NextPromotion;
@@ -179,6 +190,9 @@
 
 // keeper_requests.cpp
 void onPeerEvent(Keeper &Self, PeerEvent Event);
+/// Names the leader to a process that asked this keeper.
+void redirectToLeader(Keeper &Self, const NodeId &To);
+LeaseOptions leaseOptions(const KeeperSettings &Settings);
 bool leads(const Keeper &Self);
 /// The lease table when this keeper may grant leases now, else null.
 LeaseTable *grantingTable(Keeper &Self, Millis Now);
@@ -202,6 +216,18 @@
 /// while it is being sent.
 const char *orderWait(const Keeper &Self, const std::string &OrderId);
 
+// keeper_manifest.cpp
+/// Adds to a grant what the router needs to hold the manifest in force.
+void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted);
+
+// keeper_repair.cpp
+/// A keeper without a vote asks for one.
+void askToJoin(Keeper &Self, Millis Now);
+void onLeaderNamed(Keeper &Self, const RedirectLeader &Leader);
+void onJoin(Keeper &Self, const NodeId &From, const JoinKeepers &Request);
+/// The leader's next change towards a full keeper set, when one is due.
+void repairKeeperSet(Keeper &Self, Millis Now);
+
 // keeper_forming.cpp
 /// Folder of the write-ahead log within the data folder.
 std::string logFolder(const KeeperSettings &Settings);
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -1,5 +1,6 @@
 #include "process/keeper.hpp"
 
+#include "connection/platform_protocol.hpp"
 #include "process/clock.hpp"
 #include "process/command_line.hpp"
 #include "process/internal/keeper_api.hpp"
@@ -7,6 +8,7 @@
 #include "process/log.hpp"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <glib-unix.h>
@@ -29,6 +31,7 @@
   Keeper &Self = *static_cast<Keeper *>(Data);
   Millis Now = monotonicNow();
   claimIdentity(Self, Now);
+  askToJoin(Self, Now);
   if (Self.m_Running)
     perform(Self, tick(Self.m_Replica, Now));
   if (leads(Self))
@@ -137,11 +140,13 @@
 
 } // namespace internal
 
-int runKeeper(const KeeperSettings &Settings, bool Initialize) {
+int runKeeper(const KeeperSettings &Settings, bool Initialize,
+              const PlatformProtocol *Protocol) {
   using internal::Keeper;
   std::unique_ptr<Keeper> Self = std::make_unique<Keeper>();
   Keeper *Raw = Self.get();
   Self->m_Settings = Settings;
+  Self->m_Protocol = Protocol;
   Self->m_HttpUrl = "http://" + Settings.m_Http.m_Address + ":" +
                     std::to_string(Settings.m_Http.m_Port);
   Self->m_Incarnation = Incarnation(randomSeed());
@@ -179,6 +184,21 @@
   return Code;
 }
 
+namespace {
+
+/// With a list of addresses in place of a keeper set, every keeper is told to
+/// initialize, and those that the list names form the first set.
+bool mayInitialize(const KeeperSettings &Settings) {
+  return Settings.m_Initialize &&
+         std::any_of(Settings.m_InitialKeepers.begin(),
+                     Settings.m_InitialKeepers.end(),
+                     [&Settings](const InitialKeeper &Each) {
+                       return Each.m_Keeper == Settings.m_Keeper;
+                     });
+}
+
+} // namespace
+
 void addKeeperCommand(CLI::App &App, int &Code) {
   CLI::App *Command = App.add_subcommand(
       "keeper", "Run a keeper: replicated log, document, leases and journal");
@@ -205,7 +225,9 @@
       Code = ExitInvalidInput;
       return;
     }
-    Code = runKeeper(Settings.value(), *Initialize);
+    Code = runKeeper(Settings.value(),
+                     *Initialize || mayInitialize(Settings.value()),
+                     platformProtocol());
   });
 }
 
--- a/src/daemon/process/keeper_api.cpp
+++ b/src/daemon/process/keeper_api.cpp
@@ -178,8 +178,27 @@
   return true;
 }
 
+/// Calls of the platform's operator, who sends no token: its control network
+/// decides who may reach this address.
+bool platformCall(Keeper &Self, const ExchangePtr &Exchange) {
+  if (!Self.m_Protocol || !Self.m_Settings.m_OpenManifest)
+    return false;
+  std::vector<std::string> Parts = splitPath(Exchange->path());
+  const std::string &Method = Exchange->method();
+  bool Zone = Parts.size() == 3 && Parts[0] == "zones" && Method == "POST";
+  if (Parts == std::vector<std::string>{"manifest"} && Method == "PUT")
+    putManifest(Self, Exchange);
+  else if (Parts == std::vector<std::string>{"manifest"} && Method == "GET")
+    getManifest(Self, Exchange);
+  else if (Zone && (Parts[2] == "out" || Parts[2] == "in"))
+    postZone(Self, Exchange, Parts[1], Parts[2] == "out");
+  else
+    return false;
+  return true;
+}
+
 void onRequest(Keeper &Self, const ExchangePtr &Exchange) {
-  if (openCall(Self, Exchange))
+  if (openCall(Self, Exchange) || platformCall(Self, Exchange))
     return;
   const OperatorSettings *Operator = findOperator(Self, *Exchange);
   if (!Operator) {
--- /dev/null
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -0,0 +1,130 @@
+#include "process/internal/keeper_api.hpp"
+#include "process/log.hpp"
+#include "vanillaferry/version/text_delta.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace vanillaferry::internal {
+
+namespace {
+
+/// Routers hold one of the last manifests; older ones get the whole text.
+constexpr std::size_t RecentManifests = 8;
+
+void rememberManifest(Keeper &Self) {
+  const StoredManifest &Held = Self.m_State.m_Manifest;
+  if (Held.m_Version == 0)
+    return;
+  Self.m_RecentManifests.emplace(Held.m_Version, Held.m_Text);
+  if (Self.m_RecentManifests.size() > RecentManifests)
+    Self.m_RecentManifests.erase(Self.m_RecentManifests.begin());
+}
+
+void answerVersion(HttpExchange &Exchange, std::uint64_t Version) {
+  Exchange.answer(200, {{"version", Version}});
+}
+
+void refuseManifest(Keeper &Self, HttpExchange &Exchange,
+                    const std::string &Why) {
+  logEvent(Event::ManifestRefused, {{"why", Why}});
+  addCounter(Self.m_Metrics, "vanillaferry_manifests_refused_total");
+  answerError(Exchange, 400, "invalid_manifest", Why);
+}
+
+std::string joined(const std::vector<std::string> &Faults) {
+  std::string All;
+  for (const std::string &Fault : Faults)
+    All += (All.empty() ? "" : "; ") + Fault;
+  return All;
+}
+
+void proposeManifest(Keeper &Self, const ExchangePtr &Exchange,
+                     std::uint64_t Version, const std::string &Text) {
+  rememberManifest(Self);
+  const StoredManifest &Held = Self.m_State.m_Manifest;
+  ReplaceManifest Change;
+  Change.m_Version = Version;
+  Change.m_BaseVersion = Held.m_Version;
+  Change.m_Delta = makeTextDelta(Held.m_Text, Text);
+  std::uint64_t Bytes = Change.m_Delta.size();
+  proposeCommand(
+      Self, Change,
+      [&Self, Exchange, Version, Text, Bytes](const CommandAnswer *Answer) {
+        const ManifestAnswer *Known =
+            Answer ? std::get_if<ManifestAnswer>(Answer) : nullptr;
+        if (!Known)
+          return answerLeaderLost(Self, *Exchange);
+        if (Known->m_Outcome == ManifestOutcome::BaseChanged)
+          return proposeManifest(Self, Exchange, Version, Text);
+        bool Applied = Known->m_Outcome == ManifestOutcome::InForce;
+        if (Applied)
+          rememberManifest(Self);
+        logEvent(Applied ? Event::ManifestAccepted : Event::ManifestSuperseded,
+                 {{"version", Version},
+                  {"held", Known->m_Version},
+                  {"bytes", Bytes}});
+        answerVersion(*Exchange, Known->m_Version);
+      });
+}
+
+} // namespace
+
+void putManifest(Keeper &Self, const ExchangePtr &Exchange) {
+  std::string Text = Exchange->body();
+  Result<Manifest> Content = Self.m_Protocol->m_ReadManifest(Text);
+  if (!Content)
+    return refuseManifest(Self, *Exchange, Content.error().m_Text);
+  std::vector<std::string> Faults = manifestFaults(Content.value());
+  if (!Faults.empty())
+    return refuseManifest(Self, *Exchange, joined(Faults));
+  std::uint64_t Version = Content.value().m_Version;
+  // The version held is compared when the change is applied, after everything
+  // that was accepted before.
+  afterConfirmedRead(Self, Exchange, [&Self, Exchange, Version, Text] {
+    if (Version > Self.m_State.m_Manifest.m_Version)
+      return proposeManifest(Self, Exchange, Version, Text);
+    logEvent(
+        Event::ManifestSuperseded,
+        {{"version", Version}, {"held", Self.m_State.m_Manifest.m_Version}});
+    answerVersion(*Exchange, Self.m_State.m_Manifest.m_Version);
+  });
+}
+
+void getManifest(Keeper &Self, const ExchangePtr &Exchange) {
+  afterConfirmedRead(Self, Exchange, [&Self, Exchange] {
+    if (Self.m_State.m_Manifest.m_Version == 0)
+      answerError(*Exchange, 503, "no_manifest",
+                  "no manifest was accepted yet");
+    else
+      Exchange->answerJsonText(200, Self.m_State.m_Manifest.m_Text);
+  });
+}
+
+void postZone(Keeper &Self, const ExchangePtr &Exchange,
+              const std::string &Zone, bool Out) {
+  if (!leads(Self))
+    return answerNotLeader(Self, *Exchange);
+  proposeCommand(Self, SetZoneOut{ZoneId(Zone), Out},
+                 [&Self, Exchange, Zone, Out](const CommandAnswer *Answer) {
+                   if (!Answer)
+                     return answerLeaderLost(Self, *Exchange);
+                   logEvent(Event::ZoneChanged,
+                            {{"zone", Zone}, {"out", Out ? "yes" : "no"}});
+                   Exchange->answer(200, {{"zone", Zone}, {"out", Out}});
+                 });
+}
+
+void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted) {
+  const StoredManifest &Held = Self.m_State.m_Manifest;
+  if (Request.m_ManifestHeld >= Held.m_Version)
+    return;
+  rememberManifest(Self);
+  std::map<std::uint64_t, std::string>::const_iterator Base =
+      Self.m_RecentManifests.find(Request.m_ManifestHeld);
+  bool HasBase = Base != Self.m_RecentManifests.end();
+  Granted.m_ManifestBase = HasBase ? Base->first : 0;
+  Granted.m_ManifestDelta =
+      makeTextDelta(HasBase ? Base->second : std::string(), Held.m_Text);
+}
+
+} // namespace vanillaferry::internal
--- /dev/null
+++ b/src/daemon/process/keeper_repair.cpp
@@ -0,0 +1,98 @@
+#include "process/clock.hpp"
+#include "process/internal/keeper_task.hpp"
+#include "process/log.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry::internal {
+
+namespace {
+
+constexpr Millis JoinInterval{300};
+constexpr Millis RepairInterval{100};
+
+bool hasVote(const Keeper &Self) {
+  const std::vector<KeeperAddress> &Voters = Self.m_Replica.m_Set.m_Voters;
+  return std::any_of(Voters.begin(), Voters.end(),
+                     [&Self](const KeeperAddress &Each) {
+                       return Each.m_Keeper == Self.m_Formation.m_Keeper;
+                     });
+}
+
+const char *nameOf(RepairStep::Kind What) {
+  switch (What) {
+  case RepairStep::Kind::AddLearner:
+    return "add_learner";
+  case RepairStep::Kind::Promote:
+    return "promote";
+  case RepairStep::Kind::Remove:
+    return "remove";
+  case RepairStep::Kind::None:
+    break;
+  }
+  return "none";
+}
+
+ProposeError proposeStep(Keeper &Self, const RepairStep &Step,
+                         ReplicaActions &Actions, Millis Now) {
+  switch (Step.m_Kind) {
+  case RepairStep::Kind::AddLearner:
+    return addLearner(Self.m_Replica, Step.m_Keeper, Actions, Now);
+  case RepairStep::Kind::Promote:
+    return promoteLearner(Self.m_Replica, Step.m_Keeper.m_Keeper, Actions, Now);
+  case RepairStep::Kind::Remove:
+    return removeKeeper(Self.m_Replica, Step.m_Keeper.m_Keeper, Actions, Now);
+  case RepairStep::Kind::None:
+    break;
+  }
+  return ProposeError::None;
+}
+
+} // namespace
+
+void askToJoin(Keeper &Self, Millis Now) {
+  if (!Self.m_Settings.m_SelfRepair || !Self.m_Running ||
+      Now < Self.m_NextJoin || hasVote(Self))
+    return;
+  Self.m_NextJoin = Now + JoinInterval;
+  JoinKeepers Request{Self.m_Formation.m_Keeper,
+                      peerUrlOf(Self.m_Settings.m_Peer)};
+  for (const std::string &Url : Self.m_Dialled)
+    Self.m_Peers->sendToUrl(Url, Request);
+}
+
+void onLeaderNamed(Keeper &Self, const RedirectLeader &Leader) {
+  if (Leader.m_PeerUrl.empty() || hasVote(Self) ||
+      !Self.m_Dialled.insert(Leader.m_PeerUrl).second)
+    return;
+  Self.m_Peers->connect(Leader.m_PeerUrl);
+}
+
+void onJoin(Keeper &Self, const NodeId &From, const JoinKeepers &Request) {
+  if (Request.m_Keeper.m_Value != From.m_Value || !Self.m_Settings.m_SelfRepair)
+    return;
+  if (!leads(Self))
+    return redirectToLeader(Self, From);
+  Self.m_Joining[Request.m_Keeper] = {{Request.m_Keeper, Request.m_PeerUrl},
+                                      monotonicNow()};
+}
+
+void repairKeeperSet(Keeper &Self, Millis Now) {
+  if (!Self.m_Settings.m_SelfRepair || Now < Self.m_NextRepair)
+    return;
+  Self.m_NextRepair = Now + RepairInterval;
+  RepairStep Step = nextRepair(Self.m_Replica, Self.m_Joining,
+                               Self.m_Settings.m_InitialKeepers.size(), Now);
+  if (Step.m_Kind == RepairStep::Kind::None)
+    return;
+  ReplicaActions Actions;
+  ProposeError Refused = proposeStep(Self, Step, Actions, Now);
+  if (Refused == ProposeError::None)
+    logEvent(Event::KeeperSetRepaired,
+             {{"step", nameOf(Step.m_Kind)},
+              {"keeper", Step.m_Keeper.m_Keeper.m_Value},
+              {"url", Step.m_Keeper.m_PeerUrl}});
+  perform(Self, std::move(Actions));
+}
+
+} // namespace vanillaferry::internal
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -26,12 +26,16 @@
   return std::string();
 }
 
-void redirect(Keeper &Self, const NodeId &To) {
+} // namespace
+
+void redirectToLeader(Keeper &Self, const NodeId &To) {
   KeeperId Leader = Self.m_Running ? Self.m_Replica.m_Leader : KeeperId();
   addCounter(Self.m_Metrics, "vanillaferry_leader_redirects_total");
   Self.m_Peers->send(To, RedirectLeader{Leader, urlOfKeeper(Self, Leader)});
 }
 
+namespace {
+
 void renew(Keeper &Self, const Renew &Request, bool MayPropose) {
   Millis Now = monotonicNow();
   LeaseTable *Table = grantingTable(Self, Now);
@@ -43,6 +47,7 @@
   RenewDecision Decision = renewLease(*Table, Self.m_State, Request, Now);
   if (Decision.m_Grant) {
     addCounter(Self.m_Metrics, "vanillaferry_leases_granted_total");
+    attachManifest(Self, Request, *Decision.m_Grant);
     Self.m_Peers->send(Request.m_Node, std::move(*Decision.m_Grant));
   }
   if (!MayPropose)
@@ -62,7 +67,7 @@
   if (Request.m_Node != From)
     return;
   if (!leads(Self))
-    redirect(Self, From);
+    redirectToLeader(Self, From);
   else
     renew(Self, Request, true);
 }
@@ -92,7 +97,7 @@
   if (Input.m_Node != From)
     return;
   if (!leads(Self)) {
-    redirect(Self, From);
+    redirectToLeader(Self, From);
     answerJournal(Self, From, Input.m_Request, nullptr);
     return;
   }
@@ -158,6 +163,10 @@
   else if (const IdentityVerdict *Verdict =
                std::get_if<IdentityVerdict>(&Message))
     onVerdict(Self, From, *Verdict);
+  else if (const JoinKeepers *Join = std::get_if<JoinKeepers>(&Message))
+    onJoin(Self, From, *Join);
+  else if (const RedirectLeader *Leader = std::get_if<RedirectLeader>(&Message))
+    onLeaderNamed(Self, *Leader);
 }
 
 void finishInForceWaits(Keeper &Self, Millis Now) {
@@ -211,6 +220,13 @@
 
 } // namespace
 
+LeaseOptions leaseOptions(const KeeperSettings &Settings) {
+  LeaseOptions Options;
+  if (Settings.m_LeaseTime > Millis(0))
+    Options.m_LeaseTime = Settings.m_LeaseTime;
+  return Options;
+}
+
 bool leads(const Keeper &Self) {
   return Self.m_Running && Self.m_Replica.m_Role == ReplicaRole::Leader;
 }
@@ -219,7 +235,8 @@
   if (!leads(Self) || !holdsQuorumLease(Self.m_Replica, Now))
     return nullptr;
   if (!Self.m_Leases)
-    Self.m_Leases = makeLeaseTable(LeaseOptions(), Self.m_State, Now);
+    Self.m_Leases =
+        makeLeaseTable(leaseOptions(Self.m_Settings), Self.m_State, Now);
   return &*Self.m_Leases;
 }
 
@@ -230,6 +247,7 @@
     return;
   announceChanges(Self);
   announceLeavingVms(Self, Now);
+  repairKeeperSet(Self, Now);
   std::map<NodeId, Renew> Waiting;
   Waiting.swap(Self.m_WaitingRenewals);
   for (const std::pair<const NodeId, Renew> &Row : Waiting)
--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -3,6 +3,7 @@
 #include "process/json_schema.hpp"
 #include "process/settings_schema.hpp"
 
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -24,6 +25,8 @@
     return KeeperSettingsSchema;
   if (Kind == "operator")
     return OperatorSettingsSchema;
+  if (Kind == "gateway")
+    return GatewaySettingsSchema;
   return nullptr;
 }
 
@@ -47,8 +50,8 @@
   std::string Kind = Named ? Loaded.m_Value["kind"].get<std::string>() : "";
   const char *Schema = schemaOfKind(Kind);
   if (!Schema) {
-    Loaded.m_Faults.push_back("/kind: expected \"router\", \"keeper\" or "
-                              "\"operator\", got \"" +
+    Loaded.m_Faults.push_back("/kind: expected \"router\", \"gateway\", "
+                              "\"keeper\" or \"operator\", got \"" +
                               Kind + "\".");
     return Loaded;
   }
@@ -68,7 +71,26 @@
   return makeError(ErrorCode::InvalidSettings, Text);
 }
 
+/// Splits "IP:PORT"; the schema has checked its form.
+ListenAddress splitAddress(const std::string &Text) {
+  ListenAddress Listen;
+  std::size_t Colon = Text.rfind(':');
+  Listen.m_Address = Text.substr(0, Colon);
+  Listen.m_Port =
+      static_cast<std::uint16_t>(std::strtoul(&Text[Colon + 1], nullptr, 10));
+  return Listen;
+}
+
+/// The websocket URL of a keeper whose operators' address is given; all keepers
+/// of a deployment use the same port for each other.
+std::string keeperUrl(const std::string &Address, std::uint16_t PeerPort) {
+  return "ws://" + splitAddress(Address).m_Address + ":" +
+         std::to_string(PeerPort);
+}
+
 ListenAddress readListen(const json &Value) {
+  if (Value.is_string())
+    return splitAddress(Value.get<std::string>());
   ListenAddress Listen;
   Listen.m_Address = Value["address"].get<std::string>();
   Listen.m_Port = Value["port"].get<std::uint16_t>();
@@ -76,6 +98,15 @@
   return Listen;
 }
 
+/// A duration given in seconds, with fractions.
+Millis secondsOf(const json &Value, const char *Name, Millis Default) {
+  constexpr double MillisPerSecond = 1000;
+  if (!Value.contains(Name))
+    return Default;
+  return Millis(
+      static_cast<std::int64_t>(Value[Name].get<double>() * MillisPerSecond));
+}
+
 LogOptions readLog(const json &Settings, const std::string &Process) {
   LogOptions Log;
   Log.m_Process = Process;
@@ -130,11 +161,21 @@
   Settings.m_Http = readListen(Value["http"]);
   Settings.m_Peer = readListen(Value["peer"]);
   Settings.m_DataFolder = Value["data_folder"].get<std::string>();
-  for (const json &Item : Value["initial_keepers"])
+  for (const json &Item : Value.value("initial_keepers", json::array()))
     Settings.m_InitialKeepers.push_back(
         {KeeperId(Item["keeper"].get<std::string>()),
          Item["peer_url"].get<std::string>()});
-  for (const json &Item : Value["operators"])
+  for (const json &Item : Value.value("keeper_addresses", json::array())) {
+    std::string Address = Item.get<std::string>();
+    Settings.m_InitialKeepers.push_back(
+        {KeeperId(splitAddress(Address).m_Address),
+         keeperUrl(Address, Settings.m_Peer.m_Port)});
+  }
+  Settings.m_Initialize = Value.value("initialize", false);
+  Settings.m_SelfRepair = Value.value("self_repair", false);
+  Settings.m_OpenManifest = Value.value("open_manifest", false);
+  Settings.m_LeaseTime = Millis(Value.value("lease_ms", std::int64_t(0)));
+  for (const json &Item : Value.value("operators", json::array()))
     Settings.m_Operators.push_back(
         {OperatorId(Item["operator"].get<std::string>()),
          Item["token_sha256"].get<std::string>(),
@@ -145,6 +186,44 @@
   return Settings;
 }
 
+namespace {
+
+GatewayBounds readBounds(const json &Value) {
+  GatewayBounds Bounds;
+  Bounds.m_RetryRatio = Value.value("retry_ratio", Bounds.m_RetryRatio);
+  Bounds.m_RetryExtra = Value.value("retry_extra", Bounds.m_RetryExtra);
+  Bounds.m_RetryWindow =
+      secondsOf(Value, "retry_window_s", Bounds.m_RetryWindow);
+  Bounds.m_ColdFactor = Value.value("cold_factor", Bounds.m_ColdFactor);
+  Bounds.m_ColdExtra = Value.value("cold_extra", Bounds.m_ColdExtra);
+  Bounds.m_Grace = secondsOf(Value, "grace_s", Bounds.m_Grace);
+  return Bounds;
+}
+
+} // namespace
+
+Result<GatewaySettings> loadGatewaySettings(const std::string &Path) {
+  Result<json> Loaded = loadKind(Path, "gateway");
+  if (!Loaded)
+    return Loaded.error();
+  const json &Value = Loaded.value();
+  GatewaySettings Settings;
+  Settings.m_Node = NodeId(Value["node"].get<std::string>());
+  Settings.m_Zone = ZoneId(Value["zone"].get<std::string>());
+  Settings.m_Front = readListen(Value["front"]);
+  Settings.m_Ready = readListen(Value["ready"]);
+  Settings.m_Peer = readListen(Value["peer"]);
+  for (const json &Item : Value["keeper_addresses"])
+    Settings.m_Keepers.push_back(
+        keeperUrl(Item.get<std::string>(), Settings.m_Peer.m_Port));
+  Settings.m_TargetList = Value["target_list"].get<std::string>();
+  Settings.m_TargetListRate = Value["target_list_rate"].get<double>();
+  if (Value.contains("bounds"))
+    Settings.m_Bounds = readBounds(Value["bounds"]);
+  Settings.m_Log = readLog(Value, Settings.m_Node.m_Value);
+  return Settings;
+}
+
 Result<OperatorCliSettings> loadOperatorCliSettings(const std::string &Path) {
   Result<json> Loaded = loadKind(Path, "operator");
   if (!Loaded)
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -66,11 +66,52 @@
   std::string m_DataFolder;
   std::vector<InitialKeeper> m_InitialKeepers;
   std::vector<OperatorSettings> m_Operators;
+  /// Forms the first keeper set on an empty data folder, as --initialize does.
+  bool m_Initialize = false;
+  /// Keepers join, regain and lose their votes without an operator.
+  bool m_SelfRepair = false;
+  /// Manifests and zones are taken without an operator's token.
+  bool m_OpenManifest = false;
+  /// Routers' leases; 0 for the default.
+  Millis m_LeaseTime{0};
   /// A snapshot replaces the log after this many entries.
   std::uint64_t m_SnapshotEntries = 10000;
   LogOptions m_Log;
 };
 
+/// Bounds that a gateway keeps to, as its deployment states them.
+struct GatewayBounds {
+  /// Repeats of requests per request, over RetryWindow, of all gateways.
+  double m_RetryRatio = 0.1;
+  /// Repeats per RetryWindow beyond that, of all gateways.
+  double m_RetryExtra = 10;
+  Millis m_RetryWindow{10000};
+  /// A target in cold start bears its stated rate times this factor, and
+  /// m_ColdExtra requests more, within a second.
+  double m_ColdFactor = 1;
+  double m_ColdExtra = 0;
+  /// Time from SIGTERM to SIGKILL.
+  Millis m_Grace{8000};
+};
+
+/// Settings of a gateway process: a router that sends requests to the
+/// platform's targets itself.
+struct GatewaySettings {
+  NodeId m_Node;
+  ZoneId m_Zone;
+  ListenAddress m_Front;
+  ListenAddress m_Ready;
+  ListenAddress m_Peer;
+  /// Websocket URLs of some keepers.
+  std::vector<std::string> m_Keepers;
+  /// IP:PORT of the platform's list of targets.
+  std::string m_TargetList;
+  /// Calls per second that all gateways together may make there.
+  double m_TargetListRate = 1;
+  GatewayBounds m_Bounds;
+  LogOptions m_Log;
+};
+
 /// Settings of the operator's command line.
 struct OperatorCliSettings {
   /// HTTP URLs of the keepers; the first that leads answers.
@@ -82,6 +123,7 @@
 /// path, value and what was expected.
 Result<RouterSettings> loadRouterSettings(const std::string &Path);
 Result<KeeperSettings> loadKeeperSettings(const std::string &Path);
+Result<GatewaySettings> loadGatewaySettings(const std::string &Path);
 Result<OperatorCliSettings> loadOperatorCliSettings(const std::string &Path);
 
 /// All faults of a settings file of any kind, one per line; empty when valid.
--- a/src/daemon/process/settings_schema.cpp
+++ b/src/daemon/process/settings_schema.cpp
@@ -50,16 +50,16 @@
 const char *const KeeperSettingsSchema = R"json({
   "type": "object",
   "additionalProperties": false,
-  "required": ["kind", "keeper", "vm", "zone", "http", "peer", "data_folder",
-               "initial_keepers", "operators"],
+  "required": ["kind", "keeper", "vm", "zone", "http", "peer", "data_folder"],
   "properties": {
     "kind": {"enum": ["keeper"]},
     "keeper": {"type": "string", "minLength": 1, "maxLength": 64},
     "vm": {"type": "string", "minLength": 1, "maxLength": 64},
     "zone": {"type": "string", "minLength": 1, "maxLength": 64},
     "http": {
-      "type": "object", "additionalProperties": false,
+      "type": ["object", "string"], "additionalProperties": false,
       "required": ["address", "port"],
+      "pattern": "^[0-9.]+:[0-9]+$",
       "properties": {
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
         "port": {"type": "integer", "minimum": 1, "maximum": 65535}
@@ -86,6 +86,14 @@
         }
       }
     },
+    "keeper_addresses": {
+      "type": "array",
+      "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}
+    },
+    "initialize": {"type": "boolean"},
+    "self_repair": {"type": "boolean"},
+    "open_manifest": {"type": "boolean"},
+    "lease_ms": {"type": "integer", "minimum": 500, "maximum": 60000},
     "operators": {
       "type": "array", "minItems": 1,
       "items": {
@@ -110,6 +118,53 @@
   }
 })json";
 
+const char *const GatewaySettingsSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["kind", "node", "zone", "front", "ready", "peer",
+               "keeper_addresses", "target_list", "target_list_rate"],
+  "properties": {
+    "kind": {"enum": ["gateway"]},
+    "node": {"type": "string", "minLength": 1, "maxLength": 64},
+    "zone": {"type": "string", "minLength": 1, "maxLength": 64},
+    "front": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "ready": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "peer": {
+      "type": "object", "additionalProperties": false,
+      "required": ["address", "port"],
+      "properties": {
+        "address": {"type": "string", "pattern": "^[0-9.]+$"},
+        "port": {"type": "integer", "minimum": 1, "maximum": 65535}
+      }
+    },
+    "keeper_addresses": {
+      "type": "array", "minItems": 1,
+      "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}
+    },
+    "target_list": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
+    "target_list_rate": {"type": "number", "exclusiveMinimum": 0},
+    "bounds": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "retry_ratio": {"type": "number", "minimum": 0},
+        "retry_extra": {"type": "number", "minimum": 0},
+        "retry_window_s": {"type": "number", "exclusiveMinimum": 0},
+        "cold_factor": {"type": "number", "minimum": 0},
+        "cold_extra": {"type": "number", "minimum": 0},
+        "grace_s": {"type": "number", "minimum": 0}
+      }
+    },
+    "log": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "format": {"enum": ["json", "text"]},
+        "level": {"enum": ["debug", "info", "warn", "error"]},
+        "file": {"type": "string"}
+      }
+    }
+  }
+})json";
+
 const char *const OperatorSettingsSchema = R"json({
   "type": "object",
   "additionalProperties": false,
--- a/src/daemon/process/settings_schema.hpp
+++ b/src/daemon/process/settings_schema.hpp
@@ -6,5 +6,6 @@
 extern const char *const RouterSettingsSchema;
 extern const char *const KeeperSettingsSchema;
 extern const char *const OperatorSettingsSchema;
+extern const char *const GatewaySettingsSchema;
 
 } // namespace vanillaferry
