Read targets' answers with a strict parser over kept connections

Ruled out: resets, answers with a length and answers that end with their connection, each of which libsoup reports as broken (probe of 20 cases). Change: TargetCall on its own sockets with Boost.Beast's parser and kept idle connections; one engine for each prefix until it carries more than 1.4 times the mean; suspected cold targets; refusals late in a shutdown; SIGHUP handled.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -52,8 +52,8 @@
   std::int64_t m_SinceReport = 0;
   /// Own dispatches of the last moments, against the cold limit.
   RateWindow m_Starts;
-  /// Own dispatches per window, since a target may turn cold unannounced; 0 for
-  /// no limit.
+  /// Own dispatches per window while the target is, or may be, cold; 0 for no
+  /// limit.
   double m_ColdShare = 0;
   Millis m_ColdUntil;
   /// Share of failed requests, as a moving average.
@@ -66,13 +66,15 @@
 /// What all dispatches to a service keep to.
 struct DispatchLimits {
   /// The part of the mean load that a target may carry above it.
-  double m_Spread = 1.3;
+  double m_Spread = 1.4;
 };
 
 /// The targets of one service.
 struct DispatchPool {
   std::map<TargetId, DispatchTarget> m_Targets;
   DispatchLimits m_Limits;
+  /// Cold start of a new or restarted target.
+  Millis m_ColdTime;
   bool m_Engine = false;
 };
 
@@ -107,19 +109,20 @@
   Millis m_RetryAfter;
 };
 
-/// Chooses a target. Requests that share a prompt prefix go to the same few
-/// engines by rendezvous hashing (Thaler and Ravishankar 1998), so that every
-/// router finds the copy without knowing the caches; a longer prefix is worth
-/// a narrower choice. Within the choice, and where all of it carries more than
-/// the spread allows, the least loaded target is taken.
+/// Chooses a target. Requests that share a prompt prefix go to the engine that
+/// ranks first by rendezvous hashing (Thaler and Ravishankar 1998), so that
+/// every router finds the copy without knowing the caches. While that engine
+/// carries more than the spread allows, they go to the one that ranks next, so
+/// that a prefix in high demand has as few copies as carry it. Requests without
+/// a shared prefix go to the least loaded target.
 DispatchChoice chooseTarget(DispatchPool &Pool, const DispatchNeed &Need,
                             Millis Now);
 
 /// Replaces the pool's targets by the listed ones. Targets that left are kept
 /// while own requests run there, but are not chosen.
 void takeListedTargets(DispatchPool &Pool,
-                       const std::vector<ListedTarget> &Listed, Millis ColdTime,
-                       bool FirstList, Millis Now);
+                       const std::vector<ListedTarget> &Listed, bool FirstList,
+                       Millis Now);
 
 /// How a request at a target ended, as far as the target's state is concerned.
 enum class TargetOutcome : std::uint8_t {
@@ -135,6 +138,9 @@
 
 void noteStarted(DispatchTarget &Target, Millis Now);
 void noteEnded(DispatchTarget &Target, TargetOutcome How, Millis Now);
+/// Notes that a target may have turned cold without notice, for example after
+/// it failed or its zone was out of service.
+void suspectCold(DispatchTarget &Target, Millis ColdTime, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
 
 /// Estimated requests at the target, with those of other routers.
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -22,11 +22,12 @@
 /// Requests above the mean that are always allowed, so that a nearly idle pool
 /// still keeps requests of a prefix together.
 constexpr double SpreadSlack = 2;
-/// Prefixes from this size on keep to fewer engines: reading them again costs
-/// more than waiting behind a few requests.
-constexpr Tokens LongPrefix{4000};
-constexpr std::size_t LongPrefixChoices = 2;
-constexpr std::size_t ShortPrefixChoices = 4;
+/// Times its share that a warm target may get: it may turn cold unannounced,
+/// but all routers do not send it their most at once.
+constexpr double WarmFactor = 2.5;
+/// A restarted target is known as cold once the platform's list shows it; until
+/// then a failure is taken for a restart.
+constexpr Millis ListDelay{2000};
 constexpr Millis RetryWhenFull{400};
 constexpr Millis RetryWhenNone{700};
 
@@ -48,9 +49,11 @@
 }
 
 bool withinColdLimit(DispatchTarget &Target, Millis Now) {
-  return Target.m_ColdShare <= 0 ||
-         static_cast<double>(eventsWithin(Target.m_Starts, Now)) + 1 <=
-             Target.m_ColdShare;
+  if (Target.m_ColdShare <= 0)
+    return true;
+  double Limit = Target.m_ColdUntil > Now ? Target.m_ColdShare
+                                          : Target.m_ColdShare * WarmFactor;
+  return static_cast<double>(eventsWithin(Target.m_Starts, Now)) + 1 <= Limit;
 }
 
 /// Listed targets that may get a request; those without a pause if any.
@@ -100,21 +103,13 @@
       });
 }
 
-/// The least loaded of the engines that rank first for the prefix and carry no
-/// more than the spread allows; null when all of them carry more.
-const Candidate *preferred(std::vector<Candidate> &All,
-                           const DispatchNeed &Need, double Bound) {
-  std::sort(All.begin(), All.end(), [](const Candidate &A, const Candidate &B) {
-    return A.m_Rank > B.m_Rank;
-  });
-  std::size_t Choices =
-      Need.m_PrefixTokens < LongPrefix ? ShortPrefixChoices : LongPrefixChoices;
+/// The engine that ranks first for the prefix among those that carry no more
+/// than the bound; null when all of them carry more.
+const Candidate *preferred(const std::vector<Candidate> &All, double Bound) {
   const Candidate *Best = nullptr;
-  for (std::size_t Index = 0; Index < std::min(Choices, All.size()); ++Index) {
-    const Candidate &Each = All[Index];
-    if (Each.m_Load <= Bound && (!Best || Each.m_Load < Best->m_Load))
+  for (const Candidate &Each : All)
+    if (Each.m_Load <= Bound && (!Best || Each.m_Rank > Best->m_Rank))
       Best = &Each;
-  }
   return Best;
 }
 
@@ -149,7 +144,7 @@
     return refused(NoTarget::ColdLimit, RetryWhenFull);
   const Candidate *Chosen = nullptr;
   if (Need.m_PrefixHash != 0)
-    Chosen = preferred(All, Need, Mean * Pool.m_Limits.m_Spread + SpreadSlack);
+    Chosen = preferred(All, Mean * Pool.m_Limits.m_Spread + SpreadSlack);
   if (!Chosen)
     Chosen = &leastLoaded(All);
   DispatchChoice Choice;
@@ -160,8 +155,8 @@
 }
 
 void takeListedTargets(DispatchPool &Pool,
-                       const std::vector<ListedTarget> &Listed, Millis ColdTime,
-                       bool FirstList, Millis Now) {
+                       const std::vector<ListedTarget> &Listed, bool FirstList,
+                       Millis Now) {
   std::set<TargetId> Present;
   for (const ListedTarget &Entry : Listed) {
     Present.insert(Entry.m_Id);
@@ -172,7 +167,7 @@
     if (Entry.m_ColdLeft > Millis(0))
       Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdLeft);
     if (IsNew && !FirstList)
-      Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + ColdTime);
+      suspectCold(Target, Pool.m_ColdTime, Now);
   }
   std::map<TargetId, DispatchTarget>::iterator Row = Pool.m_Targets.begin();
   while (Row != Pool.m_Targets.end()) {
@@ -207,11 +202,16 @@
     return;
   }
   ++Target.m_FailuresInRow;
+  suspectCold(Target, ListDelay, Now);
   // A single failed answer may be the request's own fault.
   if (How == TargetOutcome::Unreachable || Target.m_FailuresInRow > 1)
     Target.m_PausedUntil = Now + pauseAfter(Target.m_FailuresInRow);
 }
 
+void suspectCold(DispatchTarget &Target, Millis ColdTime, Millis Now) {
+  Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + ColdTime);
+}
+
 void noteReport(DispatchTarget &Target, const TargetReport &Report,
                 Millis Now) {
   Target.m_Report = Report;
--- a/src/daemon/connection/caller.cpp
+++ b/src/daemon/connection/caller.cpp
@@ -108,8 +108,11 @@
                                 Field.second.c_str());
   soup_server_message_set_status(m_Message.get(), static_cast<guint>(Status),
                                  nullptr);
-  soup_server_message_set_response(m_Message.get(), ContentType.c_str(),
-                                   SOUP_MEMORY_COPY, Body.data(), Body.size());
+  if (!ContentType.empty())
+    soup_message_headers_replace(Headers, "Content-Type", ContentType.c_str());
+  soup_message_body_append(
+      soup_server_message_get_response_body(m_Message.get()), SOUP_MEMORY_COPY,
+      Body.data(), Body.size());
   m_Watcher->remove(m_Watch);
   m_Watch = 0;
   if (m_Paused) {
--- a/src/daemon/connection/order_adapter.cpp
+++ b/src/daemon/connection/order_adapter.cpp
@@ -36,10 +36,11 @@
   return Reply;
 }
 
-std::shared_ptr<OrderCall> OrderCall::start(
-    SoupSession *Session, const std::shared_ptr<FdWatcher> &Watcher,
-    const std::string &EngineUrl, const EngineOrder &Order, Millis EndsAt,
-    std::function<bool()> MayWrite, EndHandler OnEnd) {
+std::shared_ptr<OrderCall>
+OrderCall::start(const std::shared_ptr<FdWatcher> &Watcher,
+                 const std::string &EngineUrl, const EngineOrder &Order,
+                 Millis EndsAt, std::function<bool()> MayWrite,
+                 EndHandler OnEnd) {
   std::shared_ptr<OrderCall> Self(new OrderCall);
   std::weak_ptr<OrderCall> Weak = Self;
   Self->m_OnEnd = std::move(OnEnd);
@@ -66,7 +67,7 @@
       Call->onEnd(How, Detail);
   };
   Self->m_Call =
-      TargetCall::start(Session, *Watcher, Request, std::move(Handlers));
+      TargetCall::start(nullptr, *Watcher, Request, std::move(Handlers));
   Self->m_Timer.start((EndsAt - monotonicNow()).m_Value, [Weak] {
     if (std::shared_ptr<OrderCall> Call = Weak.lock())
       Call->onTimeout();
--- a/src/daemon/connection/order_adapter.hpp
+++ b/src/daemon/connection/order_adapter.hpp
@@ -28,9 +28,9 @@
   /// MayWrite is asked directly before the first byte is written. OnEnd is
   /// called once, at EndsAt at the latest, and not after cancel().
   static std::shared_ptr<OrderCall>
-  start(SoupSession *Session, const std::shared_ptr<FdWatcher> &Watcher,
-        const std::string &EngineUrl, const EngineOrder &Order, Millis EndsAt,
-        std::function<bool()> MayWrite, EndHandler OnEnd);
+  start(const std::shared_ptr<FdWatcher> &Watcher, const std::string &EngineUrl,
+        const EngineOrder &Order, Millis EndsAt, std::function<bool()> MayWrite,
+        EndHandler OnEnd);
   ~OrderCall() { cancel(); }
   OrderCall(const OrderCall &) = delete;
   OrderCall &operator=(const OrderCall &) = delete;
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -1,15 +1,29 @@
 #include "connection/target_client.hpp"
 
+#include "connection/target_connections.hpp"
 #include "process/clock.hpp"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <limits>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace vanillaferry {
 
+namespace http = boost::beast::http;
+
 namespace {
 
 constexpr std::size_t ReadBytes = 64 * 1024;
@@ -17,25 +31,116 @@
 /// others.
 constexpr int ReadsPerRound = 8;
 constexpr int MaxConnections = 20000;
+constexpr std::uint32_t MaxAnswerHead = 64 * 1024;
+constexpr int FirstFinalStatus = 200;
+/// Idle time of a kept connection when the target states none.
+constexpr Millis DefaultIdle{4000};
+constexpr std::int64_t MillisPerSecond = 1000;
+
+/// A URL's parts; the address is IP:PORT.
+struct SplitUrl {
+  std::string m_Address;
+  std::string m_Path;
+};
+
+std::optional<SplitUrl> splitUrl(const std::string &Url) {
+  const std::string Scheme = "http://";
+  if (Url.compare(0, Scheme.size(), Scheme) != 0)
+    return std::nullopt;
+  std::size_t Slash = Url.find('/', Scheme.size());
+  SplitUrl Parts;
+  Parts.m_Address = Url.substr(Scheme.size(), Slash == std::string::npos
+                                                  ? std::string::npos
+                                                  : Slash - Scheme.size());
+  Parts.m_Path = Slash == std::string::npos ? "/" : Url.substr(Slash);
+  return Parts;
+}
+
+std::optional<sockaddr_in> socketAddress(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  sockaddr_in Socket = {};
+  Socket.sin_family = AF_INET;
+  std::uint16_t Port = 80;
+  if (Colon != std::string::npos) {
+    const char *End = Address.data() + Address.size();
+    if (std::from_chars(&Address[Colon] + 1, End, Port).ptr != End)
+      return std::nullopt;
+  }
+  Socket.sin_port = htons(Port);
+  if (inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Socket.sin_addr) !=
+      1)
+    return std::nullopt;
+  return Socket;
+}
 
-std::string fieldOf(SoupMessageHeaders *Headers, const char *Name) {
-  const char *Value = soup_message_headers_get_one(Headers, Name);
-  return Value ? Value : "";
+/// A line end inside a field would let a caller add fields or requests.
+bool isOneLine(const std::string &Text) {
+  return Text.find_first_of(std::string("\r\n\0", 3)) == std::string::npos;
+}
+
+bool isSafe(const TargetRequest &Request) {
+  bool Safe = isOneLine(Request.m_Method) && isOneLine(Request.m_Url) &&
+              isOneLine(Request.m_ContentType) &&
+              Request.m_Url.find(' ') == std::string::npos;
+  for (const std::pair<std::string, std::string> &Field : Request.m_Fields)
+    Safe = Safe && isOneLine(Field.first) && isOneLine(Field.second);
+  return Safe;
 }
 
-HttpFields allFields(SoupMessageHeaders *Headers) {
-  HttpFields Fields;
-  SoupMessageHeadersIter Iter;
-  const char *Name = nullptr;
-  const char *Value = nullptr;
-  soup_message_headers_iter_init(&Iter, Headers);
-  while (soup_message_headers_iter_next(&Iter, &Name, &Value))
-    Fields.emplace_back(Name, Value);
-  return Fields;
+bool hasField(const HttpFields &Fields, const char *Name) {
+  return std::any_of(Fields.begin(), Fields.end(),
+                     [Name](const std::pair<std::string, std::string> &Field) {
+                       return strcasecmp(Field.first.c_str(), Name) == 0;
+                     });
+}
+
+std::string requestText(const TargetRequest &Request, const SplitUrl &Url,
+                        bool Reuse) {
+  std::string Text = Request.m_Method + " " + Url.m_Path + " HTTP/1.1\r\n";
+  if (!hasField(Request.m_Fields, "Host"))
+    Text += "Host: " + Url.m_Address + "\r\n";
+  for (const std::pair<std::string, std::string> &Field : Request.m_Fields)
+    Text += Field.first + ": " + Field.second + "\r\n";
+  if (!Request.m_ContentType.empty())
+    Text += "Content-Type: " + Request.m_ContentType + "\r\n";
+  bool HasBody = Request.m_Method != "GET" && Request.m_Method != "HEAD";
+  if (HasBody || !Request.m_Body.empty())
+    Text += "Content-Length: " + std::to_string(Request.m_Body.size()) + "\r\n";
+  Text += Reuse ? "\r\n" : "Connection: close\r\n\r\n";
+  return Text + Request.m_Body;
+}
+
+/// Half of the idle time that the target states in Keep-Alive, since it counts
+/// from when the target sent its answer.
+Millis idleTime(const http::fields &Fields) {
+  boost::beast::string_view Value = Fields[http::field::keep_alive];
+  std::size_t Found = Value.find("timeout=");
+  if (Found == boost::beast::string_view::npos)
+    return DefaultIdle;
+  Value.remove_prefix(Found + std::strlen("timeout="));
+  std::int64_t Seconds = 0;
+  std::from_chars(Value.data(), Value.data() + Value.size(), Seconds);
+  return Millis(Seconds * MillisPerSecond / 2);
 }
 
 } // namespace
 
+/// The parser of one answer and its bytes that wait to be parsed.
+struct TargetCall::Answer {
+  std::optional<http::response_parser<http::buffer_body>> m_Parser;
+  std::string m_Pending;
+  bool m_HeadReported = false;
+  bool m_SkipBody = false;
+
+  void reset() {
+    m_Parser.emplace();
+    // Boost 1.74 takes no limit for a limit of 0.
+    m_Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_Parser->header_limit(MaxAnswerHead);
+    m_Parser->skip(m_SkipBody);
+  }
+};
+
 GHandle<SoupSession> makeTargetSession() {
   SoupSession *Session = soup_session_new_with_options(
       "max-conns", MaxConnections, "max-conns-per-host", MaxConnections,
@@ -46,112 +151,114 @@
   return GHandle<SoupSession>(Session);
 }
 
-std::shared_ptr<TargetCall> TargetCall::start(SoupSession *Session,
+TargetCall::TargetCall(FdWatcher &Watcher)
+    : m_Watcher(Watcher.shared_from_this()),
+      m_Answer(std::make_unique<Answer>()) {}
+
+TargetCall::~TargetCall() { release(); }
+
+std::shared_ptr<TargetCall> TargetCall::start(TargetConnections *Kept,
                                               FdWatcher &Watcher,
                                               const TargetRequest &Request,
                                               CallHandlers Handlers) {
   std::shared_ptr<TargetCall> Call(new TargetCall(Watcher));
   Call->m_Handlers = std::make_shared<CallHandlers>(std::move(Handlers));
   Call->m_SendBy = Request.m_SendBy;
-  Call->m_Message.reset(
-      soup_message_new(Request.m_Method.c_str(), Request.m_Url.c_str()));
-  if (!Call->m_Message) {
-    postIdle([Call] { Call->end(CallEnd::NotSent, "the URL is invalid"); });
-    return Call;
-  }
-  SoupMessage *Message = Call->m_Message.get();
-  soup_message_add_flags(
-      Message, static_cast<SoupMessageFlags>(SOUP_MESSAGE_NEW_CONNECTION |
-                                             SOUP_MESSAGE_NO_REDIRECT));
-  SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
-  soup_message_headers_append(Headers, "Connection", "close");
-  for (const std::pair<std::string, std::string> &Field : Request.m_Fields)
-    soup_message_headers_replace(Headers, Field.first.c_str(),
-                                 Field.second.c_str());
-  if (!Request.m_Body.empty()) {
-    GBytes *Body = g_bytes_new(Request.m_Body.data(), Request.m_Body.size());
-    soup_message_set_request_body_from_bytes(
-        Message,
-        Request.m_ContentType.empty() ? nullptr : Request.m_ContentType.c_str(),
-        Body);
-    g_bytes_unref(Body);
-  }
-  g_signal_connect(Message, "network-event",
-                   G_CALLBACK(+[](SoupMessage *, GSocketClientEvent Event,
-                                  GIOStream *Stream, gpointer Data) {
-                     if (Event == G_SOCKET_CLIENT_CONNECTED &&
-                         G_IS_SOCKET_CONNECTION(Stream))
-                       static_cast<TargetCall *>(Data)->m_Fd =
-                           g_socket_get_fd(g_socket_connection_get_socket(
-                               G_SOCKET_CONNECTION(Stream)));
-                   }),
-                   Call.get());
-  g_signal_connect(
-      Message, "starting", G_CALLBACK(+[](SoupMessage *, gpointer Data) {
-        TargetCall *Self = static_cast<TargetCall *>(Data);
-        if (!Self->limitSending() || (Self->m_Handlers->m_MayDispatch &&
-                                      !Self->m_Handlers->m_MayDispatch())) {
-          Self->m_Refused = true;
-          g_cancellable_cancel(Self->m_Cancel.get());
-          // A closed socket makes sure that nothing leaves.
-          shutdown(Self->m_Fd, SHUT_RDWR);
-          return;
-        }
-        Self->m_MayBeSent = true;
-      }),
-      Call.get());
-  Call->m_Cancel.reset(g_cancellable_new());
-  soup_session_send_async(
-      Session, Message, G_PRIORITY_DEFAULT, Call->m_Cancel.get(),
-      [](GObject *Source, GAsyncResult *Result, gpointer Data) {
-        std::unique_ptr<std::shared_ptr<TargetCall>> Self(
-            static_cast<std::shared_ptr<TargetCall> *>(Data));
-        GError *Fault = nullptr;
-        GInputStream *Body =
-            soup_session_send_finish(SOUP_SESSION(Source), Result, &Fault);
-        (*Self)->onSent(Body, Fault);
-      },
-      new std::shared_ptr<TargetCall>(Call));
+  Call->m_Answer->m_SkipBody = Request.m_Method == "HEAD";
+  Call->m_Answer->reset();
+  Call->m_Reuse = Kept && Request.m_MaxIdle > Millis(0);
+  if (Call->m_Reuse)
+    Call->m_Kept = Kept->weak_from_this();
+  std::string Fault = Call->connect(Request);
+  if (!Fault.empty())
+    postIdle([Call, Fault] { Call->end(CallEnd::NotSent, Fault); });
   return Call;
 }
 
-TargetCall::~TargetCall() { release(); }
-
-void TargetCall::onSent(GInputStream *Body, GError *Fault) {
-  m_Body.reset(Body);
-  GErrorHandle Owned(Fault);
-  if (m_Done) {
-    release();
-    return;
+std::string TargetCall::connect(const TargetRequest &Request) {
+  std::optional<SplitUrl> Url = splitUrl(Request.m_Url);
+  std::optional<sockaddr_in> Address =
+      Url ? socketAddress(Url->m_Address) : std::nullopt;
+  if (!Address || !isSafe(Request))
+    return "the URL or a field is invalid";
+  m_Address = Url->m_Address;
+  m_Out = requestText(Request, *Url, m_Reuse);
+  if (std::shared_ptr<TargetConnections> Kept = m_Kept.lock())
+    m_Fd = Kept->take(m_Address, Request.m_MaxIdle, monotonicNow());
+  if (m_Fd < 0) {
+    m_Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_Fd < 0)
+      return std::string("no socket: ") + std::strerror(errno);
+    int On = 1;
+    setsockopt(m_Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+    if (::connect(m_Fd, reinterpret_cast<const sockaddr *>(&*Address),
+                  sizeof *Address) != 0 &&
+        errno != EINPROGRESS)
+      return std::string("no connection: ") + std::strerror(errno);
   }
-  if (!Body) {
-    CallEnd How = m_Refused     ? CallEnd::Forbidden
-                  : m_MayBeSent ? CallEnd::Broken
-                                : CallEnd::NotSent;
-    end(How, m_Refused ? "the lease or the time ended before the dispatch"
-                       : (Owned ? Owned->message : "no answer"));
-    return;
-  }
-  SoupMessageHeaders *Headers =
-      soup_message_get_response_headers(m_Message.get());
-  if (soup_message_headers_get_encoding(Headers) ==
-      SOUP_ENCODING_CONTENT_LENGTH)
-    m_Length = soup_message_headers_get_content_length(Headers);
-  TargetHead Head;
-  Head.m_Status = static_cast<int>(soup_message_get_status(m_Message.get()));
-  Head.m_ContentType = fieldOf(Headers, "Content-Type");
-  Head.m_RequestId = fieldOf(Headers, "X-Request-Id");
-  Head.m_Fields = allFields(Headers);
-  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
-  Handlers->m_OnHead(Head);
-  if (m_Done)
+  // A kept connection is writable at once and takes the same way.
+  watch(EPOLLOUT);
+  return std::string();
+}
+
+void TargetCall::watch(std::uint32_t Events) {
+  if (m_Watch && Events == m_Events)
     return;
-  m_Watch = m_Watcher->add(m_Fd, EPOLLIN | EPOLLRDHUP,
-                           [Weak = weak_from_this()](std::uint32_t) {
+  m_Events = Events;
+  if (m_Watch)
+    return m_Watcher->change(m_Watch, Events);
+  m_Watch = m_Watcher->add(m_Fd, Events,
+                           [Weak = weak_from_this()](std::uint32_t Ready) {
                              if (std::shared_ptr<TargetCall> Self = Weak.lock())
-                               Self->read();
+                               Self->onReady(Ready);
                            });
-  read();
+}
+
+void TargetCall::onReady(std::uint32_t Events) {
+  std::shared_ptr<TargetCall> Self = shared_from_this();
+  if (!m_Connected)
+    return onConnected();
+  if (Events & EPOLLOUT)
+    write();
+  if (!m_Done && (Events & ~static_cast<std::uint32_t>(EPOLLOUT)))
+    read();
+}
+
+void TargetCall::onConnected() {
+  int Fault = 0;
+  socklen_t Size = sizeof Fault;
+  getsockopt(m_Fd, SOL_SOCKET, SO_ERROR, &Fault, &Size);
+  if (Fault != 0)
+    return end(CallEnd::NotSent,
+               std::string("no connection: ") + std::strerror(Fault));
+  m_Connected = true;
+  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
+  if (!limitSending() ||
+      (Handlers->m_MayDispatch && !Handlers->m_MayDispatch()))
+    return end(CallEnd::Forbidden,
+               "the lease or the time ended before the dispatch");
+  m_MayBeSent = true;
+  write();
+}
+
+void TargetCall::write() {
+  while (m_Sent < m_Out.size()) {
+    ssize_t Count = send(m_Fd, m_Out.data() + m_Sent, m_Out.size() - m_Sent,
+                         MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    // A target that answered before it read the whole body may have closed;
+    // its answer is still read.
+    if (Count < 0 && errno != EAGAIN)
+      m_Sent = m_Out.size();
+    if (Count < 0)
+      break;
+    m_Sent += static_cast<std::size_t>(Count);
+  }
+  std::uint32_t Events = m_Paused ? EPOLLRDHUP | EPOLLET : EPOLLIN | EPOLLRDHUP;
+  if (m_Sent < m_Out.size())
+    Events |= EPOLLOUT;
+  watch(Events);
 }
 
 void TargetCall::read() {
@@ -160,40 +267,105 @@
   std::shared_ptr<TargetCall> Self = shared_from_this();
   static std::array<char, ReadBytes> Buffer;
   m_Reading = true;
-  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
   for (int Round = 0; !m_Done && !m_Paused; ++Round) {
     if (Round == ReadsPerRound) {
-      // libsoup may hold bytes that the socket no longer signals.
       postIdle([Self] { Self->read(); });
       break;
     }
-    // Cheaper than a read that fails, whose error text costs more than the
-    // relay of an event.
-    if (Round > 0 && !g_pollable_input_stream_is_readable(
-                         G_POLLABLE_INPUT_STREAM(m_Body.get())))
-      break;
-    GError *Fault = nullptr;
-    gssize Count = g_pollable_input_stream_read_nonblocking(
-        G_POLLABLE_INPUT_STREAM(m_Body.get()), Buffer.data(), Buffer.size(),
-        nullptr, &Fault);
-    GErrorHandle Owned(Fault);
-    if (Count > 0) {
-      m_Received += Count;
-      Handlers->m_OnData(Buffer.data(), static_cast<std::size_t>(Count));
+    ssize_t Count = recv(m_Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    if (Count < 0 && errno == EINTR)
       continue;
+    if (Count < 0 && errno == EAGAIN)
+      break;
+    if (Count < 0) {
+      end(CallEnd::Broken, std::string("cannot read: ") + std::strerror(errno));
+      break;
+    }
+    if (Count == 0) {
+      boost::system::error_code Fault;
+      if (m_Answer->m_HeadReported)
+        m_Answer->m_Parser->put_eof(Fault);
+      bool Whole = m_Answer->m_HeadReported && !Fault;
+      end(Whole ? CallEnd::Complete : CallEnd::Broken,
+          Whole ? "" : "the connection closed before the answer's end");
+      break;
     }
-    if (Count < 0 && g_error_matches(Fault, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    if (!parse(Buffer.data(), static_cast<std::size_t>(Count)))
+      break;
+    // A short read has emptied the socket.
+    if (static_cast<std::size_t>(Count) < Buffer.size())
       break;
-    // libsoup reports an early end of a body with a stated length as its end.
-    bool Short = m_Length >= 0 && m_Received < m_Length;
-    end(Count == 0 && !Short ? CallEnd::Complete : CallEnd::Broken,
-        Owned   ? Owned->message
-        : Short ? "the answer is shorter than its stated length"
-                : "");
   }
   m_Reading = false;
 }
 
+bool TargetCall::parse(const char *Data, std::size_t Size) {
+  std::string &Pending = m_Answer->m_Pending;
+  Pending.append(Data, Size);
+  static std::array<char, ReadBytes> Body;
+  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
+  bool Progress = true;
+  while (!m_Done && Progress && !m_Answer->m_Parser->is_done()) {
+    http::response_parser<http::buffer_body> &Parser = *m_Answer->m_Parser;
+    bool WasHead = Parser.is_header_done();
+    Parser.get().body().data = Body.data();
+    Parser.get().body().size = Body.size();
+    Parser.get().body().more = true;
+    boost::system::error_code Fault;
+    std::size_t Used = 0;
+    if (!Pending.empty())
+      Used = Parser.put(boost::asio::buffer(Pending), Fault);
+    Pending.erase(0, Used);
+    if (Fault && Fault != http::error::need_more &&
+        Fault != http::error::need_buffer) {
+      end(CallEnd::Broken, "not an HTTP answer: " + Fault.message());
+      return false;
+    }
+    std::size_t Produced = Body.size() - Parser.get().body().size;
+    if (!WasHead && Parser.is_header_done())
+      reportHead();
+    if (Produced > 0 && !m_Done && m_Answer->m_HeadReported)
+      Handlers->m_OnData(Body.data(), Produced);
+    Progress = Used > 0 || Produced > 0;
+  }
+  if (!m_Done && m_Answer->m_Parser->is_done())
+    onFinished();
+  return !m_Done;
+}
+
+void TargetCall::reportHead() {
+  const http::response<http::buffer_body> &Read = m_Answer->m_Parser->get();
+  if (Read.result_int() < FirstFinalStatus) {
+    // An interim answer; the final one follows.
+    m_Answer->reset();
+    return;
+  }
+  m_Answer->m_HeadReported = true;
+  TargetHead Head;
+  Head.m_Status = static_cast<int>(Read.result_int());
+  Head.m_ContentType = std::string(Read[http::field::content_type]);
+  Head.m_RequestId = std::string(Read["X-Request-Id"]);
+  for (const http::fields::value_type &Field : Read)
+    Head.m_Fields.emplace_back(std::string(Field.name_string()),
+                               std::string(Field.value()));
+  std::shared_ptr<CallHandlers> Handlers = m_Handlers;
+  Handlers->m_OnHead(Head);
+}
+
+void TargetCall::onFinished() {
+  std::shared_ptr<TargetConnections> Kept = m_Kept.lock();
+  const http::response_parser<http::buffer_body> &Parser = *m_Answer->m_Parser;
+  bool Reusable = Kept && Parser.keep_alive() && m_Answer->m_Pending.empty() &&
+                  m_Sent == m_Out.size();
+  Millis Idle = Reusable ? idleTime(Parser.get()) : Millis(0);
+  if (Idle > Millis(0)) {
+    m_Watcher->remove(m_Watch);
+    m_Watch = 0;
+    Kept->keep(m_Address, std::exchange(m_Fd, -1), Idle, monotonicNow());
+  }
+  end(CallEnd::Complete, "");
+}
+
 bool TargetCall::limitSending() const {
   if (m_SendBy == Millis(0))
     return true;
@@ -209,14 +381,17 @@
   if (m_Done || m_Paused)
     return;
   m_Paused = true;
-  m_Watcher->change(m_Watch, EPOLLRDHUP | EPOLLET);
+  if (m_Connected)
+    write();
 }
 
 void TargetCall::resume() {
   if (m_Done || !m_Paused)
     return;
   m_Paused = false;
-  m_Watcher->change(m_Watch, EPOLLIN | EPOLLRDHUP);
+  if (!m_Connected)
+    return;
+  write();
   std::shared_ptr<TargetCall> Self = shared_from_this();
   postIdle([Self] { Self->read(); });
 }
@@ -226,7 +401,6 @@
     return;
   m_Done = true;
   m_Handlers.reset();
-  g_cancellable_cancel(m_Cancel.get());
   release();
 }
 
@@ -244,13 +418,9 @@
   if (m_Watch)
     m_Watcher->remove(m_Watch);
   m_Watch = 0;
-  if (m_Message)
-    g_signal_handlers_disconnect_by_data(m_Message.get(), this);
-  if (m_Body) {
-    // Closed at once: the connection is used for one request only.
-    g_input_stream_close(m_Body.get(), nullptr, nullptr);
-    m_Body.reset();
-  }
+  if (m_Fd >= 0)
+    ::close(m_Fd);
+  m_Fd = -1;
 }
 
 void fetchText(SoupSession *Session, const std::string &Url,
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -12,9 +12,12 @@
 
 namespace vanillaferry {
 
+class TargetConnections;
+
 /// One HTTP request to a target.
 struct TargetRequest {
   std::string m_Method;
+  /// http://IP:PORT/path?query
   std::string m_Url;
   HttpFields m_Fields;
   std::string m_ContentType;
@@ -23,6 +26,9 @@
   /// not acknowledged (TCP_USER_TIMEOUT), also after the process has ended; 0
   /// for the system's own limit.
   Millis m_SendBy;
+  /// A kept connection may carry the request if it was used within this time;
+  /// 0 for a connection of its own.
+  Millis m_MaxIdle;
 };
 
 struct TargetHead {
@@ -51,21 +57,19 @@
   std::function<bool()> m_MayDispatch;
   std::function<void(const TargetHead &)> m_OnHead;
   std::function<void(const char *Data, std::size_t Size)> m_OnData;
-  /// Called once, last; not after cancel().
+  /// Called once, last; not after cancel(), nor before start() has returned.
   std::function<void(CallEnd, const std::string &Detail)> m_OnEnd;
 };
 
-/// A libsoup session for targets: no redirects, no cookies, no decoding, no
-/// proxy, and no limit on connections.
-GHandle<SoupSession> makeTargetSession();
-
-/// One request to a target over a connection of its own. libsoup sends a
-/// request again by itself only when a reused connection closes, so a fresh
-/// connection keeps every request to one arrival; it also avoids connections
-/// that went silent.
+/// One request to a target. Nothing is ever sent twice: a request that breaks
+/// is reported, and its owner decides. The answer's framing is read by
+/// Boost.Beast; libsoup takes a chunked answer that ends between two chunks
+/// for complete.
 class TargetCall : public std::enable_shared_from_this<TargetCall> {
 public:
-  static std::shared_ptr<TargetCall> start(SoupSession *Session,
+  /// Without Kept, or with an m_MaxIdle of 0, the connection is new and is
+  /// closed after the answer.
+  static std::shared_ptr<TargetCall> start(TargetConnections *Kept,
                                            FdWatcher &Watcher,
                                            const TargetRequest &Request,
                                            CallHandlers Handlers);
@@ -81,34 +85,49 @@
   bool mayBeSent() const { return m_MayBeSent; }
 
 private:
-  explicit TargetCall(FdWatcher &Watcher)
-      : m_Watcher(Watcher.shared_from_this()) {}
-  void onSent(GInputStream *Body, GError *Fault);
+  struct Answer;
+
+  explicit TargetCall(FdWatcher &Watcher);
+  /// Empty when the connection is there or on its way.
+  std::string connect(const TargetRequest &Request);
+  void watch(std::uint32_t Events);
+  void onReady(std::uint32_t Events);
+  void onConnected();
+  void write();
   void read();
+  /// Parses received bytes; false when the call ended.
+  bool parse(const char *Data, std::size_t Size);
+  void onFinished();
+  void reportHead();
   void end(CallEnd How, const std::string &Detail);
   void release();
   /// Sets TCP_USER_TIMEOUT to the time that is left; false when none is.
   bool limitSending() const;
 
   std::shared_ptr<FdWatcher> m_Watcher;
-  GHandle<SoupMessage> m_Message;
-  GHandle<GCancellable> m_Cancel;
-  GHandle<GInputStream> m_Body;
+  std::weak_ptr<TargetConnections> m_Kept;
   /// Shared, so that a handler that cancels its call stays alive meanwhile.
   std::shared_ptr<CallHandlers> m_Handlers;
-  /// Stated length of the body; -1 without one.
-  std::int64_t m_Length = -1;
-  std::int64_t m_Received = 0;
+  std::unique_ptr<Answer> m_Answer;
+  std::string m_Address;
+  std::string m_Out;
+  std::size_t m_Sent = 0;
   int m_Fd = -1;
   Millis m_SendBy;
   std::uint64_t m_Watch = 0;
+  std::uint32_t m_Events = 0;
+  bool m_Reuse = false;
+  bool m_Connected = false;
   bool m_MayBeSent = false;
-  bool m_Refused = false;
   bool m_Paused = false;
   bool m_Reading = false;
   bool m_Done = false;
 };
 
+/// A libsoup session for small documents of targets and the platform: no
+/// redirects, no cookies, no decoding, no proxy.
+GHandle<SoupSession> makeTargetSession();
+
 /// Fetches a small document, such as a load report; the handler gets an empty
 /// text when the status is not 200 or the exchange failed.
 void fetchText(SoupSession *Session, const std::string &Url,
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -22,6 +22,14 @@
 /// Refused and unreachable targets that one request may walk.
 constexpr int MaxTries = 4;
 constexpr Millis RetryWithoutLease{700};
+/// New connections come until the platform has taken a node out of rotation;
+/// what begins later might not end before the process does.
+constexpr Millis AcceptWhileDraining{2500};
+constexpr Millis RetryWhileDraining{50};
+/// A request that may not be repeated is lost with its connection, so it takes
+/// a kept one only while that has just worked.
+constexpr Millis MaxIdleOnce{1500};
+constexpr Millis MaxIdleRepeatable{30000};
 
 std::string hostOf(const std::string &Field) {
   return Field.substr(0, Field.find(':'));
@@ -80,6 +88,12 @@
            "this router does not know what is in force at present");
     return false;
   }
+  if (m_Gateway.m_DrainingSince &&
+      monotonicNow() - *m_Gateway.m_DrainingSince > AcceptWhileDraining) {
+    refuse(RefusalReason::Draining, RetryWhileDraining,
+           "this router shuts down; another one serves");
+    return false;
+  }
   const ManifestRoute *Route =
       findRoute(Routes, hostOf(m_Request.m_Host), m_Raw.m_Path);
   if (!Route) {
@@ -177,7 +191,7 @@
       Self->onEnd(How, Detail);
   };
   m_Try->m_Call =
-      TargetCall::start(m_Gateway.m_TargetSession.get(), *m_Gateway.m_Watcher,
+      TargetCall::start(m_Gateway.m_Connections.get(), *m_Gateway.m_Watcher,
                         targetRequest(Target), std::move(Handlers));
   m_ConnectTimer.start(ConnectTimeout.m_Value, [Weak] {
     std::shared_ptr<Exchange> Self = Weak.lock();
@@ -210,6 +224,7 @@
   Request.m_Fields = m_Gateway.m_Protocol->m_TargetFields(m_Request, Added);
   Request.m_ContentType = m_Request.m_ContentType;
   Request.m_Body = m_Raw.m_Body;
+  Request.m_MaxIdle = repeatable() ? MaxIdleRepeatable : MaxIdleOnce;
   return Request;
 }
 
--- a/src/daemon/gateway/gateway.cpp
+++ b/src/daemon/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 
 #include "connection/target_client.hpp"
+#include "connection/target_connections.hpp"
 #include "gateway/exchange.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
@@ -59,6 +60,7 @@
 void tickGateway(Gateway &G) {
   renewWhenDue(G);
   pollTargetList(G);
+  G.m_Connections->closeExpired(monotonicNow());
   noteReadiness(G);
   finishDrain(G);
 }
@@ -104,7 +106,8 @@
   G.m_Metrics = makeMetrics();
   G.m_Lease.m_Node = G.m_Settings.m_Node;
   G.m_Lease.m_Incarnation = G.m_Incarnation;
-  G.m_TargetSession = makeTargetSession();
+  G.m_ListSession = makeTargetSession();
+  G.m_Connections = std::make_shared<TargetConnections>(*G.m_Watcher);
   Gateway *Raw = &G;
   Result<std::unique_ptr<HttpFront>> Front = HttpFront::start(
       G.m_Settings.m_Front, *G.m_Watcher,
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 namespace vanillaferry {
 
 class Exchange;
+class TargetConnections;
 
 /// The link to the leading keeper.
 struct KeeperLink {
@@ -75,7 +76,9 @@
   std::unique_ptr<OperatorHttp> m_Ready;
   std::unique_ptr<Mailbox<PeerEvent>> m_Mailbox;
   std::unique_ptr<PeerTask> m_Peers;
-  GHandle<SoupSession> m_TargetSession;
+  /// For the platform's list of targets.
+  GHandle<SoupSession> m_ListSession;
+  std::shared_ptr<TargetConnections> m_Connections;
   Timer m_Tick;
   bool m_SaidReady = false;
   /// Set by SIGTERM.
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -90,6 +90,15 @@
   }
   if (Out == G.m_Control.m_ZonesOut)
     return;
+  // The targets of a zone that returns may be cold without the list saying so.
+  for (std::pair<const PoolId, GatewayPool> &Row : G.m_Pools)
+    for (std::pair<const TargetId, DispatchTarget> &Each :
+         Row.second.m_Dispatch.m_Targets) {
+      const ZoneId &Zone = Each.second.m_Listed.m_Zone;
+      if (G.m_Control.m_ZonesOut.count(Zone) != 0 && Out.count(Zone) == 0)
+        suspectCold(Each.second, Row.second.m_Dispatch.m_ColdTime,
+                    monotonicNow());
+    }
   G.m_Control.m_ZonesOut = std::move(Out);
   logEvent(Event::ZonesOutApplied, {{"zones", Names}});
 }
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -79,7 +79,7 @@
 
 void readPage(Gateway &G) {
   addCounter(G.m_Metrics, "vanillaferry_target_list_calls_total");
-  fetchText(G.m_TargetSession.get(),
+  fetchText(G.m_ListSession.get(),
             "http://" + G.m_Settings.m_TargetList +
                 G.m_Protocol->m_TargetListPath(G.m_TargetList.m_PageToken),
             PollTimeoutMs,
@@ -113,8 +113,9 @@
     for (const ListedTarget &Each : G.m_TargetList.m_Last)
       if (Each.m_Service == Service.m_Id)
         Own.push_back(Each);
-    takeListedTargets(Pool.m_Dispatch, Own, Service.m_ColdTime,
-                      !G.m_TargetList.m_Known || IsNew, Now);
+    Pool.m_Dispatch.m_ColdTime = Service.m_ColdTime;
+    takeListedTargets(Pool.m_Dispatch, Own, !G.m_TargetList.m_Known || IsNew,
+                      Now);
     for (std::pair<const TargetId, DispatchTarget> &Row :
          Pool.m_Dispatch.m_Targets)
       Row.second.m_ColdShare =
--- a/src/daemon/process/exporter.cpp
+++ b/src/daemon/process/exporter.cpp
@@ -125,7 +125,7 @@
   Export.m_Copies[Chat].m_Until = Now + CopyTimeout;
   TargetId Source = Export.m_Source.m_Id;
   std::shared_ptr<TargetCall> Call = TargetCall::start(
-      R.m_PollSession.get(), R.m_Watcher,
+      nullptr, R.m_Watcher,
       engineImport(To->m_Target.m_Url, Export.m_Source.m_Url, Chat),
       copyHandlers(R, Source, Chat, *To));
   auto Copy = Export.m_Copies.find(Chat);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -152,7 +152,6 @@
   RenewRequest m_Announced;
   std::set<NodeId> m_Removing;
   std::vector<InForceWait> m_InForceWaits;
-  GHandle<SoupSession> m_OrderSession;
   std::shared_ptr<FdWatcher> m_OrderWatcher;
   std::optional<OrderTask> m_Orders;
   /// Content of the document at m_SettingsVersion, for orders.
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -39,6 +39,13 @@
   return G_SOURCE_CONTINUE;
 }
 
+/// The keeper set is part of the log, so new settings need no work here; the
+/// default action of SIGHUP would end the process.
+gboolean onHangUp(gpointer) {
+  logEvent(Event::SettingsReloaded);
+  return G_SOURCE_CONTINUE;
+}
+
 gboolean onSignal(gpointer Data) {
   Keeper &Self = *static_cast<Keeper *>(Data);
   logEvent(Event::ShutdownRequested);
@@ -170,8 +177,9 @@
     guint Tick = g_timeout_add(internal::TickMillis, &internal::onTick, Raw);
     guint Term = g_unix_signal_add(SIGTERM, &internal::onSignal, Raw);
     guint Interrupt = g_unix_signal_add(SIGINT, &internal::onSignal, Raw);
+    guint HangUp = g_unix_signal_add(SIGHUP, &internal::onHangUp, Raw);
     g_main_loop_run(Self->m_Loop);
-    for (guint Source : {Tick, Term, Interrupt})
+    for (guint Source : {Tick, Term, Interrupt, HangUp})
       g_source_remove(Source);
     Code = Self->m_ExitCode;
     logEvent(Event::ProcessStopped, {{"exit_code", Code}});
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -225,18 +225,6 @@
       ++It;
 }
 
-/// Ends the HTTP sessions of targets that are no longer owned.
-void dropSessions(Router &R) {
-  auto Owned = [&R](const TargetId &Target) {
-    for (const std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
-      if (Row.second.m_Targets.count(Target) != 0)
-        return true;
-    return false;
-  };
-  for (auto It = R.m_TargetSessions.begin(); It != R.m_TargetSessions.end();)
-    It = Owned(It->first) ? std::next(It) : R.m_TargetSessions.erase(It);
-}
-
 /// An engine gained from another owner gets no work before its first report.
 void awaitReport(Router &R, OwnedTarget &Gained, ServiceKind Kind) {
   if (Kind != ServiceKind::Engine)
@@ -392,7 +380,6 @@
   for (std::pair<const PoolId, OwnerPool> &Row : R.m_OwnerPools)
     if (R.m_Document.m_Services.count(Row.first) == 0)
       dropOrphans(Row.second, {});
-  dropSessions(R);
   updateDispatchable(R);
 }
 
--- a/src/daemon/process/order_sender.cpp
+++ b/src/daemon/process/order_sender.cpp
@@ -134,9 +134,8 @@
     if (std::shared_ptr<OrderRun> Run = findRun(*Raw, Leads, Id))
       onReply(*Raw, *Run, Reply);
   };
-  Run.m_Call = OrderCall::start(Self.m_OrderSession.get(), Self.m_OrderWatcher,
-                                Engine->m_Url, Order, BegunAt + OrderTimeout,
-                                MayWrite, OnEnd);
+  Run.m_Call = OrderCall::start(Self.m_OrderWatcher, Engine->m_Url, Order,
+                                BegunAt + OrderTimeout, MayWrite, OnEnd);
 }
 
 void onStarted(Keeper &Self, Term Leads, const std::string &Id,
@@ -234,10 +233,8 @@
 }
 
 void beginOrders(Keeper &Self, Millis Now) {
-  if (!Self.m_OrderSession) {
-    Self.m_OrderSession = makeTargetSession();
+  if (!Self.m_OrderWatcher)
     Self.m_OrderWatcher = std::make_shared<FdWatcher>();
-  }
   OrderTask Task;
   Task.m_Term = Self.m_Replica.m_Hard.m_Term;
   Task.m_Sender = makeOrderSender(
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -192,13 +192,6 @@
   return boost::outcome_v2::success();
 }
 
-SoupSession *targetSession(Router &R, const TargetId &Target) {
-  GHandle<SoupSession> &Session = R.m_TargetSessions[Target];
-  if (!Session)
-    Session = makeTargetSession();
-  return Session.get();
-}
-
 void sendToNode(Router &R, const NodeId &To, PeerMessage Message) {
   if (To != R.m_Settings.m_Node) {
     if (R.m_Peer)
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -120,8 +120,6 @@
   FdWatcher &m_Watcher = *m_WatcherOwner;
   /// Lets answers to polls see that the router is gone.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
-  /// One for each owned target; see targetSession().
-  std::map<TargetId, GHandle<SoupSession>> m_TargetSessions;
   GHandle<SoupSession> m_PollSession;
 
   RouterLease m_Lease;
@@ -198,12 +196,6 @@
 /// True while new work may be taken.
 bool holdsLease(const Router &R);
 
-/// The HTTP session of one target. libsoup looks through all messages of a
-/// session, and through all connections to the message's host, each time that
-/// one of them goes on; with one session for all targets that grew with the
-/// square of the open streams.
-SoupSession *targetSession(Router &R, const TargetId &Target);
-
 /// Directly before a dispatch: the lease holds, the target is owned and in
 /// service, and its former owner has stopped.
 bool mayDispatchNow(const Router &R, const PoolId &Pool,
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -61,11 +61,11 @@
 void cancelAtTarget(Run &Work) {
   if (Work.m_Kind != ServiceKind::Engine || !Work.m_EverSent)
     return;
-  TargetCall::start(
-      targetSession(Work.m_Router, Work.m_Target.m_Id), Work.m_Router.m_Watcher,
-      engineCancel(Work.m_Target.m_Url, Work.m_Order.m_Request),
-      {nullptr, [](const TargetHead &) {}, [](const char *, std::size_t) {},
-       [](CallEnd, const std::string &) {}});
+  TargetCall::start(nullptr, Work.m_Router.m_Watcher,
+                    engineCancel(Work.m_Target.m_Url, Work.m_Order.m_Request),
+                    {nullptr, [](const TargetHead &) {},
+                     [](const char *, std::size_t) {},
+                     [](CallEnd, const std::string &) {}});
 }
 
 /// The check directly before a dispatch. A resume is no new work, so its target
@@ -238,9 +238,8 @@
     onEnd(Work, How, Resume, Detail);
   };
   addCounter(W.m_Router.m_Metrics, "vanillaferry_dispatches_total");
-  W.m_Call =
-      TargetCall::start(targetSession(W.m_Router, W.m_Target.m_Id),
-                        W.m_Router.m_Watcher, Request, std::move(Handlers));
+  W.m_Call = TargetCall::start(nullptr, W.m_Router.m_Watcher, Request,
+                               std::move(Handlers));
   if (W.m_Credit <= 0)
     W.m_Call->pause();
 }
--- a/tests/daemon/OrderCall.tests.cpp
+++ b/tests/daemon/OrderCall.tests.cpp
@@ -14,7 +14,6 @@
 OrderReply orderOnce(const std::string &Url, bool MayWrite,
                      Millis Limit = Millis(5000)) {
   std::shared_ptr<FdWatcher> Watcher = std::make_shared<FdWatcher>();
-  GHandle<SoupSession> Session = makeTargetSession();
   EngineOrder Order;
   Order.m_OrderId = "o-1";
   Order.m_Action = "load_model";
@@ -23,7 +22,7 @@
   int Ends = 0;
   OrderReply Result;
   std::shared_ptr<OrderCall> Call = OrderCall::start(
-      Session.get(), Watcher, Url, Order, monotonicNow() + Limit,
+      Watcher, Url, Order, monotonicNow() + Limit,
       [MayWrite] { return MayWrite; },
       [&](const OrderReply &Reply) {
         ++Ends;
--- a/tests/daemon/TargetClient.tests.cpp
+++ b/tests/daemon/TargetClient.tests.cpp
@@ -1,6 +1,7 @@
 #include "RouterFixture.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
 
 using namespace vanillaferry;
 using namespace vanillaferry::fakes;
@@ -10,7 +11,6 @@
 /// Sends one PUT and returns how it ended.
 CallEnd callOnce(const std::string &Url, bool MayDispatch) {
   std::shared_ptr<FdWatcher> Watcher = std::make_shared<FdWatcher>();
-  GHandle<SoupSession> Session = makeTargetSession();
   bool Ended = false;
   CallEnd Result = CallEnd::Complete;
   CallHandlers Handlers;
@@ -27,7 +27,7 @@
   Request.m_ContentType = "text/plain";
   Request.m_Body = "body";
   std::shared_ptr<TargetCall> Call =
-      TargetCall::start(Session.get(), *Watcher, Request, std::move(Handlers));
+      TargetCall::start(nullptr, *Watcher, Request, std::move(Handlers));
   RouterFixture::runUntil([&Ended] { return Ended; });
   RouterFixture::runUntil([] { return false; }, 100);
   return Result;
@@ -62,4 +62,30 @@
   BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
 }
 
+// Guards against a stream that a crashed target cut being taken for complete.
+BOOST_AUTO_TEST_CASE(AChunkedAnswerWithoutItsLastChunkIsBroken) {
+  FakeServer Server([](Connection &Open) {
+    Open.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "5\r\nfirst\r\n");
+  });
+  BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
+}
+
+// Guards against a reset on the way being taken for the end of an answer whose
+// end is the end of its connection.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutALengthIsBrokenByAReset) {
+  FakeServer Server([](Connection &Open) {
+    Open.send("HTTP/1.1 200 OK\r\n\r\nfirst");
+    linger Abort{1, 0};
+    setsockopt(Open.m_Fd, SOL_SOCKET, SO_LINGER, &Abort, sizeof Abort);
+  });
+  BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutALengthEndsWithItsConnection) {
+  FakeServer Server(
+      [](Connection &Open) { Open.send("HTTP/1.1 200 OK\r\n\r\nwhole"); });
+  BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Complete));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
