--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -363,7 +363,7 @@
 
 template <typename V, typename M, IfMessage<M, JoinKeepers> * = nullptr>
 void fields(V &Visit, M &Data) {
-  Visit("k", Data.m_Keeper);
+  Visit("n", Data.m_Keeper);
   Visit("u", Data.m_PeerUrl);
 }
 
