Copy prompt prefixes between engines instead of reading them again

Change: a router remembers which engine read a prefix, stays with it while its load allows, and otherwise names it as the source of a copy; engines that joined lately copy from the one that ranked first before.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -44,6 +44,10 @@
 /// reports in the answers.
 struct DispatchTarget {
   ListedTarget m_Listed;
+  /// False once the list no longer shows it.
+  bool m_Present = true;
+  /// Far in the past for targets of the first list.
+  Millis m_FirstListed{-1000000};
   /// Own requests that run there.
   std::uint32_t m_Running = 0;
   std::optional<TargetReport> m_Report;
@@ -69,12 +73,20 @@
   double m_Spread = 1.4;
 };
 
+/// Which engine last read a prompt prefix for this router.
+struct PrefixHolder {
+  TargetId m_Target;
+  Millis m_LastUsed;
+};
+
 /// The targets of one service.
 struct DispatchPool {
   std::map<TargetId, DispatchTarget> m_Targets;
   DispatchLimits m_Limits;
   /// Cold start of a new or restarted target.
   Millis m_ColdTime;
+  /// By the prefix's hash; entries end after PrefixMemory.
+  std::map<std::uint64_t, PrefixHolder> m_Holders;
   bool m_Engine = false;
 };
 
@@ -102,6 +114,9 @@
 struct DispatchChoice {
   TargetId m_Target;
   NoTarget m_Refusal = NoTarget::None;
+  /// An engine from which the chosen one may copy the prompt prefix; empty when
+  /// the chosen one is expected to hold it.
+  TargetId m_PrefixSource;
   /// Estimated load of the chosen target and mean of the pool, for the log.
   double m_Load = 0;
   double m_Mean = 0;
@@ -109,9 +124,13 @@
   Millis m_RetryAfter;
 };
 
+/// A refusal of a request that no target can take.
+DispatchChoice refuseDispatch(NoTarget Why, Millis RetryAfter);
+
 /// Chooses a target. Requests that share a prompt prefix go to the engine that
-/// ranks first by rendezvous hashing (Thaler and Ravishankar 1998), so that
-/// every router finds the copy without knowing the caches. While that engine
+/// last read it for this router, or else to the one that ranks first by
+/// rendezvous hashing (Thaler and Ravishankar 1998), so that every router finds
+/// the copy without knowing the caches. While that engine
 /// carries more than the spread allows, they go to the one that ranks next, so
 /// that a prefix in high demand has as few copies as carry it. Requests without
 /// a shared prefix go to the least loaded target.
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -28,6 +28,13 @@
 /// A restarted target is known as cold once the platform's list shows it; until
 /// then a failure is taken for a restart.
 constexpr Millis ListDelay{2000};
+/// A prefix that was not used for longer has probably been evicted.
+constexpr Millis PrefixMemory{30000};
+/// Bounds the memory of prefixes at some 100 bytes each.
+constexpr std::size_t MaxHolders = 20000;
+/// Targets listed for less than this have taken over prefixes that another one
+/// ranked first for.
+constexpr Millis YoungTarget{60000};
 constexpr Millis RetryWhenFull{400};
 constexpr Millis RetryWhenNone{700};
 
@@ -103,21 +110,73 @@
       });
 }
 
-/// The engine that ranks first for the prefix among those that carry no more
-/// than the bound; null when all of them carry more.
-const Candidate *preferred(const std::vector<Candidate> &All, double Bound) {
+const PrefixHolder *holderOf(const DispatchPool &Pool, std::uint64_t Prefix,
+                             Millis Now) {
+  std::map<std::uint64_t, PrefixHolder>::const_iterator Found =
+      Pool.m_Holders.find(Prefix);
+  bool Known = Found != Pool.m_Holders.end() &&
+               Now <= Found->second.m_LastUsed + PrefixMemory;
+  return Known ? &Found->second : nullptr;
+}
+
+/// The known holder of the prefix, or else the engine that ranks first, among
+/// those that carry no more than the bound; null when all of them carry more.
+const Candidate *preferred(const std::vector<Candidate> &All,
+                           const PrefixHolder *Holder, double Bound) {
   const Candidate *Best = nullptr;
-  for (const Candidate &Each : All)
-    if (Each.m_Load <= Bound && (!Best || Each.m_Rank > Best->m_Rank))
+  for (const Candidate &Each : All) {
+    if (Each.m_Load > Bound)
+      continue;
+    if (Holder && Each.m_Target->m_Listed.m_Id == Holder->m_Target)
+      return &Each;
+    if (!Best || Each.m_Rank > Best->m_Rank)
       Best = &Each;
+  }
   return Best;
 }
 
-DispatchChoice refused(NoTarget Why, Millis RetryAfter) {
-  DispatchChoice Choice;
-  Choice.m_Refusal = Why;
-  Choice.m_RetryAfter = RetryAfter;
-  return Choice;
+/// The engine that ranks first for the prefix among all that are listed and
+/// answer, apart from one; empty when there is no other.
+TargetId firstRanked(const DispatchPool &Pool, std::uint64_t Prefix,
+                     const TargetId &Except, Millis Now) {
+  TargetId Best;
+  std::uint64_t BestRank = 0;
+  for (const std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets) {
+    std::uint64_t Rank = rankOf(Row.first, Prefix);
+    if (Row.first == Except || !Row.second.m_Present ||
+        Row.second.m_PausedUntil > Now || (!Best.empty() && Rank <= BestRank))
+      continue;
+    Best = Row.first;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
+/// Where the chosen engine can copy the prefix from, when it is not expected to
+/// hold it itself.
+TargetId prefixSource(const DispatchPool &Pool, const DispatchTarget &Chosen,
+                      std::uint64_t Prefix, Millis Now) {
+  const TargetId &Id = Chosen.m_Listed.m_Id;
+  if (const PrefixHolder *Holder = holderOf(Pool, Prefix, Now)) {
+    std::map<TargetId, DispatchTarget>::const_iterator Known =
+        Pool.m_Targets.find(Holder->m_Target);
+    bool Usable = Known != Pool.m_Targets.end() && Known->second.m_Present &&
+                  Known->second.m_PausedUntil <= Now;
+    if (Holder->m_Target == Id || Usable)
+      return Holder->m_Target == Id ? TargetId() : Holder->m_Target;
+  }
+  TargetId First = firstRanked(Pool, Prefix, Id, Now);
+  bool RanksFirst =
+      First.empty() || rankOf(Id, Prefix) >= rankOf(First, Prefix);
+  bool Young = Now <= Chosen.m_FirstListed + YoungTarget;
+  return RanksFirst && !Young ? TargetId() : First;
+}
+
+void noteHolder(DispatchPool &Pool, std::uint64_t Prefix,
+                const TargetId &Target, Millis Now) {
+  if (Pool.m_Holders.size() >= MaxHolders)
+    Pool.m_Holders.clear();
+  Pool.m_Holders[Prefix] = PrefixHolder{Target, Now};
 }
 
 Millis pauseAfter(std::uint32_t Failures) {
@@ -127,30 +186,43 @@
 
 } // namespace
 
+DispatchChoice refuseDispatch(NoTarget Why, Millis RetryAfter) {
+  DispatchChoice Choice;
+  Choice.m_Refusal = Why;
+  Choice.m_RetryAfter = RetryAfter;
+  return Choice;
+}
+
 DispatchChoice chooseTarget(DispatchPool &Pool, const DispatchNeed &Need,
                             Millis Now) {
   std::vector<Candidate> All = openTargets(Pool, Need, Now);
   if (All.empty())
-    return refused(NoTarget::NoneInService, RetryWhenNone);
+    return refuseDispatch(NoTarget::NoneInService, RetryWhenNone);
   double Mean = meanLoad(All);
   keepIf(All,
          [Now](const Candidate &Each) { return !isFull(*Each.m_Target, Now); });
   if (All.empty())
-    return refused(NoTarget::AllFull, RetryWhenFull);
+    return refuseDispatch(NoTarget::AllFull, RetryWhenFull);
   keepIf(All, [Now](const Candidate &Each) {
     return withinColdLimit(*Each.m_Target, Now);
   });
   if (All.empty())
-    return refused(NoTarget::ColdLimit, RetryWhenFull);
+    return refuseDispatch(NoTarget::ColdLimit, RetryWhenFull);
   const Candidate *Chosen = nullptr;
   if (Need.m_PrefixHash != 0)
-    Chosen = preferred(All, Mean * Pool.m_Limits.m_Spread + SpreadSlack);
+    Chosen = preferred(All, holderOf(Pool, Need.m_PrefixHash, Now),
+                       Mean * Pool.m_Limits.m_Spread + SpreadSlack);
   if (!Chosen)
     Chosen = &leastLoaded(All);
   DispatchChoice Choice;
   Choice.m_Target = Chosen->m_Target->m_Listed.m_Id;
   Choice.m_Load = Chosen->m_Load;
   Choice.m_Mean = Mean;
+  if (Need.m_PrefixHash != 0) {
+    Choice.m_PrefixSource =
+        prefixSource(Pool, *Chosen->m_Target, Need.m_PrefixHash, Now);
+    noteHolder(Pool, Need.m_PrefixHash, Choice.m_Target, Now);
+  }
   return Choice;
 }
 
@@ -163,6 +235,9 @@
     bool IsNew = Pool.m_Targets.count(Entry.m_Id) == 0;
     DispatchTarget &Target = Pool.m_Targets[Entry.m_Id];
     Target.m_Listed = Entry;
+    Target.m_Present = true;
+    if (IsNew && !FirstList)
+      Target.m_FirstListed = Now;
     Target.m_Starts.m_Length = ColdWindow;
     if (Entry.m_ColdLeft > Millis(0))
       Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdLeft);
@@ -176,6 +251,7 @@
       continue;
     }
     Row->second.m_Listed.m_Leaving = true;
+    Row->second.m_Present = false;
     Row =
         Row->second.m_Running > 0 ? std::next(Row) : Pool.m_Targets.erase(Row);
   }
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -43,6 +43,8 @@
   std::optional<std::uint64_t> m_LastEvent;
   /// 0 is the most urgent; absent for plain services.
   std::optional<int> m_Priority;
+  /// IP:PORT of an engine that holds more of the prompt; empty for none.
+  std::string m_PrefixSource;
 };
 
 /// The head of a target's answer in the product's terms.
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -141,7 +141,7 @@
   if (timeLeft() < LeastTimeLeft)
     return onDeadline();
   if (!Pool)
-    return refuseChoice({TargetId(), NoTarget::NoneInService, 0, 0, Millis()});
+    return refuseChoice(refuseDispatch(NoTarget::NoneInService, Millis()));
   m_Need.m_ZonesOut = m_Gateway.m_Control.m_ZonesOut;
   DispatchChoice Choice = chooseTarget(Pool->m_Dispatch, m_Need, Now);
   if (Choice.m_Refusal != NoTarget::None || m_Tries >= MaxTries)
@@ -164,6 +164,7 @@
             {"try", m_Tries},
             {"load", static_cast<std::int64_t>(Choice.m_Load)},
             {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
+            {"prefix_from", Choice.m_PrefixSource.m_Value},
             {"list_age_ms", (Now - m_Gateway.m_TargetList.m_LastRead).m_Value},
             {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
             {"left_ms", timeLeft().m_Value}});
@@ -192,7 +193,7 @@
   };
   m_Try->m_Call =
       TargetCall::start(m_Gateway.m_Connections.get(), *m_Gateway.m_Watcher,
-                        targetRequest(Target), std::move(Handlers));
+                        targetRequest(Target, Choice), std::move(Handlers));
   m_ConnectTimer.start(ConnectTimeout.m_Value, [Weak] {
     std::shared_ptr<Exchange> Self = Weak.lock();
     if (Self && Self->m_Try && !Self->m_Try->m_Call->mayBeSent()) {
@@ -210,13 +211,17 @@
   });
 }
 
-TargetRequest Exchange::targetRequest(const DispatchTarget &Target) const {
+TargetRequest Exchange::targetRequest(const DispatchTarget &Target,
+                                      const DispatchChoice &Choice) const {
   DispatchFields Added;
   Added.m_Target = Target.m_Listed.m_Id;
   Added.m_TimeLeft = timeLeft();
   Added.m_Account = m_Account;
   Added.m_LastEvent = m_Events.m_LastId;
   Added.m_Priority = m_Priority;
+  if (const DispatchTarget *Source =
+          findTarget(m_Gateway, m_Service, Choice.m_PrefixSource))
+    Added.m_PrefixSource = Source->m_Listed.m_Address;
   TargetRequest Request;
   Request.m_Method = m_Raw.m_Method;
   Request.m_Url = "http://" + Target.m_Listed.m_Address + m_Raw.m_Path +
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -51,7 +51,8 @@
   void startTimers();
   void dispatch();
   void send(DispatchTarget &Target, const DispatchChoice &Choice);
-  TargetRequest targetRequest(const DispatchTarget &Target) const;
+  TargetRequest targetRequest(const DispatchTarget &Target,
+                              const DispatchChoice &Choice) const;
   void refuseChoice(const DispatchChoice &Choice);
   void refuse(RefusalReason Reason, Millis RetryAfter, const std::string &Why);
   void onDeadline();
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -82,7 +82,7 @@
     return retryOrFail(RetryReason::ConnectFailed, Detail);
   case CallEnd::Forbidden:
     closeTry(TargetOutcome::Abandoned);
-    return refuseChoice({TargetId(), NoTarget::NoneInService, 0, 0, Millis()});
+    return refuseChoice(refuseDispatch(NoTarget::NoneInService, Millis()));
   case CallEnd::Broken:
     closeTry(TargetOutcome::Failed);
     return retryOrFail(RetryReason::StreamBroken, Detail);
