--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -127,6 +127,8 @@
   std::vector<VmStatement> m_Vms;
   /// Version of the manifest that the node acts on; 0 for none.
   std::uint64_t m_ManifestHeld = 0;
+  /// Digest of the keepers' target list that the node acts on; 0 for none.
+  std::uint64_t m_TargetsHeld = 0;
 };
 
 /// The leader's answer to Renew.
@@ -166,6 +168,14 @@
   std::string m_ManifestDelta;
   /// All availability zones that are out of service.
   std::vector<ZoneOut> m_ZonesOut;
+  /// Digest of the leader's target list; 0 when it has none.
+  std::uint64_t m_TargetsDigest = 0;
+  /// Digest of the text that m_TargetsDelta applies to; 0 for the empty text.
+  std::uint64_t m_TargetsBase = 0;
+  /// Edit script to the leader's list; empty when the node holds it.
+  std::string m_TargetsDelta;
+  /// Time since the leader last read the list.
+  Millis m_TargetsAge;
 };
 
 /// A router reports its running requests between two renewals. It says nothing
--- /dev/null
+++ b/include/vanillaferry/version/text_history.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+
+namespace vanillaferry {
+
+/// The last versions of a text, oldest first, so that a receiver that holds one
+/// of them gets an edit script in place of the whole text.
+struct TextHistory {
+  std::size_t m_Limit = 8;
+  std::deque<std::pair<std::uint64_t, std::string>> m_Versions;
+};
+
+/// An edit script from the version that the receiver holds.
+struct TextUpdate {
+  /// Version that the script applies to; 0 for the empty text.
+  std::uint64_t m_Base = 0;
+  std::string m_Delta;
+};
+
+/// Notes a version; one that is known already is left as it is.
+void rememberText(TextHistory &History, std::uint64_t Version,
+                  const std::string &Text);
+
+/// The update from Held, or from the empty text when Held is not known.
+TextUpdate makeUpdate(const TextHistory &History, std::uint64_t Held,
+                      const std::string &Text);
+
+} // namespace vanillaferry
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -234,12 +234,13 @@
     Present.insert(Entry.m_Id);
     bool IsNew = Pool.m_Targets.count(Entry.m_Id) == 0;
     DispatchTarget &Target = Pool.m_Targets[Entry.m_Id];
+    bool ColdStated = IsNew || Target.m_Listed.m_ColdLeft != Entry.m_ColdLeft;
     Target.m_Listed = Entry;
     Target.m_Present = true;
     if (IsNew && !FirstList)
       Target.m_FirstListed = Now;
     Target.m_Starts.m_Length = ColdWindow;
-    if (Entry.m_ColdLeft > Millis(0))
+    if (ColdStated && Entry.m_ColdLeft > Millis(0))
       Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdLeft);
     if (IsNew && !FirstList)
       suspectCold(Target, Pool.m_ColdTime, Now);
--- a/src/daemon/connection/glib_handle.hpp
+++ b/src/daemon/connection/glib_handle.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <glib-object.h>
 #include <glib.h>
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -164,6 +164,7 @@
   Visit("w", Data.m_VmsStated);
   Visit("x", Data.m_Vms);
   Visit("f", Data.m_ManifestHeld);
+  Visit("b", Data.m_TargetsHeld);
 }
 
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
@@ -187,6 +188,10 @@
   Visit("mb", Data.m_ManifestBase);
   Visit("md", Data.m_ManifestDelta);
   Visit("zo", Data.m_ZonesOut);
+  Visit("td", Data.m_TargetsDigest);
+  Visit("tb", Data.m_TargetsBase);
+  Visit("tx", Data.m_TargetsDelta);
+  Visit("ta", Data.m_TargetsAge);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- /dev/null
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -0,0 +1,57 @@
+#include "connection/target_list_reader.hpp"
+
+#include "connection/platform_protocol.hpp"
+#include "connection/target_client.hpp"
+
+namespace vanillaferry {
+
+namespace {
+
+constexpr std::int64_t PageTimeoutMs = 1500;
+
+} // namespace
+
+TargetListReader::TargetListReader(const PlatformProtocol &Protocol,
+                                   std::string Address, OnRead Read)
+    : m_Protocol(Protocol), m_Address(std::move(Address)),
+      m_OnRead(std::move(Read)), m_Session(makeTargetSession()) {}
+
+void TargetListReader::read() {
+  if (m_Reading)
+    return;
+  m_Reading = true;
+  m_PageToken.clear();
+  m_Collected.clear();
+  readPage();
+}
+
+void TargetListReader::readPage() {
+  ++m_Calls;
+  fetchText(m_Session.get(),
+            "http://" + m_Address + m_Protocol.m_TargetListPath(m_PageToken),
+            PageTimeoutMs, [Weak = weak_from_this()](const std::string &Text) {
+              if (std::shared_ptr<TargetListReader> Self = Weak.lock())
+                Self->takePage(Text);
+            });
+}
+
+void TargetListReader::takePage(const std::string &Text) {
+  if (Text.empty())
+    return finish(makeError(ErrorCode::Unavailable, "no answer"));
+  Result<TargetPage> Page = m_Protocol.m_ReadTargetPage(Text);
+  if (!Page)
+    return finish(Page.error());
+  for (ListedTarget &Entry : Page.value().m_Targets)
+    m_Collected.push_back(std::move(Entry));
+  m_PageToken = Page.value().m_Next;
+  if (!m_PageToken.empty())
+    return readPage();
+  finish(std::move(m_Collected));
+}
+
+void TargetListReader::finish(Result<std::vector<ListedTarget>> Read) {
+  m_Reading = false;
+  m_OnRead(std::move(Read));
+}
+
+} // namespace vanillaferry
--- a/src/daemon/gateway/gateway.cpp
+++ b/src/daemon/gateway/gateway.cpp
@@ -106,7 +106,7 @@
   G.m_Metrics = makeMetrics();
   G.m_Lease.m_Node = G.m_Settings.m_Node;
   G.m_Lease.m_Incarnation = G.m_Incarnation;
-  G.m_ListSession = makeTargetSession();
+  G.m_StartedAt = monotonicNow();
   G.m_Connections = std::make_shared<TargetConnections>(*G.m_Watcher);
   Gateway *Raw = &G;
   Result<std::unique_ptr<HttpFront>> Front = HttpFront::start(
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 
 class Exchange;
 class TargetConnections;
+class TargetListReader;
 
 /// The link to the leading keeper.
 struct KeeperLink {
@@ -41,15 +42,17 @@
   std::set<ZoneId> m_ZonesOut;
 };
 
-/// A reading of the platform's list of targets.
+/// The platform's targets, as the keepers' leader or this gateway read them.
 struct TargetListPoll {
-  Millis m_NextPoll;
-  bool m_Reading = false;
-  std::string m_PageToken;
-  std::vector<ListedTarget> m_Collected;
   std::vector<ListedTarget> m_Last;
   Millis m_LastRead;
   bool m_Known = false;
+  /// The keepers' text and its digest; 0 after an own reading.
+  std::string m_Text;
+  std::uint64_t m_Digest = 0;
+  /// For own readings while the keepers' one is too old.
+  std::shared_ptr<TargetListReader> m_Reader;
+  Millis m_NextPoll;
 };
 
 /// One service's targets and its budget of repeats.
@@ -76,8 +79,7 @@
   std::unique_ptr<OperatorHttp> m_Ready;
   std::unique_ptr<Mailbox<PeerEvent>> m_Mailbox;
   std::unique_ptr<PeerTask> m_Peers;
-  /// For the platform's list of targets.
-  GHandle<SoupSession> m_ListSession;
+  Millis m_StartedAt;
   std::shared_ptr<TargetConnections> m_Connections;
   Timer m_Tick;
   bool m_SaidReady = false;
@@ -101,6 +103,8 @@
 
 // target_list.cpp
 void pollTargetList(Gateway &G);
+/// Takes the keepers' reading of a grant.
+void takeGrantedTargets(Gateway &G, const Grant &Granted);
 /// Gives the pools the targets last read, after a change of manifest or list.
 void rebuildPools(Gateway &G);
 GatewayPool *findPool(Gateway &G, const PoolId &Service);
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -41,6 +41,7 @@
   Renewal.m_AckedVersion = G.m_Control.m_Version;
   Renewal.m_Leaving = G.m_DrainingSince.has_value();
   Renewal.m_ManifestHeld = G.m_Control.m_Routes.m_Manifest.m_Version;
+  Renewal.m_TargetsHeld = G.m_TargetList.m_Digest;
   G.m_Keeper.m_LastRenewal = Now;
   G.m_Peers->sendToUrl(G.m_Keeper.m_Url, std::move(Renewal));
 }
@@ -126,6 +127,7 @@
   bool Understood = takeManifest(G, Granted);
   takeZones(G, Granted);
   takeMembers(G, Granted);
+  takeGrantedTargets(G, Granted);
   if (Understood)
     G.m_Control.m_Version = Granted.m_Version;
   else
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -1,7 +1,9 @@
-#include "connection/target_client.hpp"
+#include "connection/target_list_reader.hpp"
 #include "gateway/gateway.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/version/target_listing.hpp"
+#include "vanillaferry/version/text_delta.hpp"
 
 #include <algorithm>
 
@@ -9,8 +11,10 @@
 
 namespace {
 
+/// A gateway reads the list itself when the keepers' reading is older than
+/// this: the leader is lost or cannot reach the platform.
+constexpr Millis OwnReadingAfter{2500};
 constexpr Millis ShortestPoll{800};
-constexpr std::int64_t PollTimeoutMs = 1500;
 /// Part of the allowed call rate that all gateways together use; the rest is
 /// for those that start or retry.
 constexpr double UsedRate = 0.6;
@@ -33,57 +37,35 @@
          A.m_Leaving == B.m_Leaving;
 }
 
-void finishReading(Gateway &G) {
-  TargetListPoll &Poll = G.m_TargetList;
-  bool Changed = Poll.m_Last.size() != Poll.m_Collected.size() ||
-                 !std::equal(Poll.m_Last.begin(), Poll.m_Last.end(),
-                             Poll.m_Collected.begin(), &sameTarget);
+void takeTargets(Gateway &G, std::vector<ListedTarget> Targets,
+                 const char *Source, Millis ReadAt) {
+  TargetListPoll &List = G.m_TargetList;
+  bool Changed = List.m_Last.size() != Targets.size() ||
+                 !std::equal(List.m_Last.begin(), List.m_Last.end(),
+                             Targets.begin(), &sameTarget);
   if (Changed)
-    logEvent(
-        Event::TargetListRead,
-        {{"targets", static_cast<std::uint64_t>(Poll.m_Collected.size())}});
-  Poll.m_Last = std::move(Poll.m_Collected);
-  Poll.m_Collected.clear();
-  Poll.m_LastRead = monotonicNow();
+    logEvent(Event::TargetListRead,
+             {{"targets", static_cast<std::uint64_t>(Targets.size())},
+              {"from", Source}});
+  List.m_Last = std::move(Targets);
+  List.m_LastRead = ReadAt;
   rebuildPools(G);
-  Poll.m_Known = true;
+  List.m_Known = true;
 }
 
-void failReading(Gateway &G, const std::string &Why) {
-  TargetListPoll &Poll = G.m_TargetList;
-  logEvent(
-      Event::TargetListFailed,
-      {{"why", Why}, {"age_ms", (monotonicNow() - Poll.m_LastRead).m_Value}});
-  addCounter(G.m_Metrics, "vanillaferry_target_list_failures_total");
-  Poll.m_Reading = false;
-  Poll.m_Collected.clear();
-}
-
-void readPage(Gateway &G);
-
-void takePage(Gateway &G, const std::string &Text) {
-  TargetListPoll &Poll = G.m_TargetList;
-  if (Text.empty())
-    return failReading(G, "no answer");
-  Result<TargetPage> Page = G.m_Protocol->m_ReadTargetPage(Text);
-  if (!Page)
-    return failReading(G, Page.error().m_Text);
-  for (ListedTarget &Entry : Page.value().m_Targets)
-    Poll.m_Collected.push_back(std::move(Entry));
-  Poll.m_PageToken = Page.value().m_Next;
-  if (!Poll.m_PageToken.empty())
-    return readPage(G);
-  Poll.m_Reading = false;
-  finishReading(G);
-}
-
-void readPage(Gateway &G) {
-  addCounter(G.m_Metrics, "vanillaferry_target_list_calls_total");
-  fetchText(G.m_ListSession.get(),
-            "http://" + G.m_Settings.m_TargetList +
-                G.m_Protocol->m_TargetListPath(G.m_TargetList.m_PageToken),
-            PollTimeoutMs,
-            [&G](const std::string &Text) { takePage(G, Text); });
+void takeOwnReading(Gateway &G, Result<std::vector<ListedTarget>> Read) {
+  TargetListPoll &List = G.m_TargetList;
+  addCounter(G.m_Metrics, "vanillaferry_target_list_readings_total");
+  if (!Read) {
+    logEvent(Event::TargetListFailed,
+             {{"why", Read.error().m_Text},
+              {"age_ms", (monotonicNow() - List.m_LastRead).m_Value}});
+    addCounter(G.m_Metrics, "vanillaferry_target_list_failures_total");
+    return;
+  }
+  // The keepers' edit scripts apply to the text that they sent.
+  List.m_Digest = 0;
+  takeTargets(G, std::move(Read.value()), "platform", monotonicNow());
 }
 
 double coldLimit(const Gateway &G, const ManifestService &Service) {
@@ -93,47 +75,87 @@
   return Service.m_ColdPerSecond * Bounds.m_ColdFactor + Bounds.m_ColdExtra;
 }
 
+void rebuildPool(Gateway &G, const ManifestService &Service, Millis Now) {
+  const GatewayBounds &Bounds = G.m_Settings.m_Bounds;
+  double Routers = static_cast<double>(
+      std::max(G.m_Control.m_Routers.size(), std::size_t(1)));
+  bool IsNew = G.m_Pools.count(Service.m_Id) == 0;
+  GatewayPool &Pool = G.m_Pools[Service.m_Id];
+  if (IsNew)
+    Pool.m_Repeats =
+        makeRepeatBudget(Bounds.m_RetryRatio, 0, Bounds.m_RetryWindow);
+  Pool.m_Repeats.m_Extra = Bounds.m_RetryExtra / Routers;
+  Pool.m_Dispatch.m_Engine = Service.m_Engine;
+  Pool.m_Dispatch.m_ColdTime = Service.m_ColdTime;
+  std::vector<ListedTarget> Own;
+  for (const ListedTarget &Each : G.m_TargetList.m_Last)
+    if (Each.m_Service == Service.m_Id)
+      Own.push_back(Each);
+  takeListedTargets(Pool.m_Dispatch, Own, !G.m_TargetList.m_Known || IsNew,
+                    Now);
+  for (std::pair<const TargetId, DispatchTarget> &Row :
+       Pool.m_Dispatch.m_Targets)
+    Row.second.m_ColdShare =
+        coldShareOf(coldLimit(G, Service), Row.first, G.m_Settings.m_Node,
+                    G.m_Control.m_Routers);
+}
+
 } // namespace
 
 void rebuildPools(Gateway &G) {
   Millis Now = monotonicNow();
-  const GatewayBounds &Bounds = G.m_Settings.m_Bounds;
-  double Routers = static_cast<double>(
-      std::max(G.m_Control.m_Routers.size(), std::size_t(1)));
   for (const ManifestService &Service :
-       G.m_Control.m_Routes.m_Manifest.m_Services) {
-    bool IsNew = G.m_Pools.count(Service.m_Id) == 0;
-    GatewayPool &Pool = G.m_Pools[Service.m_Id];
-    if (IsNew)
-      Pool.m_Repeats =
-          makeRepeatBudget(Bounds.m_RetryRatio, 0, Bounds.m_RetryWindow);
-    Pool.m_Repeats.m_Extra = Bounds.m_RetryExtra / Routers;
-    Pool.m_Dispatch.m_Engine = Service.m_Engine;
-    std::vector<ListedTarget> Own;
-    for (const ListedTarget &Each : G.m_TargetList.m_Last)
-      if (Each.m_Service == Service.m_Id)
-        Own.push_back(Each);
-    Pool.m_Dispatch.m_ColdTime = Service.m_ColdTime;
-    takeListedTargets(Pool.m_Dispatch, Own, !G.m_TargetList.m_Known || IsNew,
-                      Now);
-    for (std::pair<const TargetId, DispatchTarget> &Row :
-         Pool.m_Dispatch.m_Targets)
-      Row.second.m_ColdShare =
-          coldShareOf(coldLimit(G, Service), Row.first, G.m_Settings.m_Node,
-                      G.m_Control.m_Routers);
+       G.m_Control.m_Routes.m_Manifest.m_Services)
+    rebuildPool(G, Service, Now);
+}
+
+void takeGrantedTargets(Gateway &G, const Grant &Granted) {
+  TargetListPoll &List = G.m_TargetList;
+  Millis ReadAt = monotonicNow() - Granted.m_TargetsAge;
+  if (Granted.m_TargetsDigest == 0 ||
+      (List.m_Known && ReadAt < List.m_LastRead))
+    return;
+  if (Granted.m_TargetsDigest == List.m_Digest) {
+    List.m_LastRead = ReadAt;
+    return;
   }
+  if (Granted.m_TargetsDelta.empty() ||
+      (Granted.m_TargetsBase != 0 && Granted.m_TargetsBase != List.m_Digest))
+    return;
+  Result<std::string> Text =
+      applyTextDelta(Granted.m_TargetsBase == 0 ? std::string() : List.m_Text,
+                     Granted.m_TargetsDelta);
+  Result<std::vector<ListedTarget>> Targets =
+      Text ? decodeTargets(Text.value())
+           : Result<std::vector<ListedTarget>>(Text.error());
+  if (!Targets) {
+    logEvent(Event::TargetListFailed, {{"why", Targets.error().m_Text}});
+    List.m_Digest = 0;
+    return;
+  }
+  List.m_Digest = Granted.m_TargetsDigest;
+  List.m_Text = std::move(Text.value());
+  takeTargets(G, std::move(Targets.value()), "keepers", ReadAt);
 }
 
 void pollTargetList(Gateway &G) {
   Millis Now = monotonicNow();
-  TargetListPoll &Poll = G.m_TargetList;
-  if (Poll.m_Reading || Now < Poll.m_NextPoll)
+  TargetListPoll &List = G.m_TargetList;
+  bool Fresh = List.m_Known && Now - List.m_LastRead <= OwnReadingAfter;
+  // At the start, the keepers' reading comes with the first grants.
+  bool Waits = !List.m_Known && Now - G.m_StartedAt <= OwnReadingAfter;
+  if (Fresh || Waits || Now < List.m_NextPoll)
     return;
-  Poll.m_Reading = true;
-  Poll.m_NextPoll = Now + pollInterval(G);
-  Poll.m_PageToken.clear();
-  Poll.m_Collected.clear();
-  readPage(G);
+  List.m_NextPoll = Now + pollInterval(G);
+  if (!List.m_Reader) {
+    Gateway *Raw = &G;
+    List.m_Reader = std::make_shared<TargetListReader>(
+        *G.m_Protocol, G.m_Settings.m_TargetList,
+        [Raw](Result<std::vector<ListedTarget>> Read) {
+          takeOwnReading(*Raw, std::move(Read));
+        });
+  }
+  List.m_Reader->read();
 }
 
 GatewayPool *findPool(Gateway &G, const PoolId &Service) {
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -14,6 +14,7 @@
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/replication.hpp"
 #include "vanillaferry/process/state_machine.hpp"
+#include "vanillaferry/version/text_history.hpp"
 
 #include <deque>
 #include <functional>
@@ -21,6 +22,10 @@
 #include <set>
 #include <string>
 
+namespace vanillaferry {
+class TargetListReader;
+}
+
 namespace vanillaferry::internal {
 
 /// Called with the answer of an applied command, or without one when the
@@ -103,6 +108,18 @@
   Millis m_NextRound;
 };
 
+/// The platform's targets, as a leader reads them for all routers.
+struct TargetShare {
+  std::shared_ptr<TargetListReader> m_Reader;
+  std::vector<ListedTarget> m_Last;
+  Millis m_LastRead;
+  Millis m_NextRead;
+  std::string m_Text;
+  /// 0 before the first reading.
+  std::uint64_t m_Digest = 0;
+  TextHistory m_History;
+};
+
 /// State of the keeper's main task; touched on the GLib main loop only.
 struct Keeper {
   KeeperSettings m_Settings;
@@ -159,9 +176,9 @@
   DocumentVersion m_SettingsVersion;
   /// How manifests are written here; without one the keeper takes none.
   const PlatformProtocol *m_Protocol = nullptr;
-  /// Texts of the last manifests by version, for edit scripts to routers that
-  /// hold one of them.
-  std::map<std::uint64_t, std::string> m_RecentManifests;
+  /// The last manifests, for edit scripts to routers that hold one of them.
+  TextHistory m_Manifests;
+  TargetShare m_TargetShare;
   /// Keepers that asked for a vote, with the time of their last request.
   std::map<KeeperId, JoiningKeeper> m_Joining;
   Millis m_NextJoin;
@@ -219,6 +236,12 @@
 /// Adds to a grant what the router needs to hold the manifest in force.
 void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted);
 
+// keeper_targets.cpp
+/// The leader reads the platform's targets for all routers.
+void readTargetsWhenDue(Keeper &Self, Millis Now);
+/// Adds to a grant what the router needs to hold the targets last read.
+void attachTargets(Keeper &Self, const Renew &Request, Grant &Granted);
+
 // keeper_repair.cpp
 /// A keeper without a vote asks for one.
 void askToJoin(Keeper &Self, Millis Now);
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -8,16 +8,10 @@
 
 namespace {
 
-/// Routers hold one of the last manifests; older ones get the whole text.
-constexpr std::size_t RecentManifests = 8;
-
 void rememberManifest(Keeper &Self) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
-  if (Held.m_Version == 0)
-    return;
-  Self.m_RecentManifests.emplace(Held.m_Version, Held.m_Text);
-  if (Self.m_RecentManifests.size() > RecentManifests)
-    Self.m_RecentManifests.erase(Self.m_RecentManifests.begin());
+  if (Held.m_Version != 0)
+    rememberText(Self.m_Manifests, Held.m_Version, Held.m_Text);
 }
 
 void answerVersion(HttpExchange &Exchange, std::uint64_t Version) {
@@ -119,12 +113,10 @@
   if (Request.m_ManifestHeld >= Held.m_Version)
     return;
   rememberManifest(Self);
-  std::map<std::uint64_t, std::string>::const_iterator Base =
-      Self.m_RecentManifests.find(Request.m_ManifestHeld);
-  bool HasBase = Base != Self.m_RecentManifests.end();
-  Granted.m_ManifestBase = HasBase ? Base->first : 0;
-  Granted.m_ManifestDelta =
-      makeTextDelta(HasBase ? Base->second : std::string(), Held.m_Text);
+  TextUpdate Update =
+      makeUpdate(Self.m_Manifests, Request.m_ManifestHeld, Held.m_Text);
+  Granted.m_ManifestBase = Update.m_Base;
+  Granted.m_ManifestDelta = std::move(Update.m_Delta);
 }
 
 } // namespace vanillaferry::internal
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -48,6 +48,7 @@
   if (Decision.m_Grant) {
     addCounter(Self.m_Metrics, "vanillaferry_leases_granted_total");
     attachManifest(Self, Request, *Decision.m_Grant);
+    attachTargets(Self, Request, *Decision.m_Grant);
     Self.m_Peers->send(Request.m_Node, std::move(*Decision.m_Grant));
   }
   if (!MayPropose)
@@ -248,6 +249,7 @@
   announceChanges(Self);
   announceLeavingVms(Self, Now);
   repairKeeperSet(Self, Now);
+  readTargetsWhenDue(Self, Now);
   std::map<NodeId, Renew> Waiting;
   Waiting.swap(Self.m_WaitingRenewals);
   for (const std::pair<const NodeId, Renew> &Row : Waiting)
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -72,6 +72,9 @@
   bool m_SelfRepair = false;
   /// Manifests and zones are taken without an operator's token.
   bool m_OpenManifest = false;
+  /// IP:PORT of the platform's list of targets, which the leader reads for all
+  /// routers; empty for none.
+  std::string m_TargetList;
   /// Routers' leases; 0 for the default.
   Millis m_LeaseTime{0};
   /// A snapshot replaces the log after this many entries.
--- /dev/null
+++ b/tests/core/Dispatch.tests.cpp
@@ -0,0 +1,330 @@
+#include "vanillaferry/request/dispatch.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <queue>
+#include <random>
+
+using namespace vanillaferry;
+
+namespace {
+
+constexpr std::int64_t ColdLimit = 24;
+
+ListedTarget listed(int Number, const std::string &Zone = "z") {
+  ListedTarget Target;
+  Target.m_Id = TargetId("t" + std::to_string(Number));
+  Target.m_Service = PoolId("llm");
+  Target.m_Address = "10.0.0." + std::to_string(Number) + ":80";
+  Target.m_Zone = ZoneId(Zone);
+  Target.m_Slots = 64;
+  return Target;
+}
+
+std::vector<ListedTarget> listedTargets(int Count) {
+  std::vector<ListedTarget> All;
+  for (int Number = 0; Number < Count; ++Number)
+    All.push_back(listed(Number));
+  return All;
+}
+
+DispatchPool poolOf(int Count) {
+  DispatchPool Pool;
+  Pool.m_ColdTime = Millis(3000);
+  takeListedTargets(Pool, listedTargets(Count), true, Millis(0));
+  return Pool;
+}
+
+DispatchNeed needOf(std::uint64_t Prefix) {
+  DispatchNeed Need;
+  Need.m_PrefixHash = Prefix;
+  Need.m_PrefixTokens = Tokens(10000);
+  return Need;
+}
+
+std::vector<NodeId> routers(int Count) {
+  std::vector<NodeId> All;
+  for (int Number = 0; Number < Count; ++Number)
+    All.push_back(NodeId("router-" + std::to_string(Number)));
+  return All;
+}
+
+/// Several routers that send requests of a stated load to the same targets.
+/// Each learns the targets' load only from the answers to its own requests.
+struct Fleet {
+  std::vector<DispatchPool> m_Pools;
+  std::map<TargetId, int> m_Running;
+  std::map<TargetId, std::vector<Millis>> m_Arrivals;
+  std::map<std::uint64_t, std::set<TargetId>> m_Readers;
+  int m_Refused = 0;
+  int m_OverBound = 0;
+  int m_Sent = 0;
+
+  Fleet(int Routers, int Targets) {
+    for (int Router = 0; Router < Routers; ++Router) {
+      m_Pools.push_back(poolOf(Targets));
+      for (std::pair<const TargetId, DispatchTarget> &Row :
+           m_Pools.back().m_Targets)
+        Row.second.m_ColdShare = coldShareOf(
+            ColdLimit, Row.first, NodeId("router-" + std::to_string(Router)),
+            routers(Routers));
+    }
+  }
+
+  void suspectAllCold(Millis Now) {
+    for (DispatchPool &Pool : m_Pools)
+      for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
+        suspectCold(Row.second, Millis(100000), Now);
+  }
+
+  double meanLoad() const {
+    double Total = 0;
+    for (const std::pair<const TargetId, int> &Row : m_Running)
+      Total += Row.second;
+    return Total / static_cast<double>(m_Pools.front().m_Targets.size());
+  }
+
+  /// Sends one request and returns its target; empty when it is refused.
+  TargetId send(std::size_t Router, std::uint64_t Prefix, Millis Now) {
+    DispatchPool &Pool = m_Pools[Router];
+    DispatchChoice Choice = chooseTarget(Pool, needOf(Prefix), Now);
+    if (Choice.m_Refusal != NoTarget::None) {
+      ++m_Refused;
+      return TargetId();
+    }
+    ++m_Sent;
+    const TargetId &To = Choice.m_Target;
+    if (m_Running[To] > 2 * meanLoad() + 3)
+      ++m_OverBound;
+    noteStarted(Pool.m_Targets[To], Now);
+    m_Readers[Prefix].insert(To);
+    m_Arrivals[To].push_back(Now);
+    ++m_Running[To];
+    noteReport(Pool.m_Targets[To],
+               {static_cast<std::uint32_t>(m_Running[To]), 0, 64}, Now);
+    return To;
+  }
+
+  void finish(std::size_t Router, const TargetId &To, Millis Now) {
+    noteEnded(m_Pools[Router].m_Targets[To], TargetOutcome::Served, Now);
+    --m_Running[To];
+  }
+
+  /// Most arrivals at one target within any second.
+  std::size_t busiestSecond() const {
+    std::size_t Most = 0;
+    for (const std::pair<const TargetId, std::vector<Millis>> &Row : m_Arrivals)
+      for (std::size_t First = 0; First < Row.second.size(); ++First) {
+        auto End = std::lower_bound(Row.second.begin(), Row.second.end(),
+                                    Row.second[First] + Millis(1000));
+        Most = std::max(
+            Most, static_cast<std::size_t>(End - Row.second.begin()) - First);
+      }
+    return Most;
+  }
+};
+
+struct Ending {
+  Millis m_At;
+  std::size_t m_Router;
+  TargetId m_Target;
+  bool operator<(const Ending &Other) const { return Other.m_At < m_At; }
+};
+
+/// Ten seconds of load: so many requests a second of so many prefixes, of which
+/// a share is about the first one.
+void replayLoad(Fleet &All, int PerSecond, int Prefixes, double HotShare,
+                Millis Duration) {
+  std::mt19937_64 Random(911);
+  std::uniform_real_distribution<double> Share(0, 1);
+  std::priority_queue<Ending> Endings;
+  double Due = 0;
+  for (Millis Now(0); Now < Millis(10000); Now = Now + Millis(1)) {
+    while (!Endings.empty() && Endings.top().m_At <= Now) {
+      Ending Next = Endings.top();
+      Endings.pop();
+      All.finish(Next.m_Router, Next.m_Target, Now);
+    }
+    for (Due += PerSecond / 1000.0; Due >= 1; Due -= 1) {
+      std::size_t Router = Random() % All.m_Pools.size();
+      bool Hot = Share(Random) < HotShare;
+      std::uint64_t Prefix =
+          Hot ? 1 : 2 + Random() % static_cast<std::uint64_t>(Prefixes);
+      TargetId To = All.send(Router, Prefix, Now);
+      if (!To.empty())
+        Endings.push({Now + Duration, Router, To});
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Dispatch)
+
+// Guards against a prefix that is read again on another engine although the one
+// that holds it has room.
+BOOST_AUTO_TEST_CASE(RoutersThatKnowNothingOfEachOtherChooseTheSameEngine) {
+  DispatchPool One = poolOf(18);
+  DispatchPool Two = poolOf(18);
+  for (std::uint64_t Prefix = 1; Prefix < 100; ++Prefix)
+    BOOST_TEST(chooseTarget(One, needOf(Prefix), Millis(1)).m_Target ==
+               chooseTarget(Two, needOf(Prefix), Millis(1)).m_Target);
+}
+
+// Guards against prefixes that move to new engines at a scale-out although the
+// engine that holds them stays.
+BOOST_AUTO_TEST_CASE(AHolderKeepsItsPrefixWhenEnginesJoin) {
+  DispatchPool Pool = poolOf(10);
+  std::map<std::uint64_t, TargetId> Before;
+  for (std::uint64_t Prefix = 1; Prefix < 100; ++Prefix)
+    Before[Prefix] = chooseTarget(Pool, needOf(Prefix), Millis(1)).m_Target;
+  takeListedTargets(Pool, listedTargets(20), false, Millis(100));
+  for (std::uint64_t Prefix = 1; Prefix < 100; ++Prefix) {
+    DispatchChoice Choice = chooseTarget(Pool, needOf(Prefix), Millis(200));
+    BOOST_TEST(Choice.m_Target == Before[Prefix]);
+    BOOST_TEST(Choice.m_PrefixSource.empty());
+  }
+}
+
+// Guards against a prefix that is read again when its engine leaves although it
+// could be copied from there.
+BOOST_AUTO_TEST_CASE(APrefixIsCopiedFromTheEngineThatLeaves) {
+  DispatchPool Pool = poolOf(10);
+  DispatchChoice First = chooseTarget(Pool, needOf(5), Millis(1));
+  std::vector<ListedTarget> List = listedTargets(10);
+  for (ListedTarget &Each : List)
+    Each.m_Leaving = Each.m_Id == First.m_Target;
+  takeListedTargets(Pool, List, false, Millis(50));
+  DispatchChoice Second = chooseTarget(Pool, needOf(5), Millis(100));
+  BOOST_TEST(Second.m_Target != First.m_Target);
+  BOOST_TEST(Second.m_PrefixSource == First.m_Target);
+  // The copy is there by the next request.
+  DispatchChoice Third = chooseTarget(Pool, needOf(5), Millis(200));
+  BOOST_TEST(Third.m_Target == Second.m_Target);
+  BOOST_TEST(Third.m_PrefixSource.empty());
+}
+
+// Guards against a copy from an engine that answers no more.
+BOOST_AUTO_TEST_CASE(APrefixIsNotCopiedFromAnEngineThatFailed) {
+  DispatchPool Pool = poolOf(10);
+  DispatchChoice First = chooseTarget(Pool, needOf(5), Millis(1));
+  DispatchTarget &Lost = Pool.m_Targets[First.m_Target];
+  noteStarted(Lost, Millis(1));
+  noteEnded(Lost, TargetOutcome::Unreachable, Millis(2));
+  DispatchChoice Second = chooseTarget(Pool, needOf(5), Millis(3));
+  BOOST_TEST(Second.m_Target != First.m_Target);
+  BOOST_TEST(Second.m_PrefixSource != First.m_Target);
+}
+
+// Replays a hot prompt: 30% of 100 requests a second, which last 1.6 s, share
+// one prefix. Guards against one engine with over twice the mean load, and
+// against a prefix that is spread over the whole pool.
+BOOST_AUTO_TEST_CASE(AHotPrefixUsesAsFewEnginesAsCarryIt) {
+  Fleet All(7, 18);
+  replayLoad(All, 100, 145, 0.3, Millis(1600));
+  BOOST_TEST(All.m_Refused == 0);
+  BOOST_TEST(All.m_OverBound * 100 < All.m_Sent * 3);
+  BOOST_TEST(All.m_Readers[1].size() >= 2U);
+  BOOST_TEST(All.m_Readers[1].size() <= 9U);
+}
+
+// Replays a whole pool that came back cold under full load: 300 requests a
+// second of which 18 engines bear 24 each. Guards against engines that fall
+// over, and against refusals while there is room.
+BOOST_AUTO_TEST_CASE(ColdEnginesGetNoMoreThanTheyBearTogether) {
+  Fleet All(7, 18);
+  All.suspectAllCold(Millis(0));
+  replayLoad(All, 300, 145, 0.3, Millis(300));
+  BOOST_TEST(All.busiestSecond() <= static_cast<std::size_t>(ColdLimit));
+  BOOST_TEST(All.m_Refused * 10 < All.m_Sent);
+}
+
+// Guards against cold engines that are overrun by many routers with a share of
+// at least one each.
+BOOST_AUTO_TEST_CASE(MoreRoutersThanAColdEngineBearsKeepItsLimit) {
+  for (int Count : {1, 7, 9, 24, 25, 81, 430}) {
+    double Total = 0;
+    int WithShare = 0;
+    for (const NodeId &Router : routers(Count)) {
+      double Share =
+          coldShareOf(ColdLimit, TargetId("t"), Router, routers(Count));
+      WithShare += Share >= 1;
+      Total += Share >= 1 ? Share : 0;
+    }
+    BOOST_TEST(Total <= ColdLimit);
+    BOOST_TEST(WithShare == std::min(Count, static_cast<int>(ColdLimit)));
+  }
+}
+
+// Guards against requests that are sent to an engine without a free place while
+// another has one, and against requests that wait when none has.
+BOOST_AUTO_TEST_CASE(AFullPoolRefusesAtOnce) {
+  DispatchPool Pool = poolOf(2);
+  noteReport(Pool.m_Targets[TargetId("t0")], {60, 10, 64}, Millis(0));
+  noteReport(Pool.m_Targets[TargetId("t1")], {63, 0, 64}, Millis(0));
+  DispatchChoice Choice = chooseTarget(Pool, needOf(3), Millis(1));
+  BOOST_TEST(Choice.m_Target == TargetId("t1"));
+  noteStarted(Pool.m_Targets[TargetId("t1")], Millis(1));
+  Choice = chooseTarget(Pool, needOf(3), Millis(2));
+  BOOST_TEST((Choice.m_Refusal == NoTarget::AllFull));
+  BOOST_TEST(Choice.m_RetryAfter > Millis(0));
+  // The reports are too old to refuse on; only the own request counts.
+  Choice = chooseTarget(Pool, needOf(3), Millis(5000));
+  BOOST_TEST((Choice.m_Refusal == NoTarget::None));
+}
+
+// Guards against work for a zone that is out of service, a leaving target or
+// one that the request has tried.
+BOOST_AUTO_TEST_CASE(ClosedTargetsAreNotChosen) {
+  DispatchPool Pool;
+  std::vector<ListedTarget> List = {listed(0, "out"), listed(1, "in"),
+                                    listed(2, "in")};
+  List[1].m_Leaving = true;
+  takeListedTargets(Pool, List, true, Millis(0));
+  DispatchNeed Need = needOf(0);
+  Need.m_ZonesOut = {ZoneId("out")};
+  BOOST_TEST(chooseTarget(Pool, Need, Millis(1)).m_Target == TargetId("t2"));
+  Need.m_Excluded = {TargetId("t2")};
+  DispatchChoice Choice = chooseTarget(Pool, Need, Millis(1));
+  BOOST_TEST((Choice.m_Refusal == NoTarget::NoneInService));
+}
+
+// Guards against a target that fails part of its requests getting its full
+// share, and against one that recovered getting none.
+BOOST_AUTO_TEST_CASE(AFailingTargetLosesWorkAndGetsItBack) {
+  DispatchPool Pool = poolOf(4);
+  DispatchTarget &Grey = Pool.m_Targets[TargetId("t0")];
+  for (int Failure = 0; Failure < 3; ++Failure) {
+    noteStarted(Grey, Millis(0));
+    noteEnded(Grey, TargetOutcome::Failed, Millis(0));
+  }
+  int Chosen = 0;
+  for (std::uint64_t Draw = 0; Draw < 100; ++Draw) {
+    DispatchNeed Need;
+    Need.m_Random = Draw * 7919 + 1;
+    Chosen += chooseTarget(Pool, Need, Millis(100)).m_Target == TargetId("t0");
+  }
+  BOOST_TEST(Chosen == 0);
+  for (int Success = 0; Success < 60; ++Success) {
+    noteStarted(Grey, Millis(9000));
+    noteEnded(Grey, TargetOutcome::Served, Millis(9000));
+  }
+  BOOST_TEST(Grey.m_FailureRate < 0.01);
+  BOOST_TEST(Grey.m_PausedUntil == Millis(0));
+}
+
+// Guards against a budget that a storm of failures overruns.
+BOOST_AUTO_TEST_CASE(RepeatsKeepToTheirShareOfRequests) {
+  RepeatBudget Budget = makeRepeatBudget(0.2, 10, Millis(10000));
+  int Taken = 0;
+  for (int Request = 0; Request < 100; ++Request) {
+    noteEvent(Budget.m_Requests, Millis(Request));
+    Taken += takeRepeat(Budget, Millis(Request));
+  }
+  BOOST_TEST(Taken <= 30);
+  BOOST_TEST(Taken >= 20);
+  BOOST_TEST(takeRepeat(Budget, Millis(20000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -0,0 +1,113 @@
+#include "vanillaferry/process/keeper_repair.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillaferry;
+
+namespace {
+
+constexpr std::size_t FirstSet = 3;
+
+KeeperAddress keeper(const std::string &Id, const std::string &Host) {
+  return {KeeperId(Id), "ws://" + Host + ":1"};
+}
+
+/// A leader of voters a, b and c at the hosts of the same names.
+Replica leaderOf(std::vector<KeeperAddress> Voters) {
+  ReplicaRecovery Recovery;
+  Recovery.m_InitialSet.m_Voters = std::move(Voters);
+  Replica State =
+      makeReplica(KeeperId("a"), ReplicaOptions(), Recovery, 1, Millis(0));
+  State.m_Role = ReplicaRole::Leader;
+  for (const KeeperAddress &Each : State.m_Set.m_Voters)
+    if (Each.m_Keeper != State.m_Self)
+      State.m_Peers[Each.m_Keeper].m_LastAnswer = Millis(0);
+  return State;
+}
+
+Replica threeVoters() {
+  return leaderOf({keeper("a", "a"), keeper("b", "b"), keeper("c", "c")});
+}
+
+std::map<KeeperId, JoiningKeeper> asking(const KeeperAddress &Keeper,
+                                         Millis At) {
+  return {{Keeper.m_Keeper, {Keeper, At}}};
+}
+
+/// A learner that holds everything.
+void addCaughtUp(Replica &State, const KeeperAddress &Keeper) {
+  State.m_Set.m_Learners.push_back(Keeper);
+  State.m_Peers[Keeper.m_Keeper].m_Match = lastIndex(State);
+  State.m_Peers[Keeper.m_Keeper].m_ConfirmedAt = Millis(0);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(KeeperRepair)
+
+// Guards against a fleet that stays at the three seeds for ever.
+BOOST_AUTO_TEST_CASE(AKeeperThatAsksBecomesALearnerAndThenAVoter) {
+  Replica State = threeVoters();
+  KeeperAddress Fresh = keeper("d-1", "d");
+  RepairStep Step =
+      nextRepair(State, asking(Fresh, Millis(0)), FirstSet, Millis(10));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::AddLearner));
+  BOOST_TEST(Step.m_Keeper.m_Keeper == Fresh.m_Keeper);
+  addCaughtUp(State, Fresh);
+  Step = nextRepair(State, asking(Fresh, Millis(0)), FirstSet, Millis(10));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Promote));
+}
+
+// Guards against a quorum that grows while a disk is missing: two identities of
+// one address would both count.
+BOOST_AUTO_TEST_CASE(TheLostIdentityOfAnAddressGoesBeforeTheNewOneVotes) {
+  Replica State = threeVoters();
+  addCaughtUp(State, keeper("c-2", "c"));
+  RepairStep Step = nextRepair(State, {}, FirstSet, Millis(10));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
+  BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("c"));
+}
+
+// Guards against learners that pile up when a keeper loses its disk twice.
+BOOST_AUTO_TEST_CASE(AnEarlierLearnerOfTheSameAddressIsRemoved) {
+  Replica State = threeVoters();
+  State.m_Set.m_Learners.push_back(keeper("d-1", "d"));
+  RepairStep Step = nextRepair(State, asking(keeper("d-2", "d"), Millis(0)),
+                               FirstSet, Millis(10));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
+  BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("d-1"));
+}
+
+// Guards against an identity that returns after its removal, and against a
+// request to join that outlives its sender.
+BOOST_AUTO_TEST_CASE(RemovedAndSilentKeepersAreNotAdded) {
+  Replica State = threeVoters();
+  State.m_Set.m_Removed.push_back(KeeperId("d-1"));
+  RepairStep Step = nextRepair(State, asking(keeper("d-1", "d"), Millis(0)),
+                               FirstSet, Millis(10));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::None));
+  Step = nextRepair(State, asking(keeper("e-1", "e"), Millis(0)), FirstSet,
+                    JoinRequestLifetime + Millis(1));
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::None));
+}
+
+// Guards against a set that shrinks below its first size because VMs are down,
+// and against one that keeps counting VMs that never return.
+BOOST_AUTO_TEST_CASE(ASilentVoterIsRemovedOnlyFromALargerSet) {
+  Millis Later = LostVoterSilence + Millis(1);
+  Replica Three = threeVoters();
+  BOOST_TEST((nextRepair(Three, {}, FirstSet, Later).m_Kind ==
+              RepairStep::Kind::None));
+  Replica Four = leaderOf(
+      {keeper("a", "a"), keeper("b", "b"), keeper("c", "c"), keeper("d", "d")});
+  Four.m_Peers[KeeperId("b")].m_LastAnswer = Later;
+  Four.m_Peers[KeeperId("d")].m_LastAnswer = Later;
+  RepairStep Step = nextRepair(Four, {}, FirstSet, Later);
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
+  BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("c"));
+  Four.m_Role = ReplicaRole::Follower;
+  BOOST_TEST(
+      (nextRepair(Four, {}, FirstSet, Later).m_Kind == RepairStep::Kind::None));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/core/Manifest.tests.cpp
@@ -0,0 +1,208 @@
+#include "vanillaferry/version/manifest.hpp"
+#include "Property.hpp"
+#include "vanillaferry/process/state_machine.hpp"
+#include "vanillaferry/version/target_listing.hpp"
+#include "vanillaferry/version/text_delta.hpp"
+#include "vanillaferry/version/text_history.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillaferry;
+
+namespace {
+
+ManifestRoute route(const std::string &Name, const std::string &Prefix) {
+  ManifestRoute Route;
+  Route.m_Name = Name;
+  Route.m_Host = "desk.example";
+  Route.m_PathPrefix = Prefix;
+  Route.m_Timeout = Millis(1000);
+  Route.m_Services = {{PoolId("llm"), 1}};
+  return Route;
+}
+
+Manifest manifest() {
+  Manifest Content;
+  Content.m_Version = 3;
+  Content.m_Services.resize(2);
+  Content.m_Services[0].m_Id = PoolId("llm");
+  Content.m_Services[1].m_Id = PoolId("ledger");
+  Content.m_Routes = {route("outer", "/a/"), route("inner", "/a/b/")};
+  Content.m_Accounts = {{AccountId("board"), {"k1", "k2"}, 1}};
+  return Content;
+}
+
+/// Replaces the manifest the way the leading keeper does.
+ManifestAnswer replace(StateMachine &State, std::uint64_t Version,
+                       const std::string &Text) {
+  static std::uint64_t Index = 0;
+  ReplaceManifest Change{Version, State.m_Manifest.m_Version,
+                         makeTextDelta(State.m_Manifest.m_Text, Text)};
+  return std::get<ManifestAnswer>(
+      applyCommand(State, LogIndex(++Index), Change));
+}
+
+std::string randomText(std::mt19937_64 &Random) {
+  std::string Text = "{\"routes\":[";
+  int Pieces = static_cast<int>(Random() % 30);
+  for (int Piece = 0; Piece < Pieces; ++Piece)
+    Text += "{\"name\":\"" + std::to_string(Random() % 12) + "\"},";
+  return Text + (Random() % 2 ? "]}" : "x;c1,2;");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Manifests)
+
+// Guards against a request that goes to the service of a shorter prefix.
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
+  RouteTable Table = makeRouteTable(manifest());
+  BOOST_TEST(findRoute(Table, "desk.example", "/a/b/c")->m_Name == "inner");
+  BOOST_TEST(findRoute(Table, "desk.example", "/a/bc")->m_Name == "outer");
+  BOOST_TEST(!findRoute(Table, "desk.example", "/ab"));
+  BOOST_TEST(!findRoute(Table, "desk.example", ""));
+  BOOST_TEST(!findRoute(Table, "other.example", "/a/b/c"));
+  BOOST_TEST(findAccount(Table, "k2")->m_Id == AccountId("board"));
+  BOOST_TEST(!findAccount(Table, ""));
+}
+
+// Guards against a contradictory manifest coming into force.
+BOOST_AUTO_TEST_CASE(EachContradictionIsFound) {
+  BOOST_TEST(manifestFaults(manifest()).empty());
+  Manifest Content = manifest();
+  Content.m_Routes[0].m_Services = {{PoolId("gone"), 1}};
+  BOOST_TEST(manifestFaults(Content).size() == 1U);
+  Content = manifest();
+  Content.m_Routes[1].m_PathPrefix = "/a/";
+  BOOST_TEST(manifestFaults(Content).size() == 1U);
+  Content = manifest();
+  Content.m_Routes[0].m_Services = {{PoolId("llm"), 0}, {PoolId("ledger"), 0}};
+  BOOST_TEST(manifestFaults(Content).size() == 1U);
+  Content = manifest();
+  Content.m_Routes[0].m_Timeout = Millis(0);
+  BOOST_TEST(manifestFaults(Content).size() == 1U);
+  Content = manifest();
+  Content.m_Accounts.push_back({AccountId("bancas"), {"k1"}, std::nullopt});
+  BOOST_TEST(manifestFaults(Content).size() == 1U);
+}
+
+// Guards against a split that sends work to a service of weight 0, or not in
+// the stated shares.
+BOOST_AUTO_TEST_CASE(AServiceIsDrawnByItsWeight) {
+  ManifestRoute Split = route("split", "/a/");
+  Split.m_Services = {
+      {PoolId("none"), 0}, {PoolId("llm"), 90}, {PoolId("ledger"), 10}};
+  std::mt19937_64 Random(1);
+  int Ledger = 0;
+  for (int Draw = 0; Draw < 10000; ++Draw) {
+    PoolId Drawn = chooseService(Split, Random());
+    BOOST_REQUIRE(Drawn != PoolId("none"));
+    Ledger += Drawn == PoolId("ledger");
+  }
+  BOOST_TEST(Ledger > 800);
+  BOOST_TEST(Ledger < 1200);
+  BOOST_TEST(chooseService(Split, ~0ULL) == PoolId("ledger"));
+}
+
+// Guards against an older or equal version that replaces the one held, whatever
+// content it carries, and against a change made from another base.
+BOOST_AUTO_TEST_CASE(OnlyAHigherVersionTakesEffect) {
+  StateMachine State;
+  BOOST_TEST(
+      (replace(State, 7, "{seven}").m_Outcome == ManifestOutcome::InForce));
+  DocumentVersion Before = State.m_Document.m_Version;
+  BOOST_TEST(
+      (replace(State, 7, "{other}").m_Outcome == ManifestOutcome::Superseded));
+  BOOST_TEST(
+      (replace(State, 6, "{six}").m_Outcome == ManifestOutcome::Superseded));
+  BOOST_TEST(State.m_Manifest.m_Text == "{seven}");
+  BOOST_TEST(State.m_Document.m_Version == Before);
+  ReplaceManifest Stale{9, 6, makeTextDelta("{six}", "{nine}")};
+  ManifestAnswer Answer =
+      std::get<ManifestAnswer>(applyCommand(State, LogIndex(99), Stale));
+  BOOST_TEST((Answer.m_Outcome == ManifestOutcome::BaseChanged));
+  BOOST_TEST(Answer.m_Version == 7U);
+  BOOST_TEST(
+      (replace(State, 9, "{nine}").m_Outcome == ManifestOutcome::InForce));
+  BOOST_TEST(State.m_Manifest.m_Text == "{nine}");
+}
+
+// Guards against a zone that stays out after a repeated or crossed order, and
+// against routers that are not told.
+BOOST_AUTO_TEST_CASE(AZoneGoesOutAndComesBackOnce) {
+  StateMachine State;
+  applyCommand(State, LogIndex(1), SetZoneOut{ZoneId("howrah"), true});
+  applyCommand(State, LogIndex(2), SetZoneOut{ZoneId("howrah"), true});
+  BOOST_TEST(State.m_ZonesOut.size() == 1U);
+  BOOST_TEST(State.m_Document.m_Version == DocumentVersion(1));
+  applyCommand(State, LogIndex(3), SetZoneOut{ZoneId("howrah"), false});
+  BOOST_TEST(State.m_ZonesOut.empty());
+  BOOST_TEST(State.m_Document.m_Version == DocumentVersion(3));
+}
+
+// Guards against an edit script that yields another text than the one sent.
+BOOST_AUTO_TEST_CASE(AnEditScriptYieldsItsTarget) {
+  requireProperty("text delta", 300, [](std::uint64_t Seed) {
+    std::mt19937_64 Random(Seed);
+    std::string Base = randomText(Random);
+    std::string Target = randomText(Random);
+    Result<std::string> Got = applyTextDelta(Base, makeTextDelta(Base, Target));
+    RC_ASSERT(Got.has_value());
+    RC_ASSERT(Got.value() == Target);
+  });
+}
+
+// Guards against a whole manifest on the wire for the change of one route, and
+// against a crash on a script that does not fit.
+BOOST_AUTO_TEST_CASE(AChangeOfOneRouteIsSmall) {
+  std::string Base = "{\"version\":1,\"routes\":[";
+  for (int Route = 0; Route < 400; ++Route)
+    Base += "{\"name\":\"r-" + std::to_string(Route * 7919) +
+            "\",\"timeout_ms\":1500},";
+  std::string Target = Base;
+  Target.replace(Target.find("1500"), 4, "9000");
+  BOOST_TEST(makeTextDelta(Base, Target).size() < 200U);
+  for (const char *Bad : {"c0,99;", "c5", "t9;x", "z", "c-1,2;", "t;"})
+    BOOST_TEST(!applyTextDelta("{}", Bad).has_value());
+}
+
+// Guards against a router that gets an edit script for a text that it does not
+// hold.
+BOOST_AUTO_TEST_CASE(AReceiverOfAForgottenVersionGetsTheWholeText) {
+  TextHistory History;
+  History.m_Limit = 2;
+  for (std::uint64_t Version : {9U, 4U, 7U})
+    rememberText(History, Version, "{" + std::to_string(Version) + "},x");
+  BOOST_TEST(makeUpdate(History, 9, "{1},x").m_Base == 0U);
+  TextUpdate Update = makeUpdate(History, 4, "{4},y");
+  BOOST_TEST(Update.m_Base == 4U);
+  BOOST_TEST(applyTextDelta("{4},x", Update.m_Delta).value() == "{4},y");
+  BOOST_TEST(
+      applyTextDelta("", makeUpdate(History, 0, "{4},y").m_Delta).value() ==
+      "{4},y");
+}
+
+// Guards against a target list that every reading changes while a target gets
+// warmer, and against a second cold start that is missed.
+BOOST_AUTO_TEST_CASE(ATargetThatGetsWarmerIsNoChangeOfTheList) {
+  ListedTarget Cold;
+  Cold.m_Id = TargetId("t");
+  Cold.m_Slots = 6;
+  Cold.m_ColdLeft = Millis(2500);
+  std::vector<ListedTarget> Before = {Cold};
+  std::vector<ListedTarget> After = {Cold};
+  After[0].m_ColdLeft = Millis(1800);
+  steadyColdTimes(After, Before);
+  BOOST_TEST(encodeTargets(After) == encodeTargets(Before));
+  BOOST_TEST(decodeTargets(encodeTargets(After)).value().at(0).m_ColdLeft ==
+             Millis(2500));
+  After[0].m_ColdLeft = Millis(3100);
+  steadyColdTimes(After, Before);
+  BOOST_TEST(After[0].m_ColdLeft == Millis(3100));
+  After[0].m_ColdLeft = Millis(0);
+  steadyColdTimes(After, Before);
+  BOOST_TEST(After[0].m_ColdLeft == Millis(0));
+  BOOST_TEST(!decodeTargets("[{}]").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/StateCodec.tests.cpp
+++ b/tests/core/StateCodec.tests.cpp
@@ -42,7 +42,9 @@
           BeginOrder{Order},
           EndOrder{"order", OrderOutcome::OldToken, "HTTP 409"},
           AdvanceClock{UnixMillis(12)},
-          StartOrder{"order", Term(4)}};
+          StartOrder{"order", Term(4)},
+          ReplaceManifest{4, 0, "t2;{}"},
+          SetZoneOut{ZoneId("Cayambe"), true}};
 }
 
 StateMachine busyState() {
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -69,7 +69,9 @@
              3,
              1ULL << 31,
              true,
-             {{VmId("vm"), true, Millis(9)}}};
+             {{VmId("vm"), true, Millis(9)}},
+             1ULL << 40,
+             1ULL << 63};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -97,6 +99,8 @@
   SAME(m_Vms.at(0).m_Vm);
   SAME(m_Vms.at(0).m_Returned);
   SAME(m_Vms.at(0).m_Age);
+  SAME(m_ManifestHeld);
+  SAME(m_TargetsHeld);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -114,7 +118,15 @@
              4,
              true,
              true,
-             {{VmId("vm")}}};
+             {{VmId("vm")}},
+             1ULL << 41,
+             1ULL << 40,
+             "c0,9;t1;x",
+             {{ZoneId("Ibarra")}},
+             1ULL << 63,
+             1ULL << 62,
+             "t2;[]",
+             Millis(12)};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
   SAME(m_Duration);
@@ -141,6 +153,14 @@
   SAME(m_VmsListed);
   SAME(m_VmsComplete);
   SAME(m_LeavingVms.at(0).m_Vm);
+  SAME(m_ManifestVersion);
+  SAME(m_ManifestBase);
+  SAME(m_ManifestDelta);
+  SAME(m_ZonesOut.at(0).m_Zone);
+  SAME(m_TargetsDigest);
+  SAME(m_TargetsBase);
+  SAME(m_TargetsDelta);
+  SAME(m_TargetsAge);
 }
 
 BOOST_AUTO_TEST_CASE(LoadMessagesKeepEveryField) {
@@ -363,6 +383,14 @@
     SAME(m_Chat);
     SAME(m_Tokens);
   }
+  {
+    // Its first field once had the key of the frame's kind, and every request
+    // to join was dropped as malformed.
+    JoinKeepers Sent{KeeperId("10.0.0.1-ab"), "ws://10.0.0.1:7340"};
+    JoinKeepers Got = roundTrip(Sent);
+    SAME(m_Keeper);
+    SAME(m_PeerUrl);
+  }
 }
 
 // Guards against a batch that loses or reorders messages.
