--- a/src/daemon/gateway/gateway_command.cpp
+++ b/src/daemon/gateway/gateway_command.cpp
@@ -5,6 +5,7 @@
 #include "process/log.hpp"
 
 #include <CLI/CLI.hpp>
+#include <cstdlib>
 #include <glib-unix.h>
 #include <iostream>
 #include <memory>
@@ -71,11 +72,12 @@
   g_unix_signal_add(SIGHUP, &onHangUp, Process.get());
   g_main_loop_run(Process->m_Loop);
   logEvent(Event::ProcessStopped);
-  std::cout.flush();
-  std::cerr.flush();
-  // Sockets, threads and memory end with the process.
-  Process.release();
-  return ExitOk;
+  // The peer thread must not run while the process's statics are destroyed.
+  Process->m_Gateway.m_Peers.reset();
+  Process->m_Gateway.m_Tick.stop();
+  // Ends without the destructors of statics, which wait for log4cplus's
+  // threads; open sockets end with the process.
+  std::_Exit(ExitOk);
 }
 
 } // namespace
--- a/src/daemon/process/log.cpp
+++ b/src/daemon/process/log.cpp
@@ -2,22 +2,76 @@
 
 #include "process/clock.hpp"
 
+#include <algorithm>
 #include <cctype>
+#include <climits>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace vanillaferry {
 
 namespace {
 
+/// Bounds of what one process writes to standard output.
+constexpr std::int64_t LinesPerSecond = 600;
+constexpr std::int64_t LineBurst = 1200;
+constexpr std::int64_t MillisPerSecond = 1000;
+
+/// Writes lines to standard output within a budget and never waits: a line is
+/// dropped and counted when the budget is spent or the reader is behind.
+class OutputAppender : public log4cplus::Appender {
+public:
+  ~OutputAppender() override { destructorImpl(); }
+  void close() override {}
+
+  /// Lines dropped since the last call.
+  std::uint64_t takeDropped() { return std::exchange(m_Dropped, 0); }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Line) override {
+    refill();
+    std::string Text = Line.getMessage() + "\n";
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    // A pipe that is writable takes PIPE_BUF bytes without waiting.
+    bool Fits = m_Budget > 0 && Text.size() <= PIPE_BUF &&
+                ::poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT);
+    if (!Fits || ::write(STDOUT_FILENO, Text.data(), Text.size()) < 0) {
+      ++m_Dropped;
+      return;
+    }
+    --m_Budget;
+  }
+
+private:
+  void refill() {
+    Millis Now = monotonicNow();
+    std::int64_t New =
+        (Now - m_Filled).m_Value * LinesPerSecond / MillisPerSecond;
+    if (New <= 0)
+      return;
+    m_Budget = std::min(LineBurst, m_Budget + New);
+    m_Filled = Now;
+  }
+
+  std::int64_t m_Budget = LineBurst;
+  Millis m_Filled = monotonicNow();
+  std::uint64_t m_Dropped = 0;
+};
+
 struct LogState {
   log4cplus::Initializer m_Initializer;
   log4cplus::Logger m_Logger;
   bool m_Json = false;
+  /// Present while lines go to standard output.
+  OutputAppender *m_Output = nullptr;
   std::string m_Process;
 
   LogState() : m_Logger(log4cplus::Logger::getInstance("vanillaferry")) {
@@ -81,6 +135,12 @@
   return Line;
 }
 
+std::string lineOf(const LogState &State, const EventRow &Row,
+                   const std::vector<LogField> &Fields) {
+  return State.m_Json ? jsonLine(Row, State.m_Process, Fields)
+                      : textLine(Row, State.m_Process, Fields);
+}
+
 } // namespace
 
 Status startLog(const LogOptions &Options) {
@@ -93,7 +153,10 @@
   State.m_Json = Options.m_Format == "json";
   State.m_Process = Options.m_Process;
   State.m_Logger.setLogLevel(Level);
-  if (!Options.m_File.empty())
+  if (Options.m_File == "-") {
+    State.m_Output = new OutputAppender;
+    State.attach(log4cplus::SharedAppenderPtr(State.m_Output));
+  } else if (!Options.m_File.empty())
     State.attach(log4cplus::SharedAppenderPtr(
         new log4cplus::FileAppender(Options.m_File, std::ios_base::app, true)));
   return boost::outcome_v2::success();
@@ -105,9 +168,11 @@
   int Level = levelOf(Row.m_Level);
   if (!State.m_Logger.isEnabledFor(Level))
     return;
-  State.m_Logger.log(Level, State.m_Json
-                                ? jsonLine(Row, State.m_Process, Fields)
-                                : textLine(Row, State.m_Process, Fields));
+  State.m_Logger.log(Level, lineOf(State, Row, Fields));
+  std::uint64_t Dropped = State.m_Output ? State.m_Output->takeDropped() : 0;
+  if (Dropped > 0)
+    State.m_Logger.log(Level, lineOf(State, rowOf(Event::LogLinesDropped),
+                                     {{"lines", Dropped}}));
 }
 
 const std::vector<EventRow> &eventCatalogue() {
--- a/src/daemon/process/log.hpp
+++ b/src/daemon/process/log.hpp
@@ -40,7 +40,8 @@
   std::string m_Format = "text";
   /// "debug", "info", "warn" or "error".
   std::string m_Level = "info";
-  /// Empty for standard error.
+  /// Empty for standard error; "-" for standard output, bounded in volume and
+  /// never waiting for its reader.
   std::string m_File;
   /// Written into every line.
   std::string m_Process;
