--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -166,7 +166,8 @@
   std::uint64_t m_ManifestVersion = 0;
   /// Version that m_ManifestDelta applies to; 0 for the empty text.
   std::uint64_t m_ManifestBase = 0;
-  /// Edit script to the manifest in force; empty when the node holds it.
+  /// Compressed edit script to the manifest in force; empty when the node holds
+  /// it, or must wait because the leader's link is busy.
   std::string m_ManifestDelta;
   /// All availability zones that are out of service.
   std::vector<ZoneOut> m_ZonesOut;
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -87,7 +87,7 @@
   std::uint64_t m_Version = 0;
   /// Version of the text that m_Delta applies to; 0 for the empty text.
   std::uint64_t m_BaseVersion = 0;
-  /// Edit script of makeTextDelta().
+  /// Edit script of makeTextDelta(), compressed.
   std::string m_Delta;
 };
 
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -1,5 +1,6 @@
 #include "vanillaferry/process/state_machine.hpp"
 
+#include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
 #include <algorithm>
@@ -191,8 +192,10 @@
   bool FromEmpty = Input.m_BaseVersion == 0;
   if (!FromEmpty && Input.m_BaseVersion != Held.m_Version)
     return ManifestAnswer{ManifestOutcome::BaseChanged, Held.m_Version};
+  Result<std::string> Delta = decompressText(Input.m_Delta);
   Result<std::string> Text =
-      applyTextDelta(FromEmpty ? Empty : Held.m_Text, Input.m_Delta);
+      Delta ? applyTextDelta(FromEmpty ? Empty : Held.m_Text, Delta.value())
+            : Delta;
   if (!Text)
     return ManifestAnswer{ManifestOutcome::BaseChanged, Held.m_Version};
   Held = StoredManifest{Input.m_Version, std::move(Text.value())};
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -187,7 +187,7 @@
   Visit("l", Data.m_LeavingVms);
   Visit("mv", Data.m_ManifestVersion);
   Visit("mb", Data.m_ManifestBase);
-  Visit("md", Data.m_ManifestDelta);
+  Visit("md", rawBytes(Data.m_ManifestDelta));
   Visit("zo", Data.m_ZonesOut);
   Visit("td", Data.m_TargetsDigest);
   Visit("tb", Data.m_TargetsBase);
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -169,6 +169,7 @@
   Call->m_Reuse = Kept && Request.m_MaxIdle > Millis(0);
   if (Call->m_Reuse)
     Call->m_Kept = Kept->weak_from_this();
+  Call->m_Self = Call;
   std::string Fault = Call->connect(Request);
   if (!Fault.empty())
     postIdle([Call, Fault] { Call->end(CallEnd::NotSent, Fault); });
@@ -399,6 +400,7 @@
 void TargetCall::cancel() {
   if (m_Done)
     return;
+  std::shared_ptr<TargetCall> Last = std::move(m_Self);
   m_Done = true;
   m_Handlers.reset();
   release();
@@ -407,6 +409,7 @@
 void TargetCall::end(CallEnd How, const std::string &Detail) {
   if (m_Done)
     return;
+  std::shared_ptr<TargetCall> Last = std::move(m_Self);
   m_Done = true;
   std::shared_ptr<CallHandlers> Handlers = std::move(m_Handlers);
   release();
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -116,6 +116,8 @@
   Millis m_SendBy;
   std::uint64_t m_Watch = 0;
   std::uint32_t m_Events = 0;
+  /// Keeps the call alive until it ends; its owner may be gone.
+  std::shared_ptr<TargetCall> m_Self;
   bool m_Reuse = false;
   bool m_Connected = false;
   bool m_MayBeSent = false;
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 #include "vanillaferry/version/text_history.hpp"
 
@@ -16,6 +17,8 @@
 constexpr Millis KeeperSilence{600};
 /// Pause before another keeper is asked when the last one knew no leader.
 constexpr Millis UnknownLeaderPause{150};
+/// Pause before a manifest that the leader could not send is asked for again.
+constexpr Millis ManifestRetry{150};
 /// Routers renew less often the more they are, so that their renewals take at
 /// most a fifth of the leader's core share.
 constexpr Millis ShortestRenewal{500};
@@ -52,25 +55,40 @@
   G.m_Peers->sendToUrl(G.m_Keeper.m_Url, std::move(Renewal));
 }
 
-/// Takes the manifest of a grant; false when it cannot be read, and the whole
-/// text is then asked for.
-bool takeManifest(Gateway &G, const Grant &Granted) {
+/// What became of the manifest in a grant.
+enum class ManifestStep {
+  /// The newest one is in force here.
+  Held,
+  /// The leader sends it with a later grant.
+  Waits,
+  /// It cannot be read; the whole text is to be asked for.
+  Failed,
+};
+
+/// Takes the manifest of a grant.
+ManifestStep takeManifest(Gateway &G, const Grant &Granted) {
   ControlState &Control = G.m_Control;
   std::uint64_t Held = Control.m_Routes.m_Manifest.m_Version;
-  if (Granted.m_ManifestVersion <= Held || Granted.m_ManifestDelta.empty())
-    return Granted.m_ManifestVersion <= Held;
+  if (Granted.m_ManifestVersion <= Held)
+    return ManifestStep::Held;
+  if (Granted.m_ManifestDelta.empty())
+    return ManifestStep::Waits;
   if (Granted.m_ManifestBase != 0 && Granted.m_ManifestBase != Held)
-    return false;
-  Result<std::string> Text = applyTextDelta(
-      Granted.m_ManifestBase == 0 ? std::string() : Control.m_ManifestText,
-      Granted.m_ManifestDelta);
+    return ManifestStep::Failed;
+  Result<std::string> Delta = decompressText(Granted.m_ManifestDelta);
+  Result<std::string> Text =
+      Delta
+          ? applyTextDelta(Granted.m_ManifestBase == 0 ? std::string()
+                                                       : Control.m_ManifestText,
+                           Delta.value())
+          : Delta;
   Result<Manifest> Content = Text ? G.m_Protocol->m_ReadManifest(Text.value())
                                   : Result<Manifest>(Text.error());
   if (!Content) {
     logEvent(Event::SectionRefused, {{"section", "manifest"},
                                      {"version", Granted.m_ManifestVersion},
                                      {"fault", Content.error().m_Text}});
-    return false;
+    return ManifestStep::Failed;
   }
   Control.m_ManifestText = std::move(Text.value());
   Control.m_Routes = makeRouteTable(std::move(Content.value()));
@@ -85,7 +103,7 @@
            {{"version", Granted.m_ManifestVersion},
             {"routes", static_cast<std::uint64_t>(
                            Control.m_Routes.m_Manifest.m_Routes.size())}});
-  return true;
+  return ManifestStep::Held;
 }
 
 void takeZones(Gateway &G, const Grant &Granted) {
@@ -147,17 +165,19 @@
   G.m_Keeper.m_LastAnswer = Now;
   G.m_Control.m_KnownAt = SentAt;
   std::uint64_t Before = G.m_Control.m_Version.m_Value;
-  bool Understood = takeManifest(G, Granted);
+  ManifestStep Step = takeManifest(G, Granted);
   takeZones(G, Granted);
   takeMembers(G, Granted);
   takeGrantedTargets(G, Granted);
-  if (Understood)
+  if (Step == ManifestStep::Held)
     G.m_Control.m_Version = Granted.m_Version;
-  else
+  else if (Step == ManifestStep::Failed)
     G.m_Control.m_Routes.m_Manifest.m_Version = 0;
   // The leader learns at once that the change is in force here.
-  if (!Understood || Before != Granted.m_Version.m_Value)
+  if (Before != G.m_Control.m_Version.m_Value)
     G.m_Lease.m_NextRenewal = Now;
+  else if (Step != ManifestStep::Held)
+    G.m_Lease.m_NextRenewal = Now + ManifestRetry;
   if (!Held && leaseHolds(G.m_Lease, Now))
     logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
 }
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -108,6 +108,20 @@
   Millis m_NextRound;
 };
 
+/// A compressed edit script between two versions of the manifest.
+struct ManifestUpdate {
+  std::uint64_t m_From = 0;
+  std::uint64_t m_To = 0;
+  /// m_From, or 0 when the script makes the whole text.
+  std::uint64_t m_Base = 0;
+  std::string m_Delta;
+};
+
+/// When the updates that were sent have left the link.
+struct LinkBudget {
+  Millis m_BusyUntil;
+};
+
 /// The platform's targets, as a leader reads them for all routers.
 struct TargetShare {
   std::shared_ptr<TargetListReader> m_Reader;
@@ -181,6 +195,8 @@
   const PlatformProtocol *m_Protocol = nullptr;
   /// The last manifests, for edit scripts to routers that hold one of them.
   TextHistory m_Manifests;
+  ManifestUpdate m_ManifestUpdate;
+  LinkBudget m_ManifestLink;
   TargetShare m_TargetShare;
   /// Keepers that asked for a vote, with the time of their last request.
   std::map<KeeperId, JoiningKeeper> m_Joining;
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -1,6 +1,7 @@
 #include "process/clock.hpp"
 #include "process/internal/keeper_api.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
 #include <nlohmann/json.hpp>
@@ -9,8 +10,15 @@
 
 namespace {
 
+constexpr std::size_t SmallUpdate = 4096;
+/// Two thirds of a keeper's link of 6 Mbit/s; the rest is for replication and
+/// heartbeats.
+constexpr std::int64_t UpdateBytesPerMilli = 500;
 /// Well below the time within which an operator expects an answer.
 constexpr Millis InForceTime{1000};
+/// Operators wait longer for manifests with many routes, whose updates take
+/// longer on the leader's link.
+constexpr Millis InForceTimePerThousandRoutes{2500};
 
 void rememberManifest(Keeper &Self) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
@@ -18,6 +26,31 @@
     rememberText(Self.m_Manifests, Held.m_Version, Held.m_Text);
 }
 
+/// The update from a version; the last one is kept, since most routers hold the
+/// same version.
+const ManifestUpdate &manifestUpdate(Keeper &Self, std::uint64_t From) {
+  const StoredManifest &Held = Self.m_State.m_Manifest;
+  ManifestUpdate &Last = Self.m_ManifestUpdate;
+  if (Last.m_To == Held.m_Version && Last.m_From == From)
+    return Last;
+  rememberManifest(Self);
+  TextUpdate Update = makeUpdate(Self.m_Manifests, From, Held.m_Text);
+  Last = {From, Held.m_Version, Update.m_Base, compressText(Update.m_Delta)};
+  return Last;
+}
+
+/// Takes bytes of the link's budget; false while it is spent. Small updates
+/// always pass, and a large one passes when the link was idle.
+bool takeLink(LinkBudget &Link, std::size_t Bytes, Millis Now) {
+  if (Bytes <= SmallUpdate)
+    return true;
+  if (Now < Link.m_BusyUntil)
+    return false;
+  Link.m_BusyUntil =
+      Now + Millis(static_cast<std::int64_t>(Bytes) / UpdateBytesPerMilli);
+  return true;
+}
+
 void answerVersion(HttpExchange &Exchange, std::uint64_t Version) {
   Exchange.answer(200, {{"version", Version}});
 }
@@ -25,10 +58,13 @@
 /// Answers once every router acts on the change, or after InForceTime: a router
 /// that was not reached by then has lost its lease when its bound is over.
 void answerInForce(Keeper &Self, const ExchangePtr &Exchange,
-                   std::uint64_t Version) {
+                   std::uint64_t Version, std::size_t Routes) {
   Millis Now = monotonicNow();
+  Millis Limit =
+      InForceTime + Millis(static_cast<std::int64_t>(Routes) *
+                           InForceTimePerThousandRoutes.m_Value / 1000);
   Self.m_InForceWaits.push_back(
-      {Self.m_State.m_Document.m_Version, Now, Now + InForceTime,
+      {Self.m_State.m_Document.m_Version, Now, Now + Limit,
        [Exchange, Version](bool) { answerVersion(*Exchange, Version); }});
 }
 
@@ -47,23 +83,25 @@
 }
 
 void proposeManifest(Keeper &Self, const ExchangePtr &Exchange,
-                     std::uint64_t Version, const std::string &Text) {
+                     std::uint64_t Version, const std::string &Text,
+                     std::size_t Routes) {
   rememberManifest(Self);
   const StoredManifest &Held = Self.m_State.m_Manifest;
   ReplaceManifest Change;
   Change.m_Version = Version;
   Change.m_BaseVersion = Held.m_Version;
-  Change.m_Delta = makeTextDelta(Held.m_Text, Text);
+  Change.m_Delta = compressText(makeTextDelta(Held.m_Text, Text));
   std::uint64_t Bytes = Change.m_Delta.size();
   proposeCommand(
       Self, Change,
-      [&Self, Exchange, Version, Text, Bytes](const CommandAnswer *Answer) {
+      [&Self, Exchange, Version, Text, Bytes,
+       Routes](const CommandAnswer *Answer) {
         const ManifestAnswer *Known =
             Answer ? std::get_if<ManifestAnswer>(Answer) : nullptr;
         if (!Known)
           return answerLeaderLost(Self, *Exchange);
         if (Known->m_Outcome == ManifestOutcome::BaseChanged)
-          return proposeManifest(Self, Exchange, Version, Text);
+          return proposeManifest(Self, Exchange, Version, Text, Routes);
         bool Applied = Known->m_Outcome == ManifestOutcome::InForce;
         if (Applied)
           rememberManifest(Self);
@@ -71,7 +109,7 @@
                  {{"version", Version},
                   {"held", Known->m_Version},
                   {"bytes", Bytes}});
-        answerInForce(Self, Exchange, Known->m_Version);
+        answerInForce(Self, Exchange, Known->m_Version, Routes);
       });
 }
 
@@ -86,11 +124,12 @@
   if (!Faults.empty())
     return refuseManifest(Self, *Exchange, joined(Faults));
   std::uint64_t Version = Content.value().m_Version;
+  std::size_t Routes = Content.value().m_Routes.size();
   // The version held is compared when the change is applied, after everything
   // that was accepted before.
-  afterConfirmedRead(Self, Exchange, [&Self, Exchange, Version, Text] {
+  afterConfirmedRead(Self, Exchange, [&Self, Exchange, Version, Text, Routes] {
     if (Version > Self.m_State.m_Manifest.m_Version)
-      return proposeManifest(Self, Exchange, Version, Text);
+      return proposeManifest(Self, Exchange, Version, Text, Routes);
     logEvent(
         Event::ManifestSuperseded,
         {{"version", Version}, {"held", Self.m_State.m_Manifest.m_Version}});
@@ -140,11 +179,11 @@
   const StoredManifest &Held = Self.m_State.m_Manifest;
   if (Request.m_ManifestHeld >= Held.m_Version)
     return;
-  rememberManifest(Self);
-  TextUpdate Update =
-      makeUpdate(Self.m_Manifests, Request.m_ManifestHeld, Held.m_Text);
+  const ManifestUpdate &Update = manifestUpdate(Self, Request.m_ManifestHeld);
+  if (!takeLink(Self.m_ManifestLink, Update.m_Delta.size(), monotonicNow()))
+    return;
   Granted.m_ManifestBase = Update.m_Base;
-  Granted.m_ManifestDelta = std::move(Update.m_Delta);
+  Granted.m_ManifestDelta = Update.m_Delta;
 }
 
 } // namespace vanillaferry::internal
--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -56,6 +56,10 @@
     return Loaded;
   }
   Loaded.m_Faults = schemaFaults(json::parse(Schema), Loaded.m_Value);
+  if (Kind == "keeper" && !Loaded.m_Value.contains("http") &&
+      !Loaded.m_Value.contains("http_address"))
+    Loaded.m_Faults.push_back(
+        "/http: missing; expected \"http\" or \"http_address\".");
   return Loaded;
 }
 
@@ -158,7 +162,8 @@
   Settings.m_Keeper = KeeperId(Value["keeper"].get<std::string>());
   Settings.m_Vm = VmId(Value["vm"].get<std::string>());
   Settings.m_Zone = ZoneId(Value["zone"].get<std::string>());
-  Settings.m_Http = readListen(Value["http"]);
+  Settings.m_Http = Value.contains("http") ? readListen(Value["http"])
+                                           : readListen(Value["http_address"]);
   Settings.m_Peer = readListen(Value["peer"]);
   Settings.m_DataFolder = Value["data_folder"].get<std::string>();
   for (const json &Item : Value.value("initial_keepers", json::array()))
--- a/src/daemon/process/settings_schema.cpp
+++ b/src/daemon/process/settings_schema.cpp
@@ -50,16 +50,16 @@
 const char *const KeeperSettingsSchema = R"json({
   "type": "object",
   "additionalProperties": false,
-  "required": ["kind", "keeper", "vm", "zone", "http", "peer", "data_folder"],
+  "required": ["kind", "keeper", "vm", "zone", "peer", "data_folder"],
   "properties": {
     "kind": {"enum": ["keeper"]},
     "keeper": {"type": "string", "minLength": 1, "maxLength": 64},
     "vm": {"type": "string", "minLength": 1, "maxLength": 64},
     "zone": {"type": "string", "minLength": 1, "maxLength": 64},
+    "http_address": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
     "http": {
-      "type": ["object", "string"], "additionalProperties": false,
+      "type": "object", "additionalProperties": false,
       "required": ["address", "port"],
-      "pattern": "^[0-9.]+:[0-9]+$",
       "properties": {
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:]+$"},
         "port": {"type": "integer", "minimum": 1, "maximum": 65535}
--- a/tests/core/Manifest.tests.cpp
+++ b/tests/core/Manifest.tests.cpp
@@ -2,6 +2,7 @@
 #include "Property.hpp"
 #include "vanillaferry/process/state_machine.hpp"
 #include "vanillaferry/version/target_listing.hpp"
+#include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 #include "vanillaferry/version/text_history.hpp"
 
@@ -36,8 +37,9 @@
 ManifestAnswer replace(StateMachine &State, std::uint64_t Version,
                        const std::string &Text) {
   static std::uint64_t Index = 0;
-  ReplaceManifest Change{Version, State.m_Manifest.m_Version,
-                         makeTextDelta(State.m_Manifest.m_Text, Text)};
+  ReplaceManifest Change{
+      Version, State.m_Manifest.m_Version,
+      compressText(makeTextDelta(State.m_Manifest.m_Text, Text))};
   return std::get<ManifestAnswer>(
       applyCommand(State, LogIndex(++Index), Change));
 }
@@ -117,7 +119,7 @@
       (replace(State, 6, "{six}").m_Outcome == ManifestOutcome::Superseded));
   BOOST_TEST(State.m_Manifest.m_Text == "{seven}");
   BOOST_TEST(State.m_Document.m_Version == Before);
-  ReplaceManifest Stale{9, 6, makeTextDelta("{six}", "{nine}")};
+  ReplaceManifest Stale{9, 6, compressText(makeTextDelta("{six}", "{nine}"))};
   ManifestAnswer Answer =
       std::get<ManifestAnswer>(applyCommand(State, LogIndex(99), Stale));
   BOOST_TEST((Answer.m_Outcome == ManifestOutcome::BaseChanged));
@@ -219,4 +221,22 @@
   BOOST_TEST(!decodeTargets("[{}]").has_value());
 }
 
+// Guards against damaged data that is taken for a text, and against a route
+// whose text costs its full length on a keeper's link of 6 Mbit/s.
+BOOST_AUTO_TEST_CASE(CompressedTextComesBackWholeOrNotAtAll) {
+  std::string Text;
+  for (int Route = 0; Route < 960; ++Route)
+    Text += "{\"name\":\"r-" + std::to_string(Route * 7919) +
+            "\",\"kind\":\"idempotent\",\"timeout_ms\":1500},";
+  std::string Data = compressText(Text);
+  BOOST_TEST(Data.size() * 4 < Text.size());
+  BOOST_TEST(decompressText(Data).value() == Text);
+  BOOST_TEST(decompressText(compressText("")).value() == "");
+  for (std::size_t Cut :
+       {std::size_t(0), std::size_t(1), Data.size() / 2, Data.size() - 1})
+    BOOST_TEST(!decompressText(Data.substr(0, Cut)).has_value());
+  Data[Data.size() / 2] = static_cast<char>(~Data[Data.size() / 2]);
+  BOOST_TEST(!decompressText(Data).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
