Forget the output appender when the log is started anew

Cause: the pointer to a replaced appender was used; memory that others held by then changed (ServiceCalls answered 404 after LogOutput in one process, every time). Ruled out: the tests' ports and the manifests.

--- a/src/daemon/process/log.cpp
+++ b/src/daemon/process/log.cpp
@@ -83,6 +83,7 @@
   void attach(log4cplus::SharedAppenderPtr Appender) {
     Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
     m_Logger.removeAllAppenders();
+    m_Output = nullptr;
     m_Logger.addAppender(Appender);
   }
 };
@@ -154,8 +155,9 @@
   State.m_Process = Options.m_Process;
   State.m_Logger.setLogLevel(Level);
   if (Options.m_File == "-") {
-    State.m_Output = new OutputAppender;
-    State.attach(log4cplus::SharedAppenderPtr(State.m_Output));
+    OutputAppender *Output = new OutputAppender;
+    State.attach(log4cplus::SharedAppenderPtr(Output));
+    State.m_Output = Output;
   } else if (!Options.m_File.empty())
     State.attach(log4cplus::SharedAppenderPtr(
         new log4cplus::FileAppender(Options.m_File, std::ios_base::app, true)));
--- a/tests/daemon/ServiceCalls.tests.cpp
+++ b/tests/daemon/ServiceCalls.tests.cpp
@@ -123,7 +123,8 @@
     Fixture.grantTargets({}, {Shop.url()});
     FakeJournal Journal(Fixture.m_Router);
     Answer Got = Fixture.exchange(orderText("PUT", {freshKey()}));
-    BOOST_TEST(Got.m_Status == std::stoi(Status));
+    BOOST_TEST(Got.m_Status == std::stoi(Status),
+               Got.m_Status << " " << Got.m_Body);
     BOOST_TEST(Shop.arrivals() == 1, Status);
   }
 }
