--- a/src/daemon/process/command_line.hpp
+++ b/src/daemon/process/command_line.hpp
@@ -6,7 +6,7 @@
 
 namespace vanillaferry {
 
-/// Exit codes of every subcommand (docs/operations.md).
+/// Exit codes of every subcommand (docs/OPERATIONS.md).
 enum ExitCode : int {
   ExitOk = 0,
   /// The command ran and its check or request failed.
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -4,6 +4,7 @@
 #include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace vanillaferry::internal {
@@ -14,10 +15,11 @@
 /// Two thirds of a keeper's link of 6 Mbit/s; the rest is for replication and
 /// heartbeats.
 constexpr std::int64_t UpdateBytesPerMilli = 500;
-/// Well below the time within which an operator expects an answer.
-constexpr Millis InForceTime{1000};
+/// Operators turn to another keeper after a second without an answer.
+constexpr Millis InForceTime{500};
 /// Operators wait longer for manifests with many routes, whose updates take
-/// longer on the leader's link.
+/// longer on the leader's link; this many take no longer than others.
+constexpr std::size_t FewRoutes = 500;
 constexpr Millis InForceTimePerThousandRoutes{2500};
 
 void rememberManifest(Keeper &Self) {
@@ -61,8 +63,9 @@
                    std::uint64_t Version, std::size_t Routes) {
   Millis Now = monotonicNow();
   Millis Limit =
-      InForceTime + Millis(static_cast<std::int64_t>(Routes) *
-                           InForceTimePerThousandRoutes.m_Value / 1000);
+      InForceTime +
+      Millis(static_cast<std::int64_t>(Routes - std::min(Routes, FewRoutes)) *
+             InForceTimePerThousandRoutes.m_Value / 1000);
   Self.m_InForceWaits.push_back(
       {Self.m_State.m_Document.m_Version, Now, Now + Limit,
        [Exchange, Version](bool) { answerVersion(*Exchange, Version); }});
