Read a target list that holds bytes of foreign entries

Cause: found by reading; one entry with bytes that are no UTF-8 made the whole list unreadable, against its comment.

--- a/tests/daemon/Platform.tests.cpp
+++ b/tests/daemon/Platform.tests.cpp
@@ -132,6 +132,18 @@
              "/instances?page_token=p-50");
 }
 
+// Guards against bytes of a foreign entry that hide the whole list.
+BOOST_AUTO_TEST_CASE(BytesThatAreNoTextSpoilOnlyTheirEntry) {
+  Result<TargetPage> Page = platformProtocol()->m_ReadTargetPage(
+      "{\"instances\":[{\"id\":\"\xff\xfe\x01\",\"state\":\"\x80\"},"
+      "{\"id\":\"i-1\",\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+      "\"zone\":\"z\",\"slots\":6,\"state\":\"ready\"}],\"next\":null}");
+  BOOST_REQUIRE(Page.has_value());
+  BOOST_REQUIRE_EQUAL(Page.value().m_Targets.size(), 1U);
+  BOOST_TEST(Page.value().m_Targets[0].m_Id == TargetId("i-1"));
+  BOOST_TEST(Page.value().m_Next.empty());
+}
+
 // Guards against a caller that sets what only the system may set, and against
 // its API key reaching a target.
 BOOST_AUTO_TEST_CASE(SystemFieldsOfACallerAreDropped) {
