--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -104,7 +104,6 @@
   }
   if (m_Done)
     return;
-  std::string Target = m_Try->m_Target.m_Value;
   closeTry(TargetOutcome::Served);
   if (m_StreamStarted)
     m_Caller->finish();
