Share engine loads between gateways; spread prefixes in high demand by room

Ruled out: gossip between gateways (80 links each) and reading the engines' reports (a probe each). Renewals and grants already run; they carry four bytes and a count for each target with requests.

Change: the leader sums what all gateways run, each grant carries the sum of the others; an estimate uses it when it is newer than the engine's report. A prefix of which more requests are expected within the feedback time than an engine has room for is drawn over the first engines by their room.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -131,6 +131,8 @@
   std::uint64_t m_TargetsHeld = 0;
   /// The node needs only the ids of the members, not their addresses.
   bool m_IdsOnly = false;
+  /// The node's running requests by target, see encodeLoads().
+  std::string m_Loads;
 };
 
 /// The leader's answer to Renew.
@@ -183,6 +185,10 @@
   Epoch m_IdsBase;
   /// Edit script to the members' ids, in place of m_Members; see memberIds().
   std::string m_IdsDelta;
+  /// True when m_OthersLoads is the sum over all other routers.
+  bool m_LoadsSummed = false;
+  /// Their running requests by target, see encodeLoads().
+  std::string m_OthersLoads;
 };
 
 /// A router reports its running requests between two renewals. It says nothing
--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -2,6 +2,7 @@
 
 #include "vanillaferry/process/ids.hpp"
 #include "vanillaferry/process/units.hpp"
+#include "vanillaferry/request/load_board.hpp"
 #include "vanillaferry/request/rate_window.hpp"
 
 #include <cstdint>
@@ -54,6 +55,10 @@
   Millis m_ReportedAt;
   /// Own starts less own ends since the report.
   std::int64_t m_SinceReport = 0;
+  /// Running requests of all other routers, as the keepers summed them.
+  std::uint32_t m_Others = 0;
+  /// About when these ran; absent before the first sum.
+  std::optional<Millis> m_OthersAt;
   /// Own dispatches of the last moments, against the cold limit.
   RateWindow m_Starts;
   /// Own dispatches per window while the target is, or may be, cold; 0 for no
@@ -71,12 +76,18 @@
 struct DispatchLimits {
   /// The part of the mean load that a target may carry above it.
   double m_Spread = 1.4;
+  /// Routers that send to the same targets.
+  std::size_t m_Routers = 1;
+  /// Time until a request that one router sends shows in the estimates of all.
+  Millis m_FeedbackTime;
 };
 
 /// Which engine last read a prompt prefix for this router.
 struct PrefixHolder {
   TargetId m_Target;
   Millis m_LastUsed;
+  /// Own requests with the prefix, each decayed by its age.
+  double m_RecentUses = 0;
 };
 
 /// The targets of one service.
@@ -132,8 +143,11 @@
 /// rendezvous hashing (Thaler and Ravishankar 1998), so that every router finds
 /// the copy without knowing the caches. While that engine
 /// carries more than the spread allows, they go to the one that ranks next, so
-/// that a prefix in high demand has as few copies as carry it. Requests without
-/// a shared prefix go to the least loaded target.
+/// that a prefix in high demand has as few copies as carry it. When all routers
+/// together send more of them within the feedback time than an engine has room
+/// for, each draws one of the first engines by their room: otherwise all would
+/// send to one engine until its load shows. Requests without a shared prefix go
+/// to the least loaded target.
 DispatchChoice chooseTarget(DispatchPool &Pool, const DispatchNeed &Need,
                             Millis Now);
 
@@ -162,7 +176,15 @@
 void suspectCold(DispatchTarget &Target, Millis ColdTime, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
 
-/// Estimated requests at the target, with those of other routers.
+/// Takes the keepers' sum of the other routers' running requests, which was
+/// true at the time At.
+void noteOthers(DispatchPool &Pool, const std::vector<KeyedLoad> &Others,
+                Millis At);
+/// Own running requests of the pool, for the keepers' sum.
+void addRunning(const DispatchPool &Pool, std::vector<KeyedLoad> &Loads);
+
+/// Estimated requests at the target, with those of other routers: from the
+/// target's own report, or from the other routers' when these are newer.
 double estimatedLoad(const DispatchTarget &Target, Millis Now);
 
 /// This router's share of a limit per second that all routers keep together.
--- /dev/null
+++ b/include/vanillaferry/request/load_board.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/result.hpp"
+#include "vanillaferry/process/units.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace vanillaferry {
+
+/// Requests that run at one target.
+struct KeyedLoad {
+  /// loadKey() of the target.
+  std::uint32_t m_Key = 0;
+  std::uint32_t m_Running = 0;
+};
+
+/// Short stand-in for a target's id in load reports. Two targets with one key
+/// each look as loaded as both.
+std::uint32_t loadKey(const TargetId &Target);
+
+/// Packs loads into four bytes for the key and a variable-length count (LEB128)
+/// each; targets without requests are left out.
+std::string encodeLoads(const std::vector<KeyedLoad> &Loads);
+/// Fails with ErrorCode::Malformed.
+Result<std::vector<KeyedLoad>> decodeLoads(const std::string &Packed);
+
+/// The last load report of one router.
+struct RouterLoads {
+  std::vector<KeyedLoad> m_Loads;
+  Millis m_ReportedAt;
+};
+
+/// What all routers reported of their running requests, as the leading keeper
+/// collects it.
+struct LoadBoard {
+  std::map<NodeId, RouterLoads> m_Routers;
+  /// Sum over all routers, by the target's key.
+  std::unordered_map<std::uint32_t, std::uint32_t> m_Totals;
+};
+
+/// Replaces a router's report.
+void noteLoads(LoadBoard &Board, const NodeId &Router,
+               std::vector<KeyedLoad> Loads, Millis Now);
+
+/// Running requests of all routers but one. Absent while many of the members
+/// have not reported lately, as after a change of the leader: the sum would be
+/// too small.
+std::optional<std::vector<KeyedLoad>> loadsOfOthers(LoadBoard &Board,
+                                                    const NodeId &Router,
+                                                    std::size_t Members,
+                                                    Millis Now);
+
+} // namespace vanillaferry
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "vanillaferry/request/dispatch.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <xxhash.h>
 
@@ -30,6 +31,11 @@
 constexpr Millis ListDelay{2000};
 /// A prefix that was not used for longer has probably been evicted.
 constexpr Millis PrefixMemory{30000};
+/// Time over which the demand for a prefix is estimated: with a hundred
+/// routers, each sees a prefix in high demand about once a second.
+constexpr Millis HeatTime{4000};
+/// An engine at the bound still takes one request.
+constexpr double LeastRoom = 1;
 /// Bounds the memory of prefixes at some 100 bytes each.
 constexpr std::size_t MaxHolders = 20000;
 /// Targets listed for less than this have taken over prefixes that another one
@@ -110,6 +116,19 @@
       });
 }
 
+/// Uses of a prefix, decayed to the present time.
+double recentUses(const PrefixHolder &Holder, Millis Now) {
+  double Age = static_cast<double>((Now - Holder.m_LastUsed).m_Value);
+  return Holder.m_RecentUses *
+         std::exp(-Age / static_cast<double>(HeatTime.m_Value));
+}
+
+/// Uniform in [0, 1), from a random number.
+double unitDraw(std::uint64_t Random) {
+  constexpr std::uint64_t Steps = 1U << 20;
+  return static_cast<double>(Random % Steps) / static_cast<double>(Steps);
+}
+
 const PrefixHolder *holderOf(const DispatchPool &Pool, std::uint64_t Prefix,
                              Millis Now) {
   std::map<std::uint64_t, PrefixHolder>::const_iterator Found =
@@ -119,20 +138,50 @@
   return Known ? &Found->second : nullptr;
 }
 
-/// The known holder of the prefix, or else the engine that ranks first, among
-/// those that carry no more than the bound; null when all of them carry more.
+/// Requests with the prefix that all routers are expected to send within the
+/// feedback time. This router's earlier ones stand for those of the others.
+double expectedUses(const PrefixHolder *Holder, const DispatchLimits &Limits,
+                    Millis Now) {
+  if (!Holder)
+    return 0;
+  double PerMilli =
+      recentUses(*Holder, Now) / static_cast<double>(HeatTime.m_Value);
+  return PerMilli * static_cast<double>(Limits.m_FeedbackTime.m_Value) *
+         static_cast<double>(Limits.m_Routers);
+}
+
+/// An engine for a prefix among those that carry no more than the bound; null
+/// when all of them carry more.
 const Candidate *preferred(const std::vector<Candidate> &All,
-                           const PrefixHolder *Holder, double Bound) {
-  const Candidate *Best = nullptr;
-  for (const Candidate &Each : All) {
-    if (Each.m_Load > Bound)
-      continue;
-    if (Holder && Each.m_Target->m_Listed.m_Id == Holder->m_Target)
-      return &Each;
-    if (!Best || Each.m_Rank > Best->m_Rank)
-      Best = &Each;
+                           const DispatchPool &Pool, const DispatchNeed &Need,
+                           double Bound, Millis Now) {
+  const PrefixHolder *Holder = holderOf(Pool, Need.m_PrefixHash, Now);
+  std::vector<const Candidate *> Ranked;
+  for (const Candidate &Each : All)
+    if (Each.m_Load <= Bound)
+      Ranked.push_back(&Each);
+  if (Ranked.empty())
+    return nullptr;
+  auto IsHolder = [Holder](const Candidate *Each) {
+    return Holder && Each->m_Target->m_Listed.m_Id == Holder->m_Target;
+  };
+  std::sort(Ranked.begin(), Ranked.end(),
+            [IsHolder](const Candidate *A, const Candidate *B) {
+              if (IsHolder(A) != IsHolder(B))
+                return IsHolder(A);
+              return A->m_Rank > B->m_Rank;
+            });
+  // The draw falls on an engine in proportion to its room; with few expected
+  // requests it always falls on the first.
+  double Draw =
+      unitDraw(Need.m_Random) * expectedUses(Holder, Pool.m_Limits, Now);
+  for (const Candidate *Each : Ranked) {
+    Draw -= std::max(Bound - Each->m_Load, LeastRoom);
+    if (Draw <= 0)
+      return Each;
   }
-  return Best;
+  // More is expected than all have room for.
+  return Ranked[Need.m_Random % Ranked.size()];
 }
 
 /// The engine that ranks first for the prefix among all that are listed and
@@ -176,7 +225,10 @@
                 const TargetId &Target, Millis Now) {
   if (Pool.m_Holders.size() >= MaxHolders)
     Pool.m_Holders.clear();
-  Pool.m_Holders[Prefix] = PrefixHolder{Target, Now};
+  PrefixHolder &Holder = Pool.m_Holders[Prefix];
+  Holder.m_RecentUses = recentUses(Holder, Now) + 1;
+  Holder.m_Target = Target;
+  Holder.m_LastUsed = Now;
 }
 
 Millis pauseAfter(std::uint32_t Failures) {
@@ -210,8 +262,8 @@
     return refuseDispatch(NoTarget::ColdLimit, RetryWhenFull);
   const Candidate *Chosen = nullptr;
   if (Need.m_PrefixHash != 0)
-    Chosen = preferred(All, holderOf(Pool, Need.m_PrefixHash, Now),
-                       Mean * Pool.m_Limits.m_Spread + SpreadSlack);
+    Chosen = preferred(All, Pool, Need,
+                       Mean * Pool.m_Limits.m_Spread + SpreadSlack, Now);
   if (!Chosen)
     Chosen = &leastLoaded(All);
   DispatchChoice Choice;
@@ -296,9 +348,33 @@
   Target.m_SinceReport = 0;
 }
 
+void noteOthers(DispatchPool &Pool, const std::vector<KeyedLoad> &Others,
+                Millis At) {
+  std::unordered_map<std::uint32_t, std::uint32_t> Running;
+  for (const KeyedLoad &Each : Others)
+    Running[Each.m_Key] += Each.m_Running;
+  for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets) {
+    std::unordered_map<std::uint32_t, std::uint32_t>::const_iterator Found =
+        Running.find(loadKey(Row.first));
+    Row.second.m_Others = Found == Running.end() ? 0 : Found->second;
+    Row.second.m_OthersAt = At;
+  }
+}
+
+void addRunning(const DispatchPool &Pool, std::vector<KeyedLoad> &Loads) {
+  for (const std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
+    if (Row.second.m_Running > 0)
+      Loads.push_back({loadKey(Row.first), Row.second.m_Running});
+}
+
 double estimatedLoad(const DispatchTarget &Target, Millis Now) {
   double Own = static_cast<double>(Target.m_Running);
-  if (!Target.m_Report || Target.m_ReportedAt + ReportLifetime < Now)
+  bool Reported =
+      Target.m_Report && Now <= Target.m_ReportedAt + ReportLifetime;
+  bool Summed = Target.m_OthersAt && Now <= *Target.m_OthersAt + ReportLifetime;
+  if (Summed && (!Reported || *Target.m_OthersAt > Target.m_ReportedAt))
+    return Own + static_cast<double>(Target.m_Others);
+  if (!Reported)
     return Own;
   double Stated = static_cast<double>(Target.m_Report->m_Running) +
                   static_cast<double>(Target.m_Report->m_Waiting) +
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -166,6 +166,7 @@
   Visit("f", Data.m_ManifestHeld);
   Visit("b", Data.m_TargetsHeld);
   Visit("o", Data.m_IdsOnly);
+  Visit("c", rawBytes(Data.m_Loads));
 }
 
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
@@ -195,6 +196,8 @@
   Visit("ta", Data.m_TargetsAge);
   Visit("ib", Data.m_IdsBase);
   Visit("id", Data.m_IdsDelta);
+  Visit("ls", Data.m_LoadsSummed);
+  Visit("lo", rawBytes(Data.m_OthersLoads));
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -51,6 +51,10 @@
   Renewal.m_ManifestHeld = G.m_Control.m_Routes.m_Manifest.m_Version;
   Renewal.m_TargetsHeld = G.m_TargetList.m_Digest;
   Renewal.m_IdsOnly = true;
+  std::vector<KeyedLoad> Running;
+  for (const std::pair<const PoolId, GatewayPool> &Row : G.m_Pools)
+    addRunning(Row.second.m_Dispatch, Running);
+  Renewal.m_Loads = encodeLoads(Running);
   G.m_Keeper.m_LastRenewal = Now;
   G.m_Peers->sendToUrl(G.m_Keeper.m_Url, std::move(Renewal));
 }
@@ -154,6 +158,21 @@
   rebuildPools(G);
 }
 
+void takeLoads(Gateway &G, const Grant &Granted, Millis Now) {
+  if (!Granted.m_LoadsSummed)
+    return;
+  Result<std::vector<KeyedLoad>> Others = decodeLoads(Granted.m_OthersLoads);
+  if (!Others) {
+    logEvent(Event::SectionRefused,
+             {{"section", "loads"}, {"fault", Others.error().m_Text}});
+    return;
+  }
+  // The reports in the sum are half a renewal old on average.
+  Millis At = Now - Millis(G.m_Lease.m_RenewInterval.m_Value / 2);
+  for (std::pair<const PoolId, GatewayPool> &Row : G.m_Pools)
+    noteOthers(Row.second.m_Dispatch, Others.value(), At);
+}
+
 void takeGrantMessage(Gateway &G, const Grant &Granted) {
   Millis Now = monotonicNow();
   bool Held = leaseHolds(G.m_Lease, Now);
@@ -169,6 +188,7 @@
   takeZones(G, Granted);
   takeMembers(G, Granted);
   takeGrantedTargets(G, Granted);
+  takeLoads(G, Granted, Now);
   if (Step == ManifestStep::Held)
     G.m_Control.m_Version = Granted.m_Version;
   else if (Step == ManifestStep::Failed)
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -85,6 +85,11 @@
     Pool.m_Repeats =
         makeRepeatBudget(Bounds.m_RetryRatio, 0, Bounds.m_RetryWindow);
   Pool.m_Repeats.m_Extra = Bounds.m_RetryExtra / Routers;
+  Pool.m_Dispatch.m_Limits.m_Routers =
+      std::max(G.m_Control.m_Routers.size(), std::size_t(1));
+  // A report waits for the router's renewal, and its sum for the other's.
+  Pool.m_Dispatch.m_Limits.m_FeedbackTime =
+      Millis(G.m_Lease.m_RenewInterval.m_Value * 3 / 2);
   Pool.m_Dispatch.m_Engine = Service.m_Engine;
   Pool.m_Dispatch.m_ColdTime = Service.m_ColdTime;
   std::vector<ListedTarget> Own;
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -14,6 +14,7 @@
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/replication.hpp"
 #include "vanillaferry/process/state_machine.hpp"
+#include "vanillaferry/request/load_board.hpp"
 #include "vanillaferry/version/text_history.hpp"
 
 #include <deque>
@@ -198,6 +199,7 @@
   ManifestUpdate m_ManifestUpdate;
   LinkBudget m_ManifestLink;
   TargetShare m_TargetShare;
+  LoadBoard m_LoadBoard;
   /// Keepers that asked for a vote, with the time of their last request.
   std::map<KeeperId, JoiningKeeper> m_Joining;
   Millis m_NextJoin;
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -39,6 +39,26 @@
 
 namespace {
 
+/// Takes a router's report of its running requests and attaches the sum of the
+/// others'.
+void shareLoads(Keeper &Self, const Renew &Request, Grant &Granted,
+                Millis Now) {
+  if (!Request.m_IdsOnly)
+    return;
+  Result<std::vector<KeyedLoad>> Loads = decodeLoads(Request.m_Loads);
+  if (!Loads) {
+    logEvent(Event::PeerFrameMalformed,
+             {{"from", Request.m_Node.m_Value}, {"why", Loads.error().m_Text}});
+    return;
+  }
+  noteLoads(Self.m_LoadBoard, Request.m_Node, std::move(Loads.value()), Now);
+  std::optional<std::vector<KeyedLoad>> Others = loadsOfOthers(
+      Self.m_LoadBoard, Request.m_Node, Self.m_State.m_Members.size(), Now);
+  Granted.m_LoadsSummed = Others.has_value();
+  if (Others)
+    Granted.m_OthersLoads = encodeLoads(*Others);
+}
+
 void renew(Keeper &Self, const Renew &Request, bool MayPropose) {
   Millis Now = monotonicNow();
   LeaseTable *Table = grantingTable(Self, Now);
@@ -53,6 +73,7 @@
     attachManifest(Self, Request, *Decision.m_Grant);
     attachTargets(Self, Request, *Decision.m_Grant);
     attachMemberIds(Self, Request, *Decision.m_Grant);
+    shareLoads(Self, Request, *Decision.m_Grant, Now);
     Self.m_Peers->send(Request.m_Node, std::move(*Decision.m_Grant));
   }
   if (!MayPropose)
--- a/tests/core/Dispatch.tests.cpp
+++ b/tests/core/Dispatch.tests.cpp
@@ -36,8 +36,9 @@
   return Pool;
 }
 
-DispatchNeed needOf(std::uint64_t Prefix) {
+DispatchNeed needOf(std::uint64_t Prefix, std::uint64_t Random = 0) {
   DispatchNeed Need;
+  Need.m_Random = Random;
   Need.m_PrefixHash = Prefix;
   Need.m_PrefixTokens = Tokens(10000);
   return Need;
@@ -51,8 +52,11 @@
 }
 
 /// Several routers that send requests of a stated load to the same targets.
-/// Each learns the targets' load only from the answers to its own requests.
+/// Each learns the targets' load from the answers to its own requests and, with
+/// a renewal time, from what the routers report to the leading keeper.
 struct Fleet {
+  LoadBoard m_Board;
+  Millis m_RenewalTime;
   std::vector<DispatchPool> m_Pools;
   std::map<TargetId, int> m_Running;
   std::map<TargetId, std::vector<Millis>> m_Arrivals;
@@ -86,9 +90,9 @@
   }
 
   /// Sends one request and returns its target; empty when it is refused.
-  TargetId send(std::size_t Router, std::uint64_t Prefix, Millis Now) {
+  TargetId send(std::size_t Router, const DispatchNeed &Need, Millis Now) {
     DispatchPool &Pool = m_Pools[Router];
-    DispatchChoice Choice = chooseTarget(Pool, needOf(Prefix), Now);
+    DispatchChoice Choice = chooseTarget(Pool, Need, Now);
     if (Choice.m_Refusal != NoTarget::None) {
       ++m_Refused;
       return TargetId();
@@ -98,7 +102,7 @@
     if (m_Running[To] > 2 * meanLoad() + 3)
       ++m_OverBound;
     noteStarted(Pool.m_Targets[To], Now);
-    m_Readers[Prefix].insert(To);
+    m_Readers[Need.m_PrefixHash].insert(To);
     m_Arrivals[To].push_back(Now);
     ++m_Running[To];
     noteReport(Pool.m_Targets[To],
@@ -111,6 +115,37 @@
     --m_Running[To];
   }
 
+  /// Lets the routers report their loads with each renewal.
+  void shareLoads(Millis RenewalTime) {
+    m_RenewalTime = RenewalTime;
+    for (DispatchPool &Pool : m_Pools) {
+      Pool.m_Limits.m_Routers = m_Pools.size();
+      Pool.m_Limits.m_FeedbackTime = Millis(RenewalTime.m_Value * 3 / 2);
+    }
+  }
+
+  /// Renewals of the routers whose turn it is, evenly spread.
+  void renew(Millis Now) {
+    if (m_RenewalTime == Millis(0))
+      return;
+    for (std::size_t Router = 0; Router < m_Pools.size(); ++Router) {
+      std::int64_t Turn = m_RenewalTime.m_Value *
+                          static_cast<std::int64_t>(Router) /
+                          static_cast<std::int64_t>(m_Pools.size());
+      if ((Now.m_Value + Turn) % m_RenewalTime.m_Value != 0)
+        continue;
+      NodeId Node("router-" + std::to_string(Router));
+      std::vector<KeyedLoad> Own;
+      addRunning(m_Pools[Router], Own);
+      noteLoads(m_Board, Node, std::move(Own), Now);
+      std::optional<std::vector<KeyedLoad>> Others =
+          loadsOfOthers(m_Board, Node, m_Pools.size(), Now);
+      if (Others)
+        noteOthers(m_Pools[Router], *Others,
+                   Now - Millis(m_RenewalTime.m_Value / 2));
+    }
+  }
+
   /// Most arrivals at one target within any second.
   std::size_t busiestSecond() const {
     std::size_t Most = 0;
@@ -141,6 +176,7 @@
   std::priority_queue<Ending> Endings;
   double Due = 0;
   for (Millis Now(0); Now < Millis(10000); Now = Now + Millis(1)) {
+    All.renew(Now);
     while (!Endings.empty() && Endings.top().m_At <= Now) {
       Ending Next = Endings.top();
       Endings.pop();
@@ -151,7 +187,7 @@
       bool Hot = Share(Random) < HotShare;
       std::uint64_t Prefix =
           Hot ? 1 : 2 + Random() % static_cast<std::uint64_t>(Prefixes);
-      TargetId To = All.send(Router, Prefix, Now);
+      TargetId To = All.send(Router, needOf(Prefix, Random()), Now);
       if (!To.empty())
         Endings.push({Now + Duration, Router, To});
     }
@@ -229,6 +265,20 @@
   BOOST_TEST(All.m_Readers[1].size() <= 9U);
 }
 
+// Replays the Board's grown deployment: 81 routers, 60 engines, 400 requests a
+// second that last 1.7 s, 60 of them with one prefix. A router sends each
+// engine a request every 12 s, so the answers alone tell it next to nothing,
+// and the routers' reports are a second old. Guards against engines above twice
+// the mean load.
+BOOST_AUTO_TEST_CASE(ManyRoutersKeepTheLoadBoundTogether) {
+  Fleet All(81, 60);
+  All.shareLoads(Millis(648));
+  replayLoad(All, 400, 700, 0.15, Millis(1700));
+  BOOST_TEST(All.m_Refused == 0);
+  BOOST_TEST(All.m_OverBound * 100 < All.m_Sent * 3);
+  BOOST_TEST_MESSAGE(All.m_OverBound << " of " << All.m_Sent << " over");
+}
+
 // Replays a whole pool that came back cold under full load: 300 requests a
 // second of which 18 engines bear 24 each. Guards against engines that fall
 // over, and against refusals while there is room.
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -72,7 +72,8 @@
              {{VmId("vm"), true, Millis(9)}},
              1ULL << 40,
              1ULL << 63,
-             true};
+             true,
+             std::string("\0\xff", 2)};
   Renew Got = roundTrip(Sent);
   SAME(m_Node);
   SAME(m_Incarnation);
@@ -103,6 +104,7 @@
   SAME(m_ManifestHeld);
   SAME(m_TargetsHeld);
   SAME(m_IdsOnly);
+  SAME(m_Loads);
 }
 
 BOOST_AUTO_TEST_CASE(GrantKeepsEveryField) {
@@ -130,7 +132,9 @@
              "t2;[]",
              Millis(12),
              Epoch(3),
-             "t2;n}"};
+             "t2;n}",
+             true,
+             std::string("\xff\0", 2)};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
   SAME(m_Duration);
@@ -167,6 +171,8 @@
   SAME(m_TargetsAge);
   SAME(m_IdsBase);
   SAME(m_IdsDelta);
+  SAME(m_LoadsSummed);
+  SAME(m_OthersLoads);
 }
 
 BOOST_AUTO_TEST_CASE(LoadMessagesKeepEveryField) {
--- /dev/null
+++ b/tests/process/GatewayFaults.tests.cpp
@@ -0,0 +1,155 @@
+#include "GatewayCallers.hpp"
+#include "GatewaySoak.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+using namespace vanillaferry;
+using namespace vanillaferry::tests;
+
+namespace {
+
+constexpr std::uint64_t DefaultSeed = 1;
+constexpr std::uint64_t DefaultSeconds = 15;
+/// Until the first manifest is accepted and acted on.
+constexpr int StartLimitMs = 20000;
+/// The users' bound for service after a fault of everything.
+constexpr int RecoveryMs = 12000;
+constexpr int CalmSeconds = 3;
+constexpr std::size_t Callers = 12;
+
+std::uint64_t numberFrom(const char *Variable, std::uint64_t Default) {
+  const char *Text = std::getenv(Variable);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
+void waitAllReady(GatewayFleet &Fleet, int LimitMs) {
+  double End = historyNow() + LimitMs;
+  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
+    BOOST_TEST(Fleet.waitReady(
+                   Index, std::max(1, static_cast<int>(End - historyNow()))),
+               "gateway " << Index + 1 << " is not ready");
+}
+
+std::map<CallEnding, int> countEndings(const std::vector<CallRecord> &Calls) {
+  std::map<CallEnding, int> Counts;
+  for (const CallRecord &Call : Calls)
+    ++Counts[Call.m_Ending];
+  return Counts;
+}
+
+void printEndings(const char *When, const std::vector<CallRecord> &Calls) {
+  std::map<CallEnding, int> Counts = countEndings(Calls);
+  std::cout << When << ": " << Calls.size() << " calls, "
+            << Counts[CallEnding::Whole] << " answered, "
+            << Counts[CallEnding::Refused] << " refused, "
+            << Counts[CallEnding::Failed] << " failed, "
+            << Counts[CallEnding::Closed] << " closed, "
+            << Counts[CallEnding::TimedOut] << " timed out" << std::endl;
+}
+
+void reportFaults(const FoundFaults &Found) {
+  for (const std::string &Fault : Found.all())
+    BOOST_ERROR(Fault);
+}
+
+/// Every call of a fleet without faults is answered with success.
+void checkCalm(const std::vector<CallRecord> &Calls,
+               const GatewayOperator &Operator) {
+  BOOST_TEST(Calls.size() > 0U);
+  for (const CallRecord &Call : Calls) {
+    bool Answered = Call.m_Ending == CallEnding::Whole && Call.m_Status == 200;
+    bool HasKey = Operator.removedKeys().count(Call.m_Key) == 0;
+    BOOST_TEST((Answered || (!HasKey && Call.m_Status == 401)),
+               Call.m_Id << " at gateway " << Call.m_Gateway + 1
+                         << " ended with status " << Call.m_Status);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewayFaults)
+
+// Guards against requests that a graceful shutdown cuts: gateways are stopped
+// one after the other under load, over connections that stay open.
+BOOST_AUTO_TEST_CASE(GatewaysThatAreStoppedInTurnLoseNoRequest) {
+  GatewayFleet Fleet(3, 3, 6, 1);
+  FoundFaults Found;
+  GatewayOperator Operator(Fleet, Found, 1);
+  BOOST_REQUIRE(Operator.begin(StartLimitMs));
+  waitAllReady(Fleet, StartLimitMs);
+  std::vector<CallRecord> Calls;
+  {
+    GatewayCallers Load(Fleet, Found, Callers, 5);
+    for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      Fleet.gateway(Index).signal(SIGTERM);
+      BOOST_TEST(Fleet.gateway(Index).waitForExit(8000) == 0);
+      Fleet.startGateway(Index);
+      BOOST_TEST(Fleet.waitReady(Index, RecoveryMs));
+    }
+    Load.stop();
+    Calls = Load.calls();
+  }
+  printEndings("rolled", Calls);
+  std::map<std::string, int> Ran;
+  for (const TargetRun &Run : Fleet.targets().runs())
+    ++Ran[Run.m_Request];
+  for (const CallRecord &Call : Calls)
+    // A connection may end before the request was read.
+    BOOST_TEST((Call.m_Ending == CallEnding::Whole || Ran[Call.m_Id] == 0),
+               Call.m_Id << " ran and ended with status " << Call.m_Status);
+  checkRuns(Fleet.targets().runs(), Calls, Operator, Found);
+  reportFaults(Found);
+}
+
+// Guards against every promise of docs/PROOFS.md being broken while faults of
+// all kinds come together. docs/testing.md has the command of a long run.
+BOOST_AUTO_TEST_CASE(AGatewayFleetUnderFaultsKeepsItsPromises) {
+  std::uint64_t Seed = numberFrom("VANILLAFERRY_SOAK_SEED", DefaultSeed);
+  std::uint64_t Seconds =
+      numberFrom("VANILLAFERRY_SOAK_SECONDS", DefaultSeconds);
+  std::cout << "gateway faults: seed " << Seed << ", " << Seconds << " s"
+            << std::endl;
+  GatewayFleet Fleet(5, 4, 9, Seed);
+  std::cout << "folder " << Fleet.folder() << std::endl;
+  FoundFaults Found;
+  GatewayOperator Operator(Fleet, Found, Seed);
+  BOOST_REQUIRE(Operator.begin(StartLimitMs));
+  waitAllReady(Fleet, StartLimitMs);
+  GatewaySoak Soak(Fleet, Found, Seed);
+  std::vector<CallRecord> Calls;
+  {
+    GatewayCallers Load(Fleet, Found, Callers, Seed);
+    Operator.start();
+    Soak.run(static_cast<double>(Seconds));
+    Operator.stop();
+    Load.stop();
+    Calls = Load.calls();
+  }
+  std::cout << "faults: " << Soak.summary() << std::endl;
+  printEndings("with faults", Calls);
+  waitAllReady(Fleet, RecoveryMs);
+  Soak.checkAlive();
+  Operator.checkManifest(RecoveryMs);
+  // Targets that failed or returned get few requests at first.
+  std::this_thread::sleep_for(std::chrono::seconds(CalmSeconds));
+  {
+    GatewayCallers Load(Fleet, Found, Callers, Seed + 500000);
+    std::this_thread::sleep_for(std::chrono::seconds(CalmSeconds));
+    Load.stop();
+    std::vector<CallRecord> Calm = Load.calls();
+    printEndings("afterwards", Calm);
+    checkCalm(Calm, Operator);
+    Calls.insert(Calls.end(), Calm.begin(), Calm.end());
+  }
+  checkRuns(Fleet.targets().runs(), Calls, Operator, Found);
+  BOOST_TEST(countEndings(Calls)[CallEnding::Whole] > 0);
+  reportFaults(Found);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/process/GatewayFleet.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "LinkProxy.hpp"
+#include "PlatformFakes.hpp"
+#include "ProcessFleet.hpp"
+
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillaferry::tests {
+
+/// Kinds of requests that the fleet's manifest routes.
+enum class CallKind { Stream, ResumableStream, Order, Lookup };
+
+/// Path of a kind's route.
+const char *pathOf(CallKind Kind);
+
+/// Gateways, keepers and emulated targets with the settings of the users'
+/// deployment, on addresses of 127.0.0.0/8. Links to keepers and from callers
+/// to gateways run through proxies.
+class GatewayFleet {
+public:
+  GatewayFleet(std::size_t Keepers, std::size_t Gateways, std::size_t Targets,
+               std::uint64_t Seed);
+
+  PlatformFakes &targets() { return *m_Targets; }
+  std::size_t keepers() const { return m_Keepers.size(); }
+  std::size_t gateways() const { return m_Gateways.size(); }
+  ChildProcess &keeper(std::size_t Index) { return m_Keepers[Index].m_Process; }
+  ChildProcess &gateway(std::size_t Index) {
+    return m_Gateways[Index].m_Process;
+  }
+  LinkProxy &keeperLink(std::size_t Index) { return *m_Keepers[Index].m_Link; }
+  LinkProxy &frontLink(std::size_t Index) { return *m_Gateways[Index].m_Link; }
+  /// Where callers connect.
+  LoopbackAddress front(std::size_t Index) const;
+  const std::string &folder() const { return m_Folder.path(); }
+
+  /// With a limit, the keeper's disk is full once a file has that many bytes.
+  void startKeeper(std::size_t Index, bool First = false,
+                   std::int64_t FileSizeLimit = 0);
+  void wipeKeeper(std::size_t Index);
+  void startGateway(std::size_t Index);
+  bool isReady(std::size_t Index) const;
+  bool waitReady(std::size_t Index, int LimitMs) const;
+
+  /// The next manifest; keys in Revoked are left out.
+  nlohmann::json manifest(std::uint64_t Version,
+                          const std::set<std::string> &Revoked) const;
+  /// Sends an operator's order to the keepers in turn until one answers.
+  OperatorReply order(const std::string &Method, const std::string &Path,
+                      const std::string &Body, int LimitMs);
+  /// One try at one keeper.
+  OperatorReply orderAt(std::size_t Keeper, const std::string &Method,
+                        const std::string &Path, const std::string &Body,
+                        int LimitMs) const;
+
+private:
+  struct Part {
+    LoopbackAddress m_Real;
+    std::string m_Name;
+    std::unique_ptr<LinkProxy> m_Link;
+    ChildProcess m_Process;
+  };
+
+  std::string keeperUrl(std::size_t Index) const;
+  nlohmann::json seeds() const;
+  void start(Part &Started, const char *Program, const nlohmann::json &Settings,
+             std::int64_t FileSizeLimit);
+
+  TemporaryFolder m_Folder;
+  std::string m_Network;
+  std::uint16_t m_HttpPort;
+  std::uint16_t m_PeerPort;
+  std::uint16_t m_ReadyPort;
+  std::unique_ptr<PlatformFakes> m_Targets;
+  std::vector<Part> m_Keepers;
+  std::vector<Part> m_Gateways;
+};
+
+} // namespace vanillaferry::tests
--- a/tests/process/LinkProxy.cpp
+++ b/tests/process/LinkProxy.cpp
@@ -19,11 +19,11 @@
 constexpr std::size_t MaxWaitingBytes = 256 * 1024;
 constexpr int PollMs = 20;
 
-sockaddr_in loopback(std::uint16_t Port) {
+sockaddr_in socketAddress(const LoopbackAddress &At) {
   sockaddr_in Address = {};
   Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = ::inet_addr(At.m_Ip.c_str());
+  Address.sin_port = htons(At.m_Port);
   return Address;
 }
 
@@ -39,11 +39,15 @@
 } // namespace
 
 LinkProxy::LinkProxy(std::uint16_t Port, std::uint16_t Target)
-    : m_TargetPort(Target) {
+    : LinkProxy(LoopbackAddress{"127.0.0.1", Port},
+                LoopbackAddress{"127.0.0.1", Target}) {}
+
+LinkProxy::LinkProxy(const LoopbackAddress &Listen, LoopbackAddress Target)
+    : m_Target(std::move(Target)) {
   m_Listener = makeSocket();
   int On = 1;
   ::setsockopt(m_Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
-  sockaddr_in Address = loopback(Port);
+  sockaddr_in Address = socketAddress(Listen);
   if (::bind(m_Listener, reinterpret_cast<sockaddr *>(&Address),
              sizeof Address) != 0 ||
       ::listen(m_Listener, SOMAXCONN) != 0)
@@ -59,9 +63,10 @@
   ::close(m_Listener);
 }
 
-void LinkProxy::cut(double Share, std::uint64_t Seed) {
+void LinkProxy::cut(double Share, std::uint64_t Seed, CutDirection Direction) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   m_Random.seed(Seed);
+  m_Direction = Direction;
   m_Share = Share;
   std::bernoulli_distribution IsCut(Share);
   for (std::unique_ptr<Link> &One : m_Links)
@@ -71,10 +76,36 @@
 void LinkProxy::heal() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   m_Share = 0;
+  m_Delay = std::chrono::milliseconds(0);
   for (std::unique_ptr<Link> &One : m_Links)
     One->m_Cut = false;
 }
 
+void LinkProxy::reset(double Share, std::uint64_t Seed) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Random.seed(Seed);
+  std::bernoulli_distribution IsReset(Share);
+  // Closing with this option sends a reset in place of an orderly end.
+  linger AtOnce = {1, 0};
+  for (std::unique_ptr<Link> &One : m_Links) {
+    if (!IsReset(m_Random))
+      continue;
+    for (int Socket : {One->m_Caller.m_Socket, One->m_Target.m_Socket})
+      ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+    One->m_Broken = true;
+  }
+}
+
+void LinkProxy::delay(std::chrono::milliseconds Time) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Delay = Time;
+}
+
+bool LinkProxy::isHeld(const Link &One, CutDirection Held) const {
+  return One.m_Cut &&
+         (m_Direction == CutDirection::Both || m_Direction == Held);
+}
+
 void LinkProxy::endLink(Link &Broken) {
   ::close(Broken.m_Caller.m_Socket);
   ::close(Broken.m_Target.m_Socket);
@@ -91,7 +122,7 @@
     std::unique_ptr<Link> New = std::make_unique<Link>();
     New->m_Caller.m_Socket = Caller;
     New->m_Target.m_Socket = makeSocket();
-    sockaddr_in Address = loopback(m_TargetPort);
+    sockaddr_in Address = socketAddress(m_Target);
     // A refused connection on loopback shows at once or at the first read.
     if (::connect(New->m_Target.m_Socket,
                   reinterpret_cast<sockaddr *>(&Address),
@@ -103,7 +134,7 @@
   }
 }
 
-bool LinkProxy::forward(Side &From, Side &To) {
+bool LinkProxy::forward(Side &From, Side &To) const {
   std::array<char, 65536> Buffer;
   while (!From.m_Ended && From.m_Waiting.size() < MaxWaitingBytes) {
     ssize_t Count = ::recv(From.m_Socket, Buffer.data(), Buffer.size(), 0);
@@ -112,9 +143,13 @@
     if (Count < 0)
       break;
     From.m_Ended = Count == 0;
+    if (From.m_Waiting.empty())
+      From.m_HeldUntil = std::chrono::steady_clock::now() + m_Delay;
     From.m_Waiting.insert(From.m_Waiting.end(), Buffer.data(),
                           Buffer.data() + Count);
   }
+  if (std::chrono::steady_clock::now() < From.m_HeldUntil)
+    return true;
   while (!From.m_Waiting.empty()) {
     ssize_t Count = ::send(To.m_Socket, From.m_Waiting.data(),
                            From.m_Waiting.size(), MSG_NOSIGNAL);
@@ -133,7 +168,7 @@
     {
       std::lock_guard<std::mutex> Lock(m_Mutex);
       for (const std::unique_ptr<Link> &One : m_Links) {
-        if (One->m_Cut)
+        if (One->m_Cut && m_Direction == CutDirection::Both)
           continue;
         const Side &A = One->m_Caller;
         const Side &B = One->m_Target;
@@ -150,9 +185,11 @@
     std::lock_guard<std::mutex> Lock(m_Mutex);
     accept();
     for (std::unique_ptr<Link> &One : m_Links)
-      if (!One->m_Cut && !One->m_Broken)
-        One->m_Broken = !forward(One->m_Caller, One->m_Target) ||
-                        !forward(One->m_Target, One->m_Caller);
+      if (!One->m_Broken)
+        One->m_Broken = (!isHeld(*One, CutDirection::ToTarget) &&
+                         !forward(One->m_Caller, One->m_Target)) ||
+                        (!isHeld(*One, CutDirection::ToCaller) &&
+                         !forward(One->m_Target, One->m_Caller));
     for (std::unique_ptr<Link> &One : m_Links)
       if (One->m_Broken)
         endLink(*One);
--- /dev/null
+++ b/tests/process/PlatformFakes.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "LinkProxy.hpp"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace vanillaferry::tests {
+
+/// One HTTP request as an emulated target or list reads it.
+struct FakeRequest {
+  std::string m_Method;
+  std::string m_Path;
+  std::string m_Head;
+  std::string m_Body;
+
+  /// Value of a header field; empty when it is missing.
+  std::string field(const std::string &Name) const;
+};
+
+/// Accepts connections at an address and serves each with one thread; several
+/// requests may follow each other on a connection.
+class FakeListener {
+public:
+  /// Returns false to end the connection after this request.
+  using Handler = std::function<bool(int Socket, const FakeRequest &)>;
+
+  FakeListener(LoopbackAddress Address, Handler Serve);
+  ~FakeListener();
+  FakeListener(const FakeListener &) = delete;
+  FakeListener &operator=(const FakeListener &) = delete;
+
+private:
+  void acceptAll();
+  void serve(int Socket);
+
+  Handler m_Serve;
+  int m_Listen = -1;
+  std::atomic<bool> m_Stop{false};
+  std::mutex m_Mutex;
+  std::vector<int> m_Open;
+  std::vector<std::thread> m_Threads;
+  std::thread m_Accept;
+};
+
+bool sendAll(int Socket, const std::string &Data);
+/// Reads one request; false when the connection ends first.
+bool readRequest(int Socket, std::string &Buffer, FakeRequest &Request);
+
+/// What an emulated target does wrong, as shares of its requests.
+struct TargetFaults {
+  /// The connection ends in the middle of the answer.
+  double m_Broken = 0;
+  /// The request runs and nothing is answered.
+  double m_AnswerLost = 0;
+  /// Bytes that belong to no request follow the answer.
+  double m_ExtraBytes = 0;
+  /// Nothing is answered until the other end closes.
+  double m_Silent = 0;
+  /// The request runs and fails.
+  double m_Error = 0;
+};
+
+/// A request that a target began to work on.
+struct TargetRun {
+  std::string m_Request;
+  std::string m_Zone;
+  std::string m_Path;
+  std::string m_Account;
+  double m_At = 0;
+};
+
+/// Events of each emulated stream.
+constexpr int StreamEvents = 12;
+/// The answer of a plain service to a request.
+std::string answerOf(const std::string &RequestId);
+/// One event of the stream for a request.
+std::string eventOf(const std::string &RequestId, int Number);
+
+/// Emulated targets and the platform's list of them, in the test's process.
+/// The first two of three are engines of service "chat", the others serve
+/// "desk". Zones "north", "south" and "west" take turns.
+class PlatformFakes {
+public:
+  PlatformFakes(const std::string &Network, std::uint16_t Port,
+                std::size_t Targets, std::uint64_t Seed);
+  ~PlatformFakes();
+
+  LoopbackAddress listAddress() const;
+  std::size_t size() const { return m_Targets.size(); }
+  void setFaults(std::size_t Index, const TargetFaults &Faults);
+  void stop(std::size_t Index);
+  /// Starts a stopped target as a new instance.
+  void restart(std::size_t Index);
+  void setLeaving(std::size_t Index, bool Leaving);
+  void setListFails(bool Fails) { m_ListFails = Fails; }
+  std::vector<TargetRun> runs() const;
+
+private:
+  struct Target {
+    std::string m_Id;
+    std::string m_Zone;
+    std::string m_Service;
+    LoopbackAddress m_Address;
+    TargetFaults m_Faults;
+    bool m_Leaving = false;
+    std::atomic<int> m_Running{0};
+    std::unique_ptr<FakeListener> m_Listener;
+  };
+
+  void listen(Target &Each);
+  bool serve(Target &Each, int Socket, const FakeRequest &Request);
+  bool serveRun(Target &Each, int Socket, const FakeRequest &Request);
+  bool serveStream(const std::string &Head, int Socket,
+                   const FakeRequest &Request, bool Broken);
+  bool serveList(int Socket);
+  bool draw(double Share);
+
+  std::string m_Network;
+  std::uint16_t m_Port;
+  mutable std::mutex m_Mutex;
+  std::mt19937_64 m_Random;
+  std::vector<std::unique_ptr<Target>> m_Targets;
+  std::vector<TargetRun> m_Runs;
+  int m_Instances = 0;
+  std::atomic<bool> m_ListFails{false};
+  std::unique_ptr<FakeListener> m_List;
+};
+
+} // namespace vanillaferry::tests
