Make each manifest update once; deny nothing while a newer one is under way

The leader kept one compressed update; gateways that start need the whole text and the others the last change, so that it compressed anew for each, a third of a second each on a twentieth of a core. A grant without the manifest counted as a confirmation that the held one is the newest. Each resend of the order waited for all gateways anew.

Ruled out: the leader's link (81 updates of 15.7 KB take 2.5 s at the pace).

Change: one update for each version that routers hold; ManifestKnowledge decides when a gateway may deny a request for good and until when it may act on an older manifest; a resent order waits for the rest of the time only.

--- a/include/vanillaferry/version/text_history.hpp
+++ b/include/vanillaferry/version/text_history.hpp
@@ -28,6 +28,8 @@
 void rememberText(TextHistory &History, std::uint64_t Version,
                   const std::string &Text);
 
+bool knowsText(const TextHistory &History, std::uint64_t Version);
+
 /// The members' ids as text, and back.
 std::string memberIdsText(const std::vector<NodeId> &Nodes);
 std::vector<NodeId> readMemberIds(const std::string &Text);
--- a/src/core/version/text_history.cpp
+++ b/src/core/version/text_history.cpp
@@ -27,6 +27,10 @@
     History.m_Versions.pop_front();
 }
 
+bool knowsText(const TextHistory &History, std::uint64_t Version) {
+  return findText(History, Version) != nullptr;
+}
+
 std::string memberIdsText(const std::vector<NodeId> &Nodes) {
   std::string Text;
   for (const NodeId &Each : Nodes)
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -22,9 +22,6 @@
 /// Refused and unreachable targets that one request may walk.
 constexpr int MaxTries = 4;
 constexpr Millis RetryWithoutLease{700};
-/// A request is denied for good only by what was in force this lately; the
-/// shortest bound for a manifest to take effect is 2 s.
-constexpr Millis CertainFor{1500};
 /// New connections come until the platform has taken a node out of rotation;
 /// what begins later might not end before the process does.
 constexpr Millis AcceptWhileDraining{2500};
@@ -91,6 +88,11 @@
            "this router does not know what is in force at present");
     return false;
   }
+  if (!mayActOnManifest(m_Gateway.m_Control.m_Known, monotonicNow())) {
+    refuse(RefusalReason::NoLease, RetryWithoutLease,
+           "a newer manifest is in force and has not arrived here yet");
+    return false;
+  }
   if (m_Gateway.m_DrainingSince &&
       monotonicNow() - *m_Gateway.m_DrainingSince > AcceptWhileDraining) {
     refuse(RefusalReason::Draining, RetryWhileDraining,
@@ -125,7 +127,7 @@
 }
 
 bool Exchange::knowsNewest() const {
-  return monotonicNow() - m_Gateway.m_Control.m_KnownAt <= CertainFor;
+  return mayDenyForGood(m_Gateway.m_Control.m_Known, monotonicNow());
 }
 
 bool Exchange::refuseUnsure() {
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
 #include "vanillaferry/process/node_lease.hpp"
+#include "vanillaferry/version/manifest_knowledge.hpp"
 
 #include <functional>
 #include <map>
@@ -38,8 +39,7 @@
   DocumentVersion m_Version;
   std::vector<NodeId> m_Routers;
   std::string m_RouterIds;
-  /// When the renewal left whose grant confirmed all this last.
-  Millis m_KnownAt;
+  ManifestKnowledge m_Known;
   std::string m_ManifestText;
   RouteTable m_Routes;
   std::set<ZoneId> m_ZonesOut;
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -182,9 +182,10 @@
   if (!takeGrant(G.m_Lease, Granted, Now))
     return;
   G.m_Keeper.m_LastAnswer = Now;
-  G.m_Control.m_KnownAt = SentAt;
   std::uint64_t Before = G.m_Control.m_Version.m_Value;
   ManifestStep Step = takeManifest(G, Granted);
+  noteNewestManifest(G.m_Control.m_Known, Step == ManifestStep::Held, SentAt,
+                     Now);
   takeZones(G, Granted);
   takeMembers(G, Granted);
   takeGrantedTargets(G, Granted);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -109,15 +109,19 @@
   Millis m_NextRound;
 };
 
-/// A compressed edit script between two versions of the manifest.
+/// A compressed edit script to the manifest in force.
 struct ManifestUpdate {
-  std::uint64_t m_From = 0;
-  std::uint64_t m_To = 0;
-  /// m_From, or 0 when the script makes the whole text.
+  /// Version that the script applies to, or 0 when it makes the whole text.
   std::uint64_t m_Base = 0;
   std::string m_Delta;
 };
 
+/// When a manifest is acknowledged, whether or not all routers act on it.
+struct ManifestInForce {
+  std::uint64_t m_Version = 0;
+  Millis m_Deadline;
+};
+
 /// When the updates that were sent have left the link.
 struct LinkBudget {
   Millis m_BusyUntil;
@@ -196,8 +200,13 @@
   const PlatformProtocol *m_Protocol = nullptr;
   /// The last manifests, for edit scripts to routers that hold one of them.
   TextHistory m_Manifests;
-  ManifestUpdate m_ManifestUpdate;
+  /// Updates to m_UpdatesTo, by the version that the router holds. Routers that
+  /// start need the whole text while others need what changed last; compressing
+  /// either takes a keeper with a twentieth of a core a third of a second.
+  std::map<std::uint64_t, ManifestUpdate> m_ManifestUpdates;
+  std::uint64_t m_UpdatesTo = 0;
   LinkBudget m_ManifestLink;
+  ManifestInForce m_InForce;
   TargetShare m_TargetShare;
   LoadBoard m_LoadBoard;
   /// Keepers that asked for a vote, with the time of their last request.
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -28,17 +28,23 @@
     rememberText(Self.m_Manifests, Held.m_Version, Held.m_Text);
 }
 
-/// The update from a version; the last one is kept, since most routers hold the
-/// same version.
+/// The update from a version, made once for all routers that hold it.
 const ManifestUpdate &manifestUpdate(Keeper &Self, std::uint64_t From) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
-  ManifestUpdate &Last = Self.m_ManifestUpdate;
-  if (Last.m_To == Held.m_Version && Last.m_From == From)
-    return Last;
-  rememberManifest(Self);
-  TextUpdate Update = makeUpdate(Self.m_Manifests, From, Held.m_Text);
-  Last = {From, Held.m_Version, Update.m_Base, compressText(Update.m_Delta)};
-  return Last;
+  if (Self.m_UpdatesTo != Held.m_Version) {
+    rememberManifest(Self);
+    Self.m_ManifestUpdates.clear();
+    Self.m_UpdatesTo = Held.m_Version;
+  }
+  // Unknown versions share the update that makes the whole text.
+  std::uint64_t Base = knowsText(Self.m_Manifests, From) ? From : 0;
+  std::map<std::uint64_t, ManifestUpdate>::iterator Known =
+      Self.m_ManifestUpdates.find(Base);
+  if (Known != Self.m_ManifestUpdates.end())
+    return Known->second;
+  TextUpdate Update = makeUpdate(Self.m_Manifests, Base, Held.m_Text);
+  ManifestUpdate Made{Update.m_Base, compressText(Update.m_Delta)};
+  return Self.m_ManifestUpdates.emplace(Base, std::move(Made)).first->second;
 }
 
 /// Takes bytes of the link's budget; false while it is spent. Small updates
@@ -57,17 +63,23 @@
   Exchange.answer(200, {{"version", Version}});
 }
 
-/// Answers once every router acts on the change, or after InForceTime: a router
-/// that was not reached by then has lost its lease when its bound is over.
+Millis inForceTime(std::size_t Routes) {
+  std::int64_t Beyond =
+      static_cast<std::int64_t>(Routes - std::min(Routes, FewRoutes));
+  return InForceTime +
+         Millis(Beyond * InForceTimePerThousandRoutes.m_Value / 1000);
+}
+
+/// Answers once every router acts on the manifest held, or when its time is
+/// over: a router that was not reached by then refuses requests when its bound
+/// is over. An order that is sent again waits for the rest of that time.
 void answerInForce(Keeper &Self, const ExchangePtr &Exchange,
                    std::uint64_t Version, std::size_t Routes) {
   Millis Now = monotonicNow();
-  Millis Limit =
-      InForceTime +
-      Millis(static_cast<std::int64_t>(Routes - std::min(Routes, FewRoutes)) *
-             InForceTimePerThousandRoutes.m_Value / 1000);
+  if (Self.m_InForce.m_Version != Version)
+    Self.m_InForce = {Version, Now + inForceTime(Routes)};
   Self.m_InForceWaits.push_back(
-      {Self.m_State.m_Document.m_Version, Now, Now + Limit,
+      {Self.m_State.m_Document.m_Version, Now, Self.m_InForce.m_Deadline,
        [Exchange, Version](bool) { answerVersion(*Exchange, Version); }});
 }
 
@@ -136,7 +148,7 @@
     logEvent(
         Event::ManifestSuperseded,
         {{"version", Version}, {"held", Self.m_State.m_Manifest.m_Version}});
-    answerVersion(*Exchange, Self.m_State.m_Manifest.m_Version);
+    answerInForce(Self, Exchange, Self.m_State.m_Manifest.m_Version, Routes);
   });
 }
 
