Make list updates once; do not ask all gateways for renewals on list changes

For each change of the list the leader made one edit script for each of 59 gateways and asked all of them to renew at once; keepers that do not lead read whole manifests before they named the leader.

Change: one edit script for each list that gateways hold; the leader asks for early renewals only when the ordinary ones are more than a second apart; followers redirect a manifest without reading it.

--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -51,6 +51,10 @@
 bool mayDispatchNow(const RouterLease &Lease, const OwnedTargets &Owned,
                     const TargetId &Target, Millis Now);
 
+/// Time between two renewals of one gateway: gateways renew less often the more
+/// they are, so that the leader's core bears them.
+Millis gatewayRenewInterval(std::size_t Gateways);
+
 /// True when a renewal is due.
 bool renewalDue(const RouterLease &Lease, Millis Now);
 
--- a/src/core/process/node_lease.cpp
+++ b/src/core/process/node_lease.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::int64_t PerMille = 1000;
+constexpr Millis ShortestRenewal{500};
+/// Renewals of all gateways then take at most a fifth of the leader's share of
+/// a core.
+constexpr Millis RenewalTime{8};
 
 /// The part of a lease that a clock which is slow by the drift bound may use;
 /// rounded down, so that the router's view never ends later.
@@ -16,6 +20,11 @@
 
 } // namespace
 
+Millis gatewayRenewInterval(std::size_t Gateways) {
+  return std::max(ShortestRenewal, Millis(RenewalTime.m_Value *
+                                          static_cast<std::int64_t>(Gateways)));
+}
+
 std::uint64_t renewalSent(RouterLease &Lease, Millis Now) {
   std::uint64_t Sequence = Lease.m_NextSequence++;
   Lease.m_Sent[Sequence] = Now;
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -19,10 +19,6 @@
 constexpr Millis UnknownLeaderPause{150};
 /// Pause before a manifest that the leader could not send is asked for again.
 constexpr Millis ManifestRetry{150};
-/// Routers renew less often the more they are, so that their renewals take at
-/// most a fifth of the leader's core share.
-constexpr Millis ShortestRenewal{500};
-constexpr Millis RenewalTime{8};
 
 void askKeeper(Gateway &G, const std::string &Url, Millis When) {
   G.m_Keeper.m_Url = Url;
@@ -150,9 +146,7 @@
   Control.m_RouterIds = std::move(Text.value());
   Control.m_Routers = readMemberIds(Control.m_RouterIds);
   std::uint64_t Count = Control.m_Routers.size();
-  G.m_Lease.m_RenewInterval =
-      std::max(ShortestRenewal,
-               Millis(RenewalTime.m_Value * static_cast<std::int64_t>(Count)));
+  G.m_Lease.m_RenewInterval = gatewayRenewInterval(Count);
   logEvent(Event::MembersChanged,
            {{"epoch", Granted.m_Epoch.m_Value}, {"members", Count}});
   rebuildPools(G);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -137,6 +137,8 @@
   /// 0 before the first reading.
   std::uint64_t m_Digest = 0;
   TextHistory m_History;
+  /// Edit scripts to m_Text, by the digest that the router holds.
+  std::map<std::uint64_t, TextUpdate> m_Updates;
 };
 
 /// State of the keeper's main task; touched on the GLib main loop only.
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -131,6 +131,9 @@
 } // namespace
 
 void putManifest(Keeper &Self, const ExchangePtr &Exchange) {
+  // Reading a large manifest takes a follower's processor for a second.
+  if (!leads(Self))
+    return answerNotLeader(Self, *Exchange);
   std::string Text = Exchange->body();
   Result<Manifest> Content = Self.m_Protocol->m_ReadManifest(Text);
   if (!Content)
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -2,6 +2,7 @@
 #include "process/clock.hpp"
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/process/node_lease.hpp"
 #include "vanillaferry/version/target_listing.hpp"
 
 namespace vanillaferry::internal {
@@ -9,6 +10,36 @@
 namespace {
 
 constexpr Millis ReadInterval{700};
+/// Routers that renew at least this often learn of leaving targets in time by
+/// themselves; asking all of them at once costs the leader as much as all their
+/// ordinary renewals.
+constexpr Millis FrequentRenewal{1000};
+
+/// Routers learn of leaving targets before their next ordinary renewal.
+void announceTargets(Keeper &Self) {
+  if (!leads(Self) || !Self.m_Leases)
+    return;
+  const std::map<NodeId, NodeLease> &Leases = Self.m_Leases->m_Leases;
+  if (gatewayRenewInterval(Leases.size()) <= FrequentRenewal)
+    return;
+  for (const std::pair<const NodeId, NodeLease> &Row : Leases)
+    Self.m_Peers->send(
+        Row.first,
+        RenewRequest{Self.m_State.m_Epoch, Self.m_State.m_Document.m_Version});
+}
+
+/// The update from the list with this digest, made once for all routers that
+/// hold it.
+const TextUpdate &targetUpdate(TargetShare &Share, std::uint64_t Held) {
+  std::uint64_t Base = knowsText(Share.m_History, Held) ? Held : 0;
+  std::map<std::uint64_t, TextUpdate>::iterator Known =
+      Share.m_Updates.find(Base);
+  if (Known == Share.m_Updates.end())
+    Known = Share.m_Updates
+                .emplace(Base, makeUpdate(Share.m_History, Base, Share.m_Text))
+                .first;
+  return Known->second;
+}
 
 void takeReading(Keeper &Self, Result<std::vector<ListedTarget>> Read) {
   TargetShare &Share = Self.m_TargetShare;
@@ -32,13 +63,8 @@
   logEvent(Event::TargetListRead,
            {{"targets", static_cast<std::uint64_t>(Share.m_Last.size())},
             {"digest", Digest}});
-  // Routers learn of leaving targets before their next ordinary renewal.
-  if (leads(Self) && Self.m_Leases)
-    for (const std::pair<const NodeId, NodeLease> &Row :
-         Self.m_Leases->m_Leases)
-      Self.m_Peers->send(Row.first,
-                         RenewRequest{Self.m_State.m_Epoch,
-                                      Self.m_State.m_Document.m_Version});
+  Share.m_Updates.clear();
+  announceTargets(Self);
 }
 
 } // namespace
@@ -61,17 +87,16 @@
 }
 
 void attachTargets(Keeper &Self, const Renew &Request, Grant &Granted) {
-  const TargetShare &Share = Self.m_TargetShare;
+  TargetShare &Share = Self.m_TargetShare;
   if (Share.m_Digest == 0)
     return;
   Granted.m_TargetsDigest = Share.m_Digest;
   Granted.m_TargetsAge = monotonicNow() - Share.m_LastRead;
   if (Request.m_TargetsHeld == Share.m_Digest)
     return;
-  TextUpdate Update =
-      makeUpdate(Share.m_History, Request.m_TargetsHeld, Share.m_Text);
+  const TextUpdate &Update = targetUpdate(Share, Request.m_TargetsHeld);
   Granted.m_TargetsBase = Update.m_Base;
-  Granted.m_TargetsDelta = std::move(Update.m_Delta);
+  Granted.m_TargetsDelta = Update.m_Delta;
 }
 
 } // namespace vanillaferry::internal
