Send one large manifest at a time to operators who read it

Several reads of a manifest of some 400 KB at once hold the leader's link of 6 Mbit/s for seconds; its heartbeats wait behind them, and it lost its leadership at 37.0 s and 39.7 s, while the reads were made.

Ruled out: the load of renewals (one leader from 10.9 s to 37 s before).

Change: a read takes its bytes from the budget of the manifests' link, or is answered 503 at once.

Test: ReadsOfALargeManifestDoNotQueueOnTheLeadersLink.

--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -157,11 +157,17 @@
 
 void getManifest(Keeper &Self, const ExchangePtr &Exchange) {
   afterConfirmedRead(Self, Exchange, [&Self, Exchange] {
-    if (Self.m_State.m_Manifest.m_Version == 0)
+    const StoredManifest &Held = Self.m_State.m_Manifest;
+    if (Held.m_Version == 0)
       answerError(*Exchange, 503, "no_manifest",
                   "no manifest was accepted yet");
+    // Several large answers at once would hold up heartbeats, and with them
+    // leadership, for longer than an election takes.
+    else if (!takeLink(Self.m_ManifestLink, Held.m_Text.size(), monotonicNow()))
+      answerError(*Exchange, 503, "link_busy",
+                  "the leader's link is busy with manifests; try again");
     else
-      Exchange->answerJsonText(200, Self.m_State.m_Manifest.m_Text);
+      Exchange->answerJsonText(200, Held.m_Text);
   });
 }
 
--- a/tests/process/GatewayFaults.tests.cpp
+++ b/tests/process/GatewayFaults.tests.cpp
@@ -107,6 +107,41 @@
   reportFaults(Found);
 }
 
+// Guards against a leader that loses its leadership because operators read a
+// large manifest several times at once: the answers held up its heartbeats, and
+// no read was answered in time.
+BOOST_AUTO_TEST_CASE(ReadsOfALargeManifestDoNotQueueOnTheLeadersLink) {
+  constexpr int ManyRoutes = 1500;
+  constexpr std::chrono::milliseconds LinkTime{2500};
+  GatewayFleet Fleet(3, 1, 3, 1);
+  FoundFaults Found;
+  GatewayOperator Operator(Fleet, Found, 1);
+  BOOST_REQUIRE(Operator.begin(StartLimitMs));
+  nlohmann::json Large = Fleet.manifest(2, {});
+  for (int Number = 0; Number < ManyRoutes; ++Number) {
+    nlohmann::json Route = Large["routes"].back();
+    Route["name"] = "route-" + std::to_string(Number);
+    Route["path_prefix"] = "/route-" + std::to_string(Number) + "/";
+    Large["routes"].push_back(Route);
+  }
+  BOOST_REQUIRE(Fleet.order("PUT", "/manifest", Large.dump(), StartLimitMs)
+                    .m_HttpStatus == 200);
+  std::this_thread::sleep_for(LinkTime);
+  std::map<int, int> Answers;
+  for (int Round = 0; Round < 3; ++Round)
+    for (std::size_t Keeper = 0; Keeper < Fleet.keepers(); ++Keeper)
+      ++Answers[Fleet.orderAt(Keeper, "GET", "/manifest", "", 2000)
+                    .m_HttpStatus];
+  // Followers name the leader, which answers the first read.
+  BOOST_TEST(Answers[307] == 6);
+  BOOST_TEST(Answers[200] == 1);
+  BOOST_TEST(Answers[503] == 2);
+  std::this_thread::sleep_for(LinkTime);
+  OperatorReply Later = Fleet.order("GET", "/manifest", "", 5000);
+  BOOST_TEST(Later.m_HttpStatus == 200);
+  BOOST_TEST((Later.m_Body == Large));
+}
+
 // Guards against every promise of docs/PROOFS.md being broken while faults of
 // all kinds come together. docs/testing.md has the command of a long run.
 BOOST_AUTO_TEST_CASE(AGatewayFleetUnderFaultsKeepsItsPromises) {
