Log skipped entries of the target list; remove fields that nothing reads

Entries that name no target were counted and dropped without a line. Token counts, the cold time in answers, the prefix's tokens and the pool's kind were decoded and never used.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -98,7 +98,6 @@
   Millis m_ColdTime;
   /// By the prefix's hash; entries end after PrefixMemory.
   std::map<std::uint64_t, PrefixHolder> m_Holders;
-  bool m_Engine = false;
 };
 
 /// Why no target was chosen.
@@ -115,7 +114,6 @@
 struct DispatchNeed {
   /// Hash of the prompt parts that other requests share; 0 for none.
   std::uint64_t m_PrefixHash = 0;
-  Tokens m_PrefixTokens;
   std::set<TargetId> m_Excluded;
   std::set<ZoneId> m_ZonesOut;
   /// Breaks ties between equal targets.
@@ -194,7 +192,6 @@
                    const NodeId &Self, const std::vector<NodeId> &Routers);
 
 /// Hash of all prompt parts but the last, which no other request has.
-std::uint64_t hashSharedPrefix(const std::vector<PromptPart> &Parts,
-                               Tokens &SharedTokens);
+std::uint64_t hashSharedPrefix(const std::vector<PromptPart> &Parts);
 
 } // namespace vanillaferry
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -27,8 +27,6 @@
   std::optional<std::uint64_t> m_LastEvent;
   /// Parts of the prompt in order.
   std::vector<PromptPart> m_PromptParts;
-  Tokens m_PromptTokens;
-  Tokens m_MaxOutputTokens;
   /// Fields that go on to the target as they came.
   HttpFields m_Fields;
   std::string m_ContentType;
@@ -56,7 +54,6 @@
   /// The answer carries the target's signature.
   bool m_Signed = false;
   std::optional<TargetReport> m_Report;
-  std::optional<Millis> m_ColdLeft;
   /// Fields that go back to the caller unchanged.
   HttpFields m_Fields;
 };
--- a/src/daemon/connection/target_list_reader.cpp
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/platform_protocol.hpp"
 #include "connection/target_client.hpp"
+#include "process/log.hpp"
 
 namespace vanillaferry {
 
@@ -22,6 +23,7 @@
   m_Reading = true;
   m_PageToken.clear();
   m_Collected.clear();
+  m_Unreadable = 0;
   readPage();
 }
 
@@ -43,12 +45,24 @@
     return finish(Page.error());
   for (ListedTarget &Entry : Page.value().m_Targets)
     m_Collected.push_back(std::move(Entry));
+  m_Unreadable += Page.value().m_Unreadable;
   m_PageToken = Page.value().m_Next;
   if (!m_PageToken.empty())
     return readPage();
+  logUnreadable();
   finish(std::move(m_Collected));
 }
 
+/// Entries of other writers stay for long; only a change is worth a line.
+void TargetListReader::logUnreadable() {
+  if (m_Unreadable == m_UnreadableBefore)
+    return;
+  m_UnreadableBefore = m_Unreadable;
+  logEvent(Event::TargetListFailed,
+           {{"why", "entries that name no target are skipped"},
+            {"entries", static_cast<std::uint64_t>(m_Unreadable)}});
+}
+
 void TargetListReader::finish(Result<std::vector<ListedTarget>> Read) {
   m_Reading = false;
   m_OnRead(std::move(Read));
--- a/src/daemon/connection/target_list_reader.hpp
+++ b/src/daemon/connection/target_list_reader.hpp
@@ -32,6 +32,7 @@
 
 private:
   void readPage();
+  void logUnreadable();
   void takePage(const std::string &Text);
   void finish(Result<std::vector<ListedTarget>> Read);
 
@@ -40,6 +41,9 @@
   OnRead m_OnRead;
   GHandle<SoupSession> m_Session;
   std::vector<ListedTarget> m_Collected;
+  /// Entries of the present and of the last reading that name no target.
+  std::size_t m_Unreadable = 0;
+  std::size_t m_UnreadableBefore = 0;
   std::string m_PageToken;
   std::uint64_t m_Calls = 0;
   bool m_Reading = false;
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -146,8 +146,7 @@
       Self->onDeadline();
     return false;
   });
-  m_Need.m_PrefixHash =
-      hashSharedPrefix(m_Request.m_PromptParts, m_Need.m_PrefixTokens);
+  m_Need.m_PrefixHash = hashSharedPrefix(m_Request.m_PromptParts);
   m_Need.m_Random = hashText(m_Request.m_Id.m_Value);
   m_Events.m_LastId = m_Request.m_LastEvent;
   if (GatewayPool *Pool = findPool(m_Gateway, m_Service))
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -90,7 +90,6 @@
   // A report waits for the router's renewal, and its sum for the other's.
   Pool.m_Dispatch.m_Limits.m_FeedbackTime =
       Millis(G.m_Lease.m_RenewInterval.m_Value * 3 / 2);
-  Pool.m_Dispatch.m_Engine = Service.m_Engine;
   Pool.m_Dispatch.m_ColdTime = Service.m_ColdTime;
   std::vector<ListedTarget> Own;
   for (const ListedTarget &Each : G.m_TargetList.m_Last)
--- a/tests/core/Dispatch.tests.cpp
+++ b/tests/core/Dispatch.tests.cpp
@@ -40,7 +40,6 @@
   DispatchNeed Need;
   Need.m_Random = Random;
   Need.m_PrefixHash = Prefix;
-  Need.m_PrefixTokens = Tokens(10000);
   return Need;
 }
 
