Give gateways the time until a manifest's acknowledgement before they refuse

Ruled out: leases (242 refusals without a lease) and the keepers' leader (none lost between 22 s and 28 s).

Change: a grant to a gateway that lacks the manifest says when it is acknowledged; the gateway acts on the older one for 1.5 s after that, which is below the shortest bound of 2 s. Long after an acknowledgement it has no time.

Tests: ManifestKnowledgeRules, two more cases.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -189,6 +189,9 @@
   bool m_LoadsSummed = false;
   /// Their running requests by target, see encodeLoads().
   std::string m_OthersLoads;
+  /// Time until the manifest in force is acknowledged to its operator, for a
+  /// node that lacks it; below zero when it was.
+  Millis m_ManifestAckedIn;
 };
 
 /// A router reports its running requests between two renewals. It says nothing
--- a/include/vanillaferry/version/manifest_knowledge.hpp
+++ b/include/vanillaferry/version/manifest_knowledge.hpp
@@ -11,14 +11,18 @@
   /// When the renewal left whose grant confirmed it last; absent before the
   /// first manifest.
   std::optional<Millis> m_ConfirmedAt;
-  /// When a grant first named a newer one that has not arrived yet.
-  std::optional<Millis> m_NewerSince;
+  /// Set while a newer one has not arrived yet: until when requests may be
+  /// handled by the held one.
+  std::optional<Millis> m_ActsUntil;
 };
 
-/// Takes a grant's word: whether the router now holds the newest manifest.
-/// SentAt is when the renewal left, which is the time that the grant speaks of.
-void noteNewestManifest(ManifestKnowledge &Known, bool Holds, Millis SentAt,
-                        Millis Now);
+/// Takes a grant's word that the router now holds the newest manifest. SentAt
+/// is when the renewal left, which is the time that the grant speaks of.
+void noteNewestHeld(ManifestKnowledge &Known, Millis SentAt);
+
+/// Takes a grant's word that a newer manifest has not arrived yet. It is
+/// acknowledged to its operator at AckedAt, which may be over.
+void noteNewerManifest(ManifestKnowledge &Known, Millis AckedAt);
 
 /// False when a newer manifest may allow what the held one does not: a request
 /// is then refused as not run in place of being denied for good.
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -198,6 +198,7 @@
   Visit("id", Data.m_IdsDelta);
   Visit("ls", Data.m_LoadsSummed);
   Visit("lo", rawBytes(Data.m_OthersLoads));
+  Visit("ma", Data.m_ManifestAckedIn);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -178,8 +178,10 @@
   G.m_Keeper.m_LastAnswer = Now;
   std::uint64_t Before = G.m_Control.m_Version.m_Value;
   ManifestStep Step = takeManifest(G, Granted);
-  noteNewestManifest(G.m_Control.m_Known, Step == ManifestStep::Held, SentAt,
-                     Now);
+  if (Step == ManifestStep::Held)
+    noteNewestHeld(G.m_Control.m_Known, SentAt);
+  else
+    noteNewerManifest(G.m_Control.m_Known, Now + Granted.m_ManifestAckedIn);
   takeZones(G, Granted);
   takeMembers(G, Granted);
   takeGrantedTargets(G, Granted);
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -203,6 +203,9 @@
   const StoredManifest &Held = Self.m_State.m_Manifest;
   if (Request.m_ManifestHeld >= Held.m_Version)
     return;
+  // A leader that did not accept it itself takes it for acknowledged.
+  if (Self.m_InForce.m_Version == Held.m_Version)
+    Granted.m_ManifestAckedIn = Self.m_InForce.m_Deadline - monotonicNow();
   const ManifestUpdate &Update = manifestUpdate(Self, Request.m_ManifestHeld);
   if (!takeLink(Self.m_ManifestLink, Update.m_Delta.size(), monotonicNow()))
     return;
--- a/tests/core/ManifestKnowledge.tests.cpp
+++ b/tests/core/ManifestKnowledge.tests.cpp
@@ -12,18 +12,18 @@
 BOOST_AUTO_TEST_CASE(AGrantThatNamesANewerManifestConfirmsNothing) {
   ManifestKnowledge Known;
   BOOST_TEST(!mayDenyForGood(Known, Millis(0)));
-  noteNewestManifest(Known, true, Millis(1000), Millis(1020));
+  noteNewestHeld(Known, Millis(1000));
   BOOST_TEST(mayDenyForGood(Known, Millis(1500)));
-  noteNewestManifest(Known, false, Millis(1600), Millis(1620));
+  noteNewerManifest(Known, Millis(2100));
   BOOST_TEST(!mayDenyForGood(Known, Millis(1620)));
-  noteNewestManifest(Known, true, Millis(2300), Millis(2320));
+  noteNewestHeld(Known, Millis(2300));
   BOOST_TEST(mayDenyForGood(Known, Millis(2400)));
 }
 
 // Guards against 404 and 401 by a gateway that is cut off from the keepers.
 BOOST_AUTO_TEST_CASE(AConfirmationEnds) {
   ManifestKnowledge Known;
-  noteNewestManifest(Known, true, Millis(1000), Millis(1020));
+  noteNewestHeld(Known, Millis(1000));
   BOOST_TEST(!mayDenyForGood(Known, Millis(3000)));
   BOOST_TEST(mayActOnManifest(Known, Millis(3000)));
 }
@@ -32,14 +32,34 @@
 // one must be in force everywhere, while leases go on.
 BOOST_AUTO_TEST_CASE(AnOlderManifestIsNotActedOnForLong) {
   ManifestKnowledge Known;
-  noteNewestManifest(Known, true, Millis(1000), Millis(1020));
-  noteNewestManifest(Known, false, Millis(2000), Millis(2020));
-  // Later grants that name a newer one do not begin the time anew.
-  noteNewestManifest(Known, false, Millis(3000), Millis(3020));
+  noteNewestHeld(Known, Millis(1000));
+  noteNewerManifest(Known, Millis(2500));
+  // A second change on the way does not begin the time anew.
+  noteNewerManifest(Known, Millis(3500));
   BOOST_TEST(mayActOnManifest(Known, Millis(4000)));
   BOOST_TEST(!mayActOnManifest(Known, Millis(4100)));
-  noteNewestManifest(Known, true, Millis(4200), Millis(4220));
+  noteNewestHeld(Known, Millis(4200));
   BOOST_TEST(mayActOnManifest(Known, Millis(9000)));
 }
 
+// Guards against refusals while a large manifest is on its way: its operator
+// has no answer yet, so that nobody relies on it. 81 gateways refused up to a
+// seventh of all requests.
+BOOST_AUTO_TEST_CASE(AManifestThatIsAcknowledgedLateLeavesMoreTime) {
+  ManifestKnowledge Known;
+  noteNewestHeld(Known, Millis(1000));
+  noteNewerManifest(Known, Millis(1020 + 2250));
+  BOOST_TEST(mayActOnManifest(Known, Millis(4700)));
+  BOOST_TEST(!mayActOnManifest(Known, Millis(4800)));
+}
+
+// Guards against a gateway that returns long after a manifest was acknowledged
+// and handles requests by an older one.
+BOOST_AUTO_TEST_CASE(AnOldAcknowledgementLeavesNoTime) {
+  ManifestKnowledge Known;
+  noteNewestHeld(Known, Millis(1000));
+  noteNewerManifest(Known, Millis(5000));
+  BOOST_TEST(!mayActOnManifest(Known, Millis(9000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -134,7 +134,8 @@
              Epoch(3),
              "t2;n}",
              true,
-             std::string("\xff\0", 2)};
+             std::string("\xff\0", 2),
+             Millis(-7)};
   Grant Got = roundTrip(Sent);
   SAME(m_Sequence);
   SAME(m_Duration);
@@ -173,6 +174,7 @@
   SAME(m_IdsDelta);
   SAME(m_LoadsSummed);
   SAME(m_OthersLoads);
+  SAME(m_ManifestAckedIn);
 }
 
 BOOST_AUTO_TEST_CASE(LoadMessagesKeepEveryField) {
