--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -136,6 +136,13 @@
   bool m_IdsOnly = false;
   /// The node's running requests by target, see encodeLoads().
   std::string m_Loads;
+  /// Version of the keeper set whose addresses the node has; 0 for none.
+  std::uint64_t m_KeeperSetHeld = 0;
+};
+
+/// Address of a keeper that relays renewals.
+struct KeeperUrl {
+  std::string m_PeerUrl;
 };
 
 /// The leader's answer to Renew.
@@ -199,6 +206,14 @@
   /// Time until the manifest in force is acknowledged to its operator, for a
   /// node that does not have it; negative when it was acknowledged before.
   Millis m_ManifestAckedIn;
+  /// The router that the grant is for, set while a follower relays it.
+  NodeId m_Node;
+  /// Epoch of the ids that m_IdsDelta leads to; a follower that relays the
+  /// grant may know older members than the leader.
+  Epoch m_IdsEpoch;
+  /// Version of the keeper set that m_Keepers lists; 0 when it is not listed.
+  std::uint64_t m_KeeperSet = 0;
+  std::vector<KeeperUrl> m_Keepers;
 };
 
 /// A router's report of its running requests between two renewals. It does not
@@ -442,6 +457,36 @@
   std::string m_PeerUrl;
 };
 
+/// A keeper's target list, sent to followers and gateways when the leader has
+/// read it: an edit script to the text with m_Digest.
+struct TargetListUpdate {
+  std::uint64_t m_Digest = 0;
+  /// Digest of the text that m_Delta applies to; 0 for the empty text.
+  std::uint64_t m_Base = 0;
+  /// Empty when the receiver has the list.
+  std::string m_Delta;
+  /// Time since the leader last read the list.
+  Millis m_Age;
+};
+
+/// A follower asks the leader for the target list after an update that does not
+/// apply to the list it holds.
+struct TargetListRequest {
+  std::uint64_t m_Held = 0;
+};
+
+/// A keeper sends a committed change to the gateways connected to it, before
+/// their next renewals.
+struct ControlUpdate {
+  DocumentVersion m_Version;
+  /// All availability zones that are out of service at m_Version.
+  std::vector<ZoneOut> m_ZonesOut;
+  /// As in Grant; 0 without a manifest.
+  std::uint64_t m_ManifestVersion = 0;
+  std::uint64_t m_ManifestBase = 0;
+  std::string m_ManifestDelta;
+};
+
 /// Every message between two of the system's processes.
 using PeerMessage =
     std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
@@ -449,6 +494,7 @@
                  ForwardAccept, ForwardDecline, ForwardChunk, ForwardEnd,
                  ForwardCancel, ForwardCredit, PlacementUpdate, IdentityClaim,
                  IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest,
-                 PrefixCopied, JoinKeepers>;
+                 PrefixCopied, JoinKeepers, TargetListUpdate, TargetListRequest,
+                 ControlUpdate>;
 
 } // namespace vanillaferry
--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -56,6 +56,10 @@
 /// gateways, which bounds the CPU time that the leader spends on renewals.
 Millis gatewayRenewInterval(std::size_t Gateways);
 
+/// True when a gateway acknowledges a change by a renewal at once. With more
+/// gateways, the leader could not handle all renewals before the next change.
+bool renewsAfterChange(std::size_t Gateways);
+
 /// True when a renewal is due.
 bool renewalDue(const RouterLease &Lease, Millis Now);
 
--- a/include/vanillaferry/version/manifest_knowledge.hpp
+++ b/include/vanillaferry/version/manifest_knowledge.hpp
@@ -2,6 +2,7 @@
 
 #include "vanillaferry/process/units.hpp"
 
+#include <cstdint>
 #include <optional>
 
 namespace vanillaferry {
@@ -15,16 +16,22 @@
   /// Set while a newer manifest exists that has not arrived yet: requests may
   /// be handled by the held manifest until this time.
   std::optional<Millis> m_UsableUntil;
+  /// The newest version that is known to exist.
+  std::uint64_t m_NewestSeen = 0;
 };
 
 /// A grant states that the router holds the newest manifest. SentAt is when the
 /// renewal was sent; the statement is only known to hold for that time.
 void noteManifestCurrent(ManifestKnowledge &Known, Millis SentAt);
 
-/// A grant states that a newer manifest exists that has not arrived yet. That
-/// manifest is acknowledged to its operator at AckedAt, which may be in the
-/// past.
-void noteManifestOutdated(ManifestKnowledge &Known, Millis AckedAt);
+/// A grant states that this newer manifest exists, which has not arrived yet.
+/// It is acknowledged to its operator at AckedAt, which may be in the past.
+void noteManifestOutdated(ManifestKnowledge &Known, std::uint64_t Version,
+                          Millis AckedAt);
+
+/// A keeper sent this manifest without a grant: it may be used, but nothing
+/// confirms that it is the newest one.
+void noteManifestReceived(ManifestKnowledge &Known, std::uint64_t Version);
 
 /// False when a newer manifest may allow what the held one does not. A request
 /// without a route or a valid API key then gets a retryable refusal that says
--- a/src/core/process/node_lease.cpp
+++ b/src/core/process/node_lease.cpp
@@ -26,6 +26,10 @@
                          static_cast<std::int64_t>(Gateways)));
 }
 
+bool renewsAfterChange(std::size_t Gateways) {
+  return gatewayRenewInterval(Gateways) == MinRenewInterval;
+}
+
 std::uint64_t beginRenewal(RouterLease &Lease, Millis Now) {
   std::uint64_t Sequence = Lease.m_NextSequence++;
   Lease.m_Sent[Sequence] = Now;
--- /dev/null
+++ b/src/core/request/control_wait.cpp
@@ -0,0 +1,24 @@
+#include "vanillaferry/request/control_wait.hpp"
+
+#include <algorithm>
+
+namespace vanillaferry {
+
+namespace {
+
+/// An election, the first renewals and their grants take less.
+constexpr Millis LongestOutage{3000};
+/// A request waits for at most this part of its caller's time; the rest is for
+/// the answer, or for another router after a refusal.
+constexpr std::int64_t WaitDivisor = 3;
+constexpr Millis LongestWait{1500};
+
+} // namespace
+
+Millis controlWait(const ControlOutage &Outage) {
+  Millis Left = LongestOutage - Outage.m_Duration;
+  Millis Share(Outage.m_TimeLeft.m_Value / WaitDivisor);
+  return std::max(Millis(0), std::min({Left, Share, LongestWait}));
+}
+
+} // namespace vanillaferry
--- a/src/core/version/manifest_knowledge.cpp
+++ b/src/core/version/manifest_knowledge.cpp
@@ -1,5 +1,7 @@
 #include "vanillaferry/version/manifest_knowledge.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry {
 
 namespace {
@@ -16,7 +18,14 @@
   Known.m_UsableUntil.reset();
 }
 
-void noteManifestOutdated(ManifestKnowledge &Known, Millis AckedAt) {
+void noteManifestReceived(ManifestKnowledge &Known, std::uint64_t Version) {
+  if (Version >= Known.m_NewestSeen)
+    Known.m_UsableUntil.reset();
+}
+
+void noteManifestOutdated(ManifestKnowledge &Known, std::uint64_t Version,
+                          Millis AckedAt) {
+  Known.m_NewestSeen = std::max(Known.m_NewestSeen, Version);
   // A second newer manifest does not extend the use of the held one.
   if (!Known.m_UsableUntil)
     Known.m_UsableUntil = AckedAt + OutdatedUseLimit;
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -40,6 +40,9 @@
 KIND(RenewRequest, 22)
 KIND(PrefixCopied, 23)
 KIND(JoinKeepers, 24)
+KIND(TargetListUpdate, 25)
+KIND(TargetListRequest, 26)
+KIND(ControlUpdate, 27)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -167,6 +170,12 @@
   Visit("b", Data.m_TargetsHeld);
   Visit("o", Data.m_IdsOnly);
   Visit("c", rawBytes(Data.m_Loads));
+  Visit("y", Data.m_KeeperSetHeld);
+}
+
+template <typename V, typename M, IfMessage<M, KeeperUrl> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("u", Data.m_PeerUrl);
 }
 
 template <typename V, typename M, IfMessage<M, Grant> * = nullptr>
@@ -199,6 +208,32 @@
   Visit("ls", Data.m_LoadsSummed);
   Visit("lo", rawBytes(Data.m_OthersLoads));
   Visit("ma", Data.m_ManifestAckedIn);
+  Visit("n", Data.m_Node);
+  Visit("ie", Data.m_IdsEpoch);
+  Visit("ks", Data.m_KeeperSet);
+  Visit("kl", Data.m_Keepers);
+}
+
+template <typename V, typename M, IfMessage<M, TargetListUpdate> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("d", Data.m_Digest);
+  Visit("b", Data.m_Base);
+  Visit("x", Data.m_Delta);
+  Visit("a", Data.m_Age);
+}
+
+template <typename V, typename M, IfMessage<M, ControlUpdate> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("v", Data.m_Version);
+  Visit("zo", Data.m_ZonesOut);
+  Visit("mv", Data.m_ManifestVersion);
+  Visit("mb", Data.m_ManifestBase);
+  Visit("md", rawBytes(Data.m_ManifestDelta));
+}
+
+template <typename V, typename M, IfMessage<M, TargetListRequest> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("h", Data.m_Held);
 }
 
 template <typename V, typename M, IfMessage<M, RedirectLeader> * = nullptr>
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -255,7 +255,8 @@
     logEvent(
         Event::PeerLinkLost,
         {{"node", Link.m_Node.m_Value}, {"url", Link.m_Url}, {"why", Why}});
-    m_OnEvent({PeerEvent::Kind::Down, Link.m_Node, Id, PeerMessage()});
+    m_OnEvent(
+        {PeerEvent::Kind::Down, Link.m_Node, Id, PeerMessage(), Link.m_Url});
   }
   if (!Link.m_Url.empty())
     dialAgain(Link.m_Url, WasUp);
@@ -340,7 +341,7 @@
       {{"node", Link.m_Node.m_Value},
        {"role", Greeting->m_Role == NodeRole::Keeper ? "keeper" : "router"},
        {"url", Link.m_Url}});
-  m_OnEvent({PeerEvent::Kind::Up, Link.m_Node, Link.m_Id, Message});
+  m_OnEvent({PeerEvent::Kind::Up, Link.m_Node, Link.m_Id, Message, Link.m_Url});
   return true;
 }
 
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -21,6 +21,8 @@
   NodeId m_From;
   std::uint64_t m_Connection = 0;
   PeerMessage m_Message;
+  /// URL that this end connected to; empty for an accepted link.
+  std::string m_Url = std::string();
 };
 
 struct PeerOptions {
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/request/control_wait.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -23,6 +24,8 @@
 /// Tries per request, refused and unreachable targets included.
 constexpr int MaxTries = 4;
 constexpr Millis RetryWithoutLease{700};
+/// Taken for the time left of a request that states none.
+constexpr Millis UnstatedTimeLeft{3000};
 /// New connections arrive until the platform has taken a node out of rotation;
 /// a request that begins later might not end before the process exits.
 constexpr Millis AcceptWhileDraining{2500};
@@ -69,32 +72,63 @@
       Self->onCallerDisconnected();
   };
   addCounter(m_Gateway.m_Metrics, "vanillaferry_requests_total");
-  if (!admit())
-    return;
-  startTimers();
-  dispatch();
+  if (decode())
+    resume();
 }
 
-bool Exchange::admit() {
+bool Exchange::decode() {
   Result<RoutedRequest> Decoded = m_Gateway.m_Protocol->m_ReadRequest(m_Raw);
   if (!Decoded) {
     refuse(RefusalReason::MalformedRequest, Millis(0), Decoded.error().m_Text);
     return false;
   }
   m_Request = std::move(Decoded.value());
-  const RouteTable &Routes = m_Gateway.m_Control.m_Routes;
-  if (Routes.m_Manifest.m_Version == 0 ||
-      !leaseHolds(m_Gateway.m_Lease, monotonicNow())) {
-    refuse(RefusalReason::NoLease, RetryWithoutLease,
-           "this router holds no valid lease or no manifest");
-    return false;
-  }
-  if (!mayUseManifest(m_Gateway.m_Control.m_ManifestKnowledge,
-                      monotonicNow())) {
-    refuse(RefusalReason::NoLease, RetryWithoutLease,
-           "a newer manifest is in force and has not arrived here yet");
+  return true;
+}
+
+void Exchange::resume() {
+  if (m_Done)
+    return;
+  m_ControlTimer.stop();
+  if (!awaitControl() || !admit())
+    return;
+  startTimers();
+  dispatch();
+}
+
+bool Exchange::awaitControl() {
+  Millis Now = monotonicNow();
+  if (mayServe(m_Gateway, Now))
+    return true;
+  waitOrRefuse(leaseHolds(m_Gateway.m_Lease, Now)
+                   ? "this router does not hold the newest manifest"
+                   : "this router holds no valid lease");
+  return false;
+}
+
+void Exchange::waitOrRefuse(const std::string &Why) {
+  Millis Now = monotonicNow();
+  Millis Waited = Now - m_ArrivedAt;
+  ControlOutage Outage;
+  Outage.m_Duration = Now - m_Gateway.m_UsableAt;
+  Outage.m_TimeLeft = m_Request.m_TimeLeft.value_or(UnstatedTimeLeft);
+  Millis Left = controlWait(Outage) - Waited;
+  if (m_Gateway.m_DrainingSince || Left <= Millis(0))
+    return refuse(RefusalReason::NoLease, RetryWithoutLease, Why);
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_waits_for_grant_total");
+  if (!m_Gateway.m_Keeper.m_WaitingSince)
+    m_Gateway.m_Lease.m_NextRenewal = Now;
+  std::weak_ptr<Exchange> Weak = weak_from_this();
+  m_Gateway.m_AwaitingGrant.push_back(Weak);
+  m_ControlTimer.start(Left.m_Value, [Weak, Why] {
+    if (std::shared_ptr<Exchange> Self = Weak.lock())
+      Self->refuse(RefusalReason::NoLease, RetryWithoutLease, Why);
     return false;
-  }
+  });
+}
+
+bool Exchange::admit() {
+  const RouteTable &Routes = m_Gateway.m_Control.m_Routes;
   if (m_Gateway.m_DrainingSince &&
       monotonicNow() - *m_Gateway.m_DrainingSince > AcceptWhileDraining) {
     refuse(RefusalReason::Draining, RetryWhileDraining,
@@ -104,8 +138,10 @@
   const ManifestRoute *Route =
       findRoute(Routes, hostOf(m_Request.m_Host), m_Raw.m_Path);
   if (!Route) {
-    if (!holdsNewestManifest())
-      return refuseOutdated();
+    if (!holdsNewestManifest()) {
+      waitOrRefuse("a newer manifest may allow the request");
+      return false;
+    }
     refuse(RefusalReason::UnknownRoute, Millis(0),
            "no route has this host and path");
     return false;
@@ -115,8 +151,10 @@
   if (Account)
     m_Account = Account->m_Id;
   else if (!m_Route.m_Public && !Routes.m_Manifest.m_Accounts.empty()) {
-    if (!holdsNewestManifest())
-      return refuseOutdated();
+    if (!holdsNewestManifest()) {
+      waitOrRefuse("a newer manifest may allow the request");
+      return false;
+    }
     refuse(RefusalReason::UnknownApiKey, Millis(0),
            "no client account has this API key");
     return false;
@@ -133,22 +171,17 @@
                               monotonicNow());
 }
 
-bool Exchange::refuseOutdated() {
-  refuse(RefusalReason::NoLease, RetryWithoutLease,
-         "a newer manifest may allow the request");
-  return false;
-}
-
 void Exchange::startTimers() {
   Millis Limit = m_Route.m_Timeout;
   if (m_Request.m_TimeLeft)
     Limit = std::min(Limit, *m_Request.m_TimeLeft);
   m_Deadline = m_ArrivedAt + Limit;
-  m_DeadlineTimer.start(Limit.m_Value, [Weak = weak_from_this()] {
-    if (std::shared_ptr<Exchange> Self = Weak.lock())
-      Self->onDeadline();
-    return false;
-  });
+  m_DeadlineTimer.start(std::max(timeLeft(), Millis(0)).m_Value,
+                        [Weak = weak_from_this()] {
+                          if (std::shared_ptr<Exchange> Self = Weak.lock())
+                            Self->onDeadline();
+                          return false;
+                        });
   m_Need.m_PrefixHash = hashSharedPrefix(m_Request.m_PromptParts);
   m_Need.m_Random = hashText(m_Request.m_Id.m_Value);
   m_Events.m_LastId = m_Request.m_LastEvent;
@@ -351,6 +384,7 @@
     closeTry(TargetOutcome::Abandoned);
   }
   m_DeadlineTimer.stop();
+  m_ControlTimer.stop();
   logEvent(
       Event::RequestEnded,
       {{"request", m_Request.m_Id.m_Value},
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -44,17 +44,25 @@
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
 
+  /// Begins anew after a grant for which the request waited.
+  void resume();
+
 private:
   // exchange.cpp: admission and dispatch
   void begin();
-  /// Finds route, client account and service; false after a refusal.
+  /// False after a refusal.
+  bool decode();
+  /// Waits for the next grant or refuses when the gateway may not send requests
+  /// now; returns false then.
+  bool awaitControl();
+  /// Finds route, client account and service; false after a refusal or while
+  /// the request waits.
   bool admit();
+  /// Waits for the next grant, or refuses when that would take too long.
+  void waitOrRefuse(const std::string &Why);
   /// True while the keepers' last confirmation that this gateway's manifest is
   /// the newest one is recent enough to deny requests for good.
   bool holdsNewestManifest() const;
-  /// Refuses, as not run, what a newer manifest may allow; returns false, which
-  /// admit() passes on.
-  bool refuseOutdated();
   void startTimers();
   void dispatch();
   void send(DispatchTarget &Target, const DispatchChoice &Choice);
@@ -104,6 +112,8 @@
   Timer m_DeadlineTimer;
   Timer m_FirstResponseTimer;
   Timer m_ConnectTimer;
+  /// Runs while the request waits for a grant.
+  Timer m_ControlTimer;
   EventSplitter m_Events;
   bool m_StreamStarted = false;
   std::optional<Millis> m_FirstEvent;
--- a/src/daemon/gateway/gateway.cpp
+++ b/src/daemon/gateway/gateway.cpp
@@ -39,6 +39,8 @@
     Why = "no lease";
   else if (!G.m_TargetList.m_Received)
     Why = "the list of targets has not been received yet";
+  else if (G.m_Control.m_Routers.empty())
+    Why = "the members' ids have not been received yet";
   else if (!Ready)
     Why = "no manifest";
   logEvent(Event::ReadinessChanged,
@@ -58,9 +60,12 @@
 }
 
 void tickGateway(Gateway &G) {
+  Millis Now = monotonicNow();
+  if (mayServe(G, Now))
+    G.m_UsableAt = Now;
   renewWhenDue(G);
   pollTargetList(G);
-  G.m_Connections->closeExpired(monotonicNow());
+  G.m_Connections->closeExpired(Now);
   logReadinessChange(G);
   finishDrain(G);
 }
@@ -68,10 +73,8 @@
 Status startPeers(Gateway &G) {
   Gateway *Raw = &G;
   G.m_Mailbox = std::make_unique<Mailbox<PeerEvent>>(
-      g_main_context_get_thread_default(), [Raw](PeerEvent Event) {
-        if (Event.m_Kind == PeerEvent::Kind::Message)
-          handleControlMessage(*Raw, std::move(Event.m_Message));
-      });
+      g_main_context_get_thread_default(),
+      [Raw](PeerEvent Event) { handlePeerEvent(*Raw, std::move(Event)); });
   PeerOptions Options;
   Options.m_Self = G.m_Settings.m_Node;
   Options.m_Incarnation = G.m_Incarnation;
@@ -84,9 +87,7 @@
   if (!Peers)
     return Peers.error();
   G.m_Peers = std::move(Peers.value());
-  addKeepers(G, G.m_Settings.m_Keepers);
-  G.m_Keeper.m_Url = G.m_Keeper.m_Urls.front();
-  G.m_Keeper.m_LastAnswer = monotonicNow();
+  G.m_Keeper = makeKeeperChoice(G.m_Settings.m_Node, G.m_Settings.m_Keepers);
   return boost::outcome_v2::success();
 }
 
@@ -95,6 +96,7 @@
 bool isReady(const Gateway &G) {
   return !G.m_DrainingSince && G.m_TargetList.m_Received &&
          G.m_Control.m_Routes.m_Manifest.m_Version > 0 &&
+         !G.m_Control.m_Routers.empty() &&
          leaseHolds(G.m_Lease, monotonicNow());
 }
 
@@ -107,6 +109,7 @@
   G.m_Lease.m_Node = G.m_Settings.m_Node;
   G.m_Lease.m_Incarnation = G.m_Incarnation;
   G.m_StartedAt = monotonicNow();
+  G.m_UsableAt = G.m_StartedAt;
   G.m_Connections = std::make_shared<TargetConnections>(*G.m_Watcher);
   Gateway *Raw = &G;
   Result<std::unique_ptr<HttpFront>> Front = HttpFront::start(
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "process/mailbox.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
+#include "vanillaferry/process/keeper_choice.hpp"
 #include "vanillaferry/process/node_lease.hpp"
 #include "vanillaferry/version/manifest_knowledge.hpp"
 
@@ -16,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace vanillaferry {
 
@@ -23,20 +25,12 @@
 class TargetConnections;
 class TargetListReader;
 
-/// The connection to the leading keeper.
-struct KeeperLink {
-  std::string m_Url;
-  /// All known keepers, from the settings or named as a leader in a redirect.
-  std::vector<std::string> m_Urls;
-  std::size_t m_Next = 0;
-  Millis m_LastAnswer;
-  Millis m_LastRenewal;
-};
-
 /// The control state that this gateway last received from the keepers.
 struct ControlState {
   Epoch m_Epoch;
   DocumentVersion m_Version;
+  /// Version at which m_ZonesOut was true.
+  DocumentVersion m_ZonesVersion;
   std::vector<NodeId> m_Routers;
   std::string m_RouterIds;
   ManifestKnowledge m_ManifestKnowledge;
@@ -57,7 +51,8 @@
   std::uint64_t m_Digest = 0;
   /// Reads the list directly while the one from the keepers is too old.
   std::shared_ptr<TargetListReader> m_Reader;
-  Millis m_NextPoll;
+  /// Set while the keepers' list is too old.
+  std::optional<Millis> m_NextPoll;
 };
 
 /// One service's targets and its retry budget.
@@ -72,11 +67,17 @@
   const PlatformProtocol *m_Protocol = nullptr;
   Incarnation m_Incarnation;
   RouterLease m_Lease;
-  KeeperLink m_Keeper;
+  KeeperChoice m_Keeper;
+  /// Keepers to which links are kept.
+  std::set<std::string> m_Dialled;
   ControlState m_Control;
   TargetListState m_TargetList;
   std::map<PoolId, GatewayPool> m_Pools;
   std::set<std::shared_ptr<Exchange>> m_Exchanges;
+  /// Requests that wait for a grant, in order of arrival.
+  std::vector<std::weak_ptr<Exchange>> m_AwaitingGrant;
+  /// Last time at which requests could be sent, or the start.
+  Millis m_UsableAt;
   Metrics m_Metrics;
 
   std::shared_ptr<FdWatcher> m_Watcher = std::make_shared<FdWatcher>();
@@ -102,14 +103,14 @@
 
 // gateway_lease.cpp
 void renewWhenDue(Gateway &G);
-void handleControlMessage(Gateway &G, PeerMessage Message);
-/// Connects to keepers that the settings name and that are not known yet.
-void addKeepers(Gateway &G, const std::vector<std::string> &Urls);
+void handlePeerEvent(Gateway &G, PeerEvent Event);
+/// True while requests may be sent to targets.
+bool mayServe(const Gateway &G, Millis Now);
 
 // target_list.cpp
 void pollTargetList(Gateway &G);
-/// Applies the keepers' target list that a grant carries.
-void applyGrantedTargets(Gateway &G, const Grant &Granted);
+/// Applies the keepers' target list.
+void applyKeepersTargets(Gateway &G, const TargetListUpdate &Update);
 /// Rebuilds the pools from the current target list, after a change of the
 /// manifest, the list or the routers.
 void rebuildPools(Gateway &G);
--- a/src/daemon/gateway/gateway_command.cpp
+++ b/src/daemon/gateway/gateway_command.cpp
@@ -36,7 +36,7 @@
   Result<GatewaySettings> Settings =
       loadGatewaySettings(Process.m_SettingsFile);
   if (Settings)
-    addKeepers(Process.m_Gateway, Settings.value().m_Keepers);
+    addKeeperUrls(Process.m_Gateway.m_Keeper, Settings.value().m_Keepers);
   logEvent(Event::SettingsReloaded,
            {{"fault", Settings ? "" : Settings.error().m_Text}});
   return G_SOURCE_CONTINUE;
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -1,3 +1,4 @@
+#include "gateway/exchange.hpp"
 #include "gateway/gateway.hpp"
 
 #include "process/clock.hpp"
@@ -12,26 +13,37 @@
 
 namespace {
 
-/// When the leader leaves a renewal unanswered for this long, the gateway
-/// switches to the next keeper; a keeper with a twentieth of a core may need
-/// half of this time.
-constexpr Millis KeeperAnswerTimeout{600};
 /// Delay before the next keeper is asked when the last one knew no leader.
 constexpr Millis UnknownLeaderDelay{150};
 /// Delay before a manifest that did not come with the grant is requested again.
-constexpr Millis ManifestRetryDelay{150};
+constexpr Millis ManifestRetryDelay{400};
 
-void switchToKeeper(Gateway &G, const std::string &Url, Millis When) {
-  G.m_Keeper.m_Url = Url;
-  G.m_Keeper.m_LastAnswer = monotonicNow();
-  G.m_Lease.m_NextRenewal = When;
+/// Keeps links to the wanted keepers only.
+void dialKeepers(Gateway &G) {
+  std::vector<std::string> List = wantedKeepers(G.m_Keeper, monotonicNow());
+  std::set<std::string> Wanted(List.begin(), List.end());
+  if (Wanted == G.m_Dialled)
+    return;
+  for (const std::string &Url : Wanted)
+    if (G.m_Dialled.count(Url) == 0)
+      G.m_Peers->connect(Url);
+  for (const std::string &Url : G.m_Dialled)
+    if (Wanted.count(Url) == 0) {
+      G.m_Peers->disconnect(Url);
+      recordKeeperLink(G.m_Keeper, Url, false);
+    }
+  G.m_Dialled = std::move(Wanted);
+}
+
+void onKeeperChanged(Gateway &G, Millis NextRenewal) {
+  G.m_Lease.m_NextRenewal = NextRenewal;
+  dialKeepers(G);
+  logEvent(Event::KeeperChanged, {{"url", G.m_Keeper.m_Current}});
 }
 
 void switchToNextKeeper(Gateway &G, Millis When) {
-  const std::vector<std::string> &Known = G.m_Keeper.m_Urls;
-  G.m_Keeper.m_Next = (G.m_Keeper.m_Next + 1) % Known.size();
-  switchToKeeper(G, Known[G.m_Keeper.m_Next], When);
-  logEvent(Event::KeeperChanged, {{"url", G.m_Keeper.m_Url}});
+  selectNextKeeper(G.m_Keeper, monotonicNow(), randomSeed());
+  onKeeperChanged(G, When);
 }
 
 void sendRenewal(Gateway &G, Millis Now) {
@@ -52,8 +64,9 @@
   for (const std::pair<const PoolId, GatewayPool> &Row : G.m_Pools)
     addRunning(Row.second.m_Dispatch, Running);
   Renewal.m_Loads = encodeLoads(Running);
-  G.m_Keeper.m_LastRenewal = Now;
-  G.m_Peers->sendToUrl(G.m_Keeper.m_Url, std::move(Renewal));
+  Renewal.m_KeeperSetHeld = G.m_Keeper.m_SetVersion;
+  recordRenewalSent(G.m_Keeper, Now);
+  G.m_Peers->sendToUrl(G.m_Keeper.m_Current, std::move(Renewal));
 }
 
 /// Result of applying a grant's manifest.
@@ -66,28 +79,28 @@
   Failed,
 };
 
-/// Applies the manifest of a grant.
-ManifestOutcome applyManifest(Gateway &G, const Grant &Granted) {
+/// Applies the manifest of a grant or of a keeper's update.
+ManifestOutcome applyManifest(Gateway &G, const ControlUpdate &Update) {
   ControlState &Control = G.m_Control;
   std::uint64_t HeldVersion = Control.m_Routes.m_Manifest.m_Version;
-  if (Granted.m_ManifestVersion <= HeldVersion)
+  if (Update.m_ManifestVersion <= HeldVersion)
     return ManifestOutcome::UpToDate;
-  if (Granted.m_ManifestDelta.empty())
+  if (Update.m_ManifestDelta.empty())
     return ManifestOutcome::Pending;
-  if (Granted.m_ManifestBase != 0 && Granted.m_ManifestBase != HeldVersion)
+  if (Update.m_ManifestBase != 0 && Update.m_ManifestBase != HeldVersion)
     return ManifestOutcome::Failed;
-  Result<std::string> Delta = decompressText(Granted.m_ManifestDelta);
+  Result<std::string> Delta = decompressText(Update.m_ManifestDelta);
   Result<std::string> Text =
       Delta
-          ? applyTextDelta(Granted.m_ManifestBase == 0 ? std::string()
-                                                       : Control.m_ManifestText,
+          ? applyTextDelta(Update.m_ManifestBase == 0 ? std::string()
+                                                      : Control.m_ManifestText,
                            Delta.value())
           : Delta;
   Result<Manifest> Content = Text ? G.m_Protocol->m_ReadManifest(Text.value())
                                   : Result<Manifest>(Text.error());
   if (!Content) {
     logEvent(Event::SectionRefused, {{"section", "manifest"},
-                                     {"version", Granted.m_ManifestVersion},
+                                     {"version", Update.m_ManifestVersion},
                                      {"fault", Content.error().m_Text}});
     return ManifestOutcome::Failed;
   }
@@ -101,16 +114,20 @@
   G.m_Front->setLimits(FrontLimits);
   rebuildPools(G);
   logEvent(Event::ManifestApplied,
-           {{"version", Granted.m_ManifestVersion},
+           {{"version", Update.m_ManifestVersion},
             {"routes", static_cast<std::uint64_t>(
                            Control.m_Routes.m_Manifest.m_Routes.size())}});
   return ManifestOutcome::UpToDate;
 }
 
-void applyZones(Gateway &G, const Grant &Granted) {
+void applyZones(Gateway &G, const ControlUpdate &Update) {
+  // A grant that the leader sent before the change may arrive after it.
+  if (Update.m_Version < G.m_Control.m_ZonesVersion)
+    return;
+  G.m_Control.m_ZonesVersion = Update.m_Version;
   std::set<ZoneId> Out;
   std::string Names;
-  for (const ZoneOut &Each : Granted.m_ZonesOut) {
+  for (const ZoneOut &Each : Update.m_ZonesOut) {
     Out.insert(Each.m_Zone);
     Names += (Names.empty() ? "" : ",") + Each.m_Zone.m_Value;
   }
@@ -144,13 +161,13 @@
     Control.m_Epoch = Epoch(0);
     return;
   }
-  Control.m_Epoch = Granted.m_Epoch;
+  Control.m_Epoch = Granted.m_IdsEpoch;
   Control.m_RouterIds = std::move(Text.value());
   Control.m_Routers = decodeMemberIds(Control.m_RouterIds);
   std::uint64_t Count = Control.m_Routers.size();
   G.m_Lease.m_RenewInterval = gatewayRenewInterval(Count);
   logEvent(Event::MembersChanged,
-           {{"epoch", Granted.m_Epoch.m_Value}, {"members", Count}});
+           {{"epoch", Granted.m_IdsEpoch.m_Value}, {"members", Count}});
   rebuildPools(G);
 }
 
@@ -169,80 +186,151 @@
     noteOtherLoads(Row.second.m_Dispatch, Others.value(), At);
 }
 
+void applyKeeperSet(Gateway &G, const Grant &Granted, Millis Now) {
+  std::vector<std::string> Urls;
+  for (const KeeperUrl &Each : Granted.m_Keepers)
+    Urls.push_back(Each.m_PeerUrl);
+  replaceKeeperUrls(G.m_Keeper, Urls, Granted.m_KeeperSet, Now, randomSeed());
+}
+
+/// Lets the requests that wait for a grant begin anew.
+void resumeWaiting(Gateway &G) {
+  std::vector<std::weak_ptr<Exchange>> Waiting;
+  Waiting.swap(G.m_AwaitingGrant);
+  for (const std::weak_ptr<Exchange> &Each : Waiting)
+    if (std::shared_ptr<Exchange> Request = Each.lock())
+      Request->resume();
+}
+
+/// A manifest that could not be applied is requested as a whole.
+void recordManifestOutcome(Gateway &G, ManifestOutcome Outcome,
+                           DocumentVersion Version) {
+  ControlState &Control = G.m_Control;
+  if (Outcome == ManifestOutcome::UpToDate)
+    Control.m_Version = std::max(Control.m_Version, Version);
+  else if (Outcome == ManifestOutcome::Failed)
+    Control.m_Routes.m_Manifest.m_Version = 0;
+}
+
+void handleControlUpdate(Gateway &G, const ControlUpdate &Update) {
+  if (Update.m_Version <= G.m_Control.m_Version)
+    return;
+  applyZones(G, Update);
+  ManifestOutcome Outcome = applyManifest(G, Update);
+  if (Outcome == ManifestOutcome::UpToDate)
+    noteManifestReceived(G.m_Control.m_ManifestKnowledge,
+                         G.m_Control.m_Routes.m_Manifest.m_Version);
+  recordManifestOutcome(G, Outcome, Update.m_Version);
+  if (Outcome == ManifestOutcome::Failed ||
+      renewsAfterChange(G.m_Control.m_Routers.size()))
+    G.m_Lease.m_NextRenewal = monotonicNow();
+  resumeWaiting(G);
+}
+
 void handleGrant(Gateway &G, const Grant &Granted) {
   Millis Now = monotonicNow();
   bool HeldLease = leaseHolds(G.m_Lease, Now);
   std::map<std::uint64_t, Millis>::const_iterator Sent =
       G.m_Lease.m_Sent.find(Granted.m_Sequence);
   Millis SentAt = Sent == G.m_Lease.m_Sent.end() ? Millis() : Sent->second;
+  recordKeeperAnswer(G.m_Keeper, Now);
   if (!acceptGrant(G.m_Lease, Granted, Now))
     return;
-  G.m_Keeper.m_LastAnswer = Now;
-  std::uint64_t Before = G.m_Control.m_Version.m_Value;
-  ManifestOutcome Outcome = applyManifest(G, Granted);
+  applyKeeperSet(G, Granted, Now);
+  DocumentVersion Before = G.m_Control.m_Version;
+  ControlUpdate Update{Granted.m_Version, Granted.m_ZonesOut,
+                       Granted.m_ManifestVersion, Granted.m_ManifestBase,
+                       Granted.m_ManifestDelta};
+  ManifestOutcome Outcome = applyManifest(G, Update);
   if (Outcome == ManifestOutcome::UpToDate)
     noteManifestCurrent(G.m_Control.m_ManifestKnowledge, SentAt);
   else
     noteManifestOutdated(G.m_Control.m_ManifestKnowledge,
+                         Granted.m_ManifestVersion,
                          Now + Granted.m_ManifestAckedIn);
-  applyZones(G, Granted);
+  applyZones(G, Update);
   applyMembers(G, Granted);
-  applyGrantedTargets(G, Granted);
+  applyKeepersTargets(G, {Granted.m_TargetsDigest, Granted.m_TargetsBase,
+                          Granted.m_TargetsDelta, Granted.m_TargetsAge});
   applyLoads(G, Granted, Now);
-  if (Outcome == ManifestOutcome::UpToDate)
-    G.m_Control.m_Version = Granted.m_Version;
-  else if (Outcome == ManifestOutcome::Failed)
-    G.m_Control.m_Routes.m_Manifest.m_Version = 0;
+  recordManifestOutcome(G, Outcome, Granted.m_Version);
   // Renews at once, so that the leader learns of the applied change.
-  if (Before != G.m_Control.m_Version.m_Value)
+  if (Before != G.m_Control.m_Version &&
+      renewsAfterChange(G.m_Control.m_Routers.size()))
     G.m_Lease.m_NextRenewal = Now;
   else if (Outcome != ManifestOutcome::UpToDate)
     G.m_Lease.m_NextRenewal = Now + ManifestRetryDelay;
   if (!HeldLease && leaseHolds(G.m_Lease, Now))
     logEvent(Event::LeaseHeld, {{"epoch", Granted.m_Epoch.m_Value}});
+  resumeWaiting(G);
 }
 
 void handleRedirect(Gateway &G, const RedirectLeader &Redirect) {
   Millis Now = monotonicNow();
   if (Redirect.m_PeerUrl.empty())
     return switchToNextKeeper(G, Now + UnknownLeaderDelay);
-  if (Redirect.m_PeerUrl == G.m_Keeper.m_Url)
+  if (Redirect.m_PeerUrl == G.m_Keeper.m_Current)
+    return recordKeeperHolds(G.m_Keeper);
+  addKeeperUrls(G.m_Keeper, {Redirect.m_PeerUrl});
+  selectKeeper(G.m_Keeper, Redirect.m_PeerUrl);
+  onKeeperChanged(G, Now);
+}
+
+void handleControlMessage(Gateway &G, const PeerMessage &Message) {
+  if (const Grant *Granted = std::get_if<Grant>(&Message))
+    handleGrant(G, *Granted);
+  else if (const RedirectLeader *Leader = std::get_if<RedirectLeader>(&Message))
+    handleRedirect(G, *Leader);
+  else if (const TargetListUpdate *Update =
+               std::get_if<TargetListUpdate>(&Message))
+    applyKeepersTargets(G, *Update);
+  else if (const ControlUpdate *Change = std::get_if<ControlUpdate>(&Message))
+    handleControlUpdate(G, *Change);
+  else if (std::get_if<RenewRequest>(&Message))
+    sendRenewal(G, monotonicNow());
+  else
+    addCounter(G.m_Metrics, "vanillaferry_unexpected_messages_total");
+}
+
+/// A link that comes up carries the renewal that was lost without it; one that
+/// ends makes way for the next keeper at once.
+void handleLinkChange(Gateway &G, const std::string &Url, bool Up) {
+  Millis Now = monotonicNow();
+  recordKeeperLink(G.m_Keeper, Url, Up);
+  if (Url != G.m_Keeper.m_Current)
     return;
-  addKeepers(G, {Redirect.m_PeerUrl});
-  switchToKeeper(G, Redirect.m_PeerUrl, Now);
+  if (Up)
+    sendRenewal(G, Now);
+  else
+    switchToNextKeeper(G, Now);
 }
 
 } // namespace
 
-void addKeepers(Gateway &G, const std::vector<std::string> &Urls) {
-  std::vector<std::string> &Known = G.m_Keeper.m_Urls;
-  for (const std::string &Url : Urls) {
-    if (std::find(Known.begin(), Known.end(), Url) != Known.end())
-      continue;
-    Known.push_back(Url);
-    G.m_Peers->connect(Url);
-  }
+bool mayServe(const Gateway &G, Millis Now) {
+  return G.m_Control.m_Routes.m_Manifest.m_Version > 0 &&
+         leaseHolds(G.m_Lease, Now) &&
+         mayUseManifest(G.m_Control.m_ManifestKnowledge, Now);
 }
 
 void renewWhenDue(Gateway &G) {
   Millis Now = monotonicNow();
-  bool Unanswered = G.m_Keeper.m_LastAnswer < G.m_Keeper.m_LastRenewal;
-  if (Unanswered && Now - G.m_Keeper.m_LastAnswer >
-                        G.m_Lease.m_RenewInterval + KeeperAnswerTimeout)
+  if (keeperOverdue(G.m_Keeper, Now))
     switchToNextKeeper(G, Now);
-  if (renewalDue(G.m_Lease, Now))
+  else if (returnHome(G.m_Keeper, Now))
+    onKeeperChanged(G, G.m_Lease.m_NextRenewal);
+  dialKeepers(G);
+  // An unanswered renewal is not sent again to the same keeper: while a keeper
+  // is overloaded or has no leader, that would only add to its work.
+  if (renewalDue(G.m_Lease, Now) && !G.m_Keeper.m_WaitingSince)
     sendRenewal(G, Now);
 }
 
-void handleControlMessage(Gateway &G, PeerMessage Message) {
-  if (const Grant *Granted = std::get_if<Grant>(&Message))
-    handleGrant(G, *Granted);
-  else if (const RedirectLeader *Leader = std::get_if<RedirectLeader>(&Message))
-    handleRedirect(G, *Leader);
-  else if (std::get_if<RenewRequest>(&Message))
-    sendRenewal(G, monotonicNow());
-  else
-    addCounter(G.m_Metrics, "vanillaferry_unexpected_messages_total");
+void handlePeerEvent(Gateway &G, PeerEvent Event) {
+  if (Event.m_Kind == PeerEvent::Kind::Message)
+    handleControlMessage(G, Event.m_Message);
+  else if (Event.m_Kind != PeerEvent::Kind::Unsent)
+    handleLinkChange(G, Event.m_Url, Event.m_Kind == PeerEvent::Kind::Up);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -32,6 +32,11 @@
   return std::max(MinPollInterval, Millis(static_cast<std::int64_t>(Needed)));
 }
 
+Millis randomPart(Millis Range) {
+  return Millis(static_cast<std::int64_t>(
+      randomSeed() % static_cast<std::uint64_t>(Range.m_Value)));
+}
+
 bool sameTarget(const ListedTarget &A, const ListedTarget &B) {
   return A.m_Id == B.m_Id && A.m_Address == B.m_Address &&
          A.m_Leaving == B.m_Leaving;
@@ -115,22 +120,20 @@
     rebuildPool(G, Service, Now);
 }
 
-void applyGrantedTargets(Gateway &G, const Grant &Granted) {
+void applyKeepersTargets(Gateway &G, const TargetListUpdate &Update) {
   TargetListState &List = G.m_TargetList;
-  Millis ReadAt = monotonicNow() - Granted.m_TargetsAge;
-  if (Granted.m_TargetsDigest == 0 ||
-      (List.m_Received && ReadAt < List.m_ReadAt))
+  Millis ReadAt = monotonicNow() - Update.m_Age;
+  if (Update.m_Digest == 0 || (List.m_Received && ReadAt < List.m_ReadAt))
     return;
-  if (Granted.m_TargetsDigest == List.m_Digest) {
+  if (Update.m_Digest == List.m_Digest) {
     List.m_ReadAt = ReadAt;
     return;
   }
-  if (Granted.m_TargetsDelta.empty() ||
-      (Granted.m_TargetsBase != 0 && Granted.m_TargetsBase != List.m_Digest))
+  if (Update.m_Delta.empty() ||
+      (Update.m_Base != 0 && Update.m_Base != List.m_Digest))
     return;
-  Result<std::string> Text =
-      applyTextDelta(Granted.m_TargetsBase == 0 ? std::string() : List.m_Text,
-                     Granted.m_TargetsDelta);
+  Result<std::string> Text = applyTextDelta(
+      Update.m_Base == 0 ? std::string() : List.m_Text, Update.m_Delta);
   Result<std::vector<ListedTarget>> Targets =
       Text ? decodeTargets(Text.value())
            : Result<std::vector<ListedTarget>>(Text.error());
@@ -139,7 +142,7 @@
     List.m_Digest = 0;
     return;
   }
-  List.m_Digest = Granted.m_TargetsDigest;
+  List.m_Digest = Update.m_Digest;
   List.m_Text = std::move(Text.value());
   replaceTargets(G, std::move(Targets.value()), "keepers", ReadAt);
 }
@@ -147,10 +150,18 @@
 void pollTargetList(Gateway &G) {
   Millis Now = monotonicNow();
   TargetListState &List = G.m_TargetList;
-  bool Fresh = List.m_Received && Now - List.m_ReadAt <= DirectReadAfter;
   // After the start, the keepers' list comes with the first grants.
-  bool Waits = !List.m_Received && Now - G.m_StartedAt <= DirectReadAfter;
-  if (Fresh || Waits || Now < List.m_NextPoll)
+  Millis Since = List.m_Received ? List.m_ReadAt : G.m_StartedAt;
+  // The list is of no use before requests can be sent to targets.
+  if (Now - Since <= DirectReadAfter || !mayServe(G, Now)) {
+    List.m_NextPoll.reset();
+    return;
+  }
+  // All gateways miss the keepers' list at the same moment; their first reads
+  // spread over one interval.
+  if (!List.m_NextPoll)
+    List.m_NextPoll = Now + randomPart(pollInterval(G));
+  if (Now < *List.m_NextPoll)
     return;
   List.m_NextPoll = Now + pollInterval(G);
   if (!List.m_Reader) {
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -146,6 +146,31 @@
   std::map<std::uint64_t, TextUpdate> m_Updates;
 };
 
+/// The members' ids as text, and the updates to it, computed once for all
+/// routers that hold the same epoch.
+struct SharedMemberIds {
+  Epoch m_Epoch;
+  std::string m_Text;
+  TextHistory m_History;
+  std::map<std::uint64_t, TextUpdate> m_Updates;
+};
+
+/// A renewal that waits until this keeper may grant it or knows the leader.
+struct WaitingRenewal {
+  Renew m_Request;
+  /// The router, or the follower that relays its renewal.
+  NodeId m_From;
+  Millis m_Since;
+};
+
+/// A gateway that is connected to this keeper.
+struct ServedGateway {
+  /// Its last renewal without the loads. What this keeper sent since then
+  /// counts as held.
+  Renew m_Last;
+  Millis m_SentAt;
+};
+
 /// State of the keeper's main task; accessed on the GLib main loop only.
 struct Keeper {
   KeeperSettings m_Settings;
@@ -164,6 +189,9 @@
 
   std::unique_ptr<PeerTask> m_Peers;
   std::unique_ptr<DiskTask> m_Disk;
+  /// Replication messages, which go before all other events: renewals of many
+  /// routers must not delay votes and heartbeats.
+  std::unique_ptr<Mailbox<PeerEvent>> m_ReplicaMail;
   std::unique_ptr<Mailbox<PeerEvent>> m_PeerMail;
   std::unique_ptr<Mailbox<DiskReport>> m_DiskMail;
   std::unique_ptr<OperatorHttp> m_Http;
@@ -190,13 +218,14 @@
   std::map<NodeId, ConnectedPeer> m_Connected;
   std::set<std::string> m_Dialled;
   LogIndex m_DialledSet{~0ULL};
-  /// Newest renewal of each router while this leader cannot grant yet.
-  std::map<NodeId, Renew> m_WaitingRenewals;
+  /// Newest renewal of each router while this keeper can neither grant it nor
+  /// relay it to a leader.
+  std::map<NodeId, WaitingRenewal> m_WaitingRenewals;
+  std::map<NodeId, ServedGateway> m_Served;
   /// The newest change for which routers were asked to renew early.
   RenewRequest m_Announced;
   Millis m_NextAnnouncement;
-  /// The members' ids at the last epochs, by epoch.
-  TextHistory m_MemberIds;
+  SharedMemberIds m_MemberIds;
   std::set<NodeId> m_Removing;
   std::vector<InForceWait> m_InForceWaits;
   std::shared_ptr<FdWatcher> m_OrderWatcher;
@@ -249,12 +278,29 @@
 void redirectToLeader(Keeper &Self, const NodeId &To);
 LeaseOptions leaseOptions(const KeeperSettings &Settings);
 bool leads(const Keeper &Self);
+bool isKeeper(const Keeper &Self, const NodeId &Node);
 /// The lease table when this keeper may grant leases now, else null.
 LeaseTable *grantingTable(Keeper &Self, Millis Now);
 /// Periodic work of the leader: waiting renewals, expired leases, clock, edits
 /// that come into force.
 void tickLeader(Keeper &Self, Millis Now);
 
+// keeper_renewals.cpp
+/// Grants a renewal, or relays it to the leader.
+void onRenew(Keeper &Self, const NodeId &From, const Renew &Request);
+/// Completes the leader's grant for a gateway that is connected here.
+void onRelayedGrant(Keeper &Self, const NodeId &From, Grant Granted);
+/// Grants the renewals that waited for the leader's quorum lease.
+void grantWaitingRenewals(Keeper &Self);
+/// Relays the renewals that waited for a leader; refuses those that waited too
+/// long, so that the gateways ask another keeper.
+void relayWaitingRenewals(Keeper &Self, Millis Now);
+/// Sends committed changes to the gateways that are connected here, so that
+/// they are in force before the next ordinary renewals.
+void sendChanges(Keeper &Self, Millis Now);
+/// Asks routers that renew with this leader to renew at once after a change.
+void announceChanges(Keeper &Self, Millis Now);
+
 // order_sender.cpp
 /// Starts all counters of orders at zero.
 void startOrderCounters(Metrics &M);
@@ -277,8 +323,17 @@
 // keeper_manifest.cpp
 /// Adds the members' ids to a grant for a router that asks for ids only.
 void attachMemberIds(Keeper &Self, const Renew &Request, Grant &Granted);
+/// States in the leader's grant when the manifest in force is acknowledged.
+void stateManifestDeadline(const Keeper &Self, const Renew &Request,
+                           Grant &Granted);
 /// Adds to a grant the update from the router's manifest to the one in force.
 void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted);
+/// Adds to a change the update from version Held; false while the link is busy
+/// with earlier ones.
+bool addManifestUpdate(Keeper &Self, std::uint64_t Held, ControlUpdate &Change,
+                       Millis Now);
+/// Keeps the update that the log carries for gateways that hold its base.
+void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change);
 
 // keeper_targets.cpp
 /// Reads the platform's list of targets, which the leader does for all routers.
@@ -286,6 +341,11 @@
 /// Adds to a grant the update from the router's list of targets to the one last
 /// read.
 void attachTargets(Keeper &Self, const Renew &Request, Grant &Granted);
+/// Applies the leader's list at a follower.
+void onTargetListUpdate(Keeper &Self, const NodeId &From,
+                        const TargetListUpdate &Update);
+void onTargetListRequest(Keeper &Self, const NodeId &From,
+                         const TargetListRequest &Request);
 
 // keeper_repair.cpp
 /// Asks the other keepers for a vote while this keeper has none.
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr guint TickMillis = 20;
+/// Events other than replication messages that are handled before these get
+/// their turn again: some milliseconds on a twentieth of a core.
+constexpr std::size_t EventsPerTurn = 16;
 /// A whole snapshot may be queued on a link. This is more than a snapshot with
 /// half a million journaled calls and their answers of 1 KiB takes.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
@@ -36,6 +39,10 @@
     perform(Self, tick(Self.m_Replica, Now));
   if (leads(Self))
     tickLeader(Self, Now);
+  else
+    relayWaitingRenewals(Self, Now);
+  sendChanges(Self, Now);
+  announceChanges(Self, Now);
   return G_SOURCE_CONTINUE;
 }
 
@@ -99,8 +106,12 @@
   Options.m_ListenPort = Self.m_Settings.m_Peer.m_Port;
   Options.m_MaxBuffered = MaxKeeperBuffered;
   Mailbox<PeerEvent> *Mail = Self.m_PeerMail.get();
-  Result<std::unique_ptr<PeerTask>> Started = PeerTask::start(
-      Options, [Mail](PeerEvent Event) { Mail->post(std::move(Event)); });
+  Mailbox<PeerEvent> *First = Self.m_ReplicaMail.get();
+  Result<std::unique_ptr<PeerTask>> Started =
+      PeerTask::start(Options, [Mail, First](PeerEvent Event) {
+        bool Replication = std::holds_alternative<Replicate>(Event.m_Message);
+        (Replication ? First : Mail)->post(std::move(Event));
+      });
   if (!Started)
     return Started.error();
   Self.m_Peers = std::move(Started.value());
@@ -160,10 +171,14 @@
   Self->m_StartedAt = monotonicNow();
   internal::startOrderCounters(Self->m_Metrics);
   Self->m_Loop = g_main_loop_new(nullptr, FALSE);
-  Self->m_PeerMail =
-      std::make_unique<Mailbox<PeerEvent>>(nullptr, [Raw](PeerEvent Event) {
-        internal::onPeerEvent(*Raw, std::move(Event));
-      });
+  Mailbox<PeerEvent>::Handler OnPeerEvent = [Raw](PeerEvent Event) {
+    internal::onPeerEvent(*Raw, std::move(Event));
+  };
+  Self->m_ReplicaMail = std::make_unique<Mailbox<PeerEvent>>(
+      nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_HIGH});
+  Self->m_PeerMail = std::make_unique<Mailbox<PeerEvent>>(
+      nullptr, OnPeerEvent,
+      MailboxOptions{G_PRIORITY_DEFAULT, internal::EventsPerTurn});
   Self->m_DiskMail =
       std::make_unique<Mailbox<DiskReport>>(nullptr, [Raw](DiskReport Report) {
         internal::onDiskReport(*Raw, Report);
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -16,26 +16,33 @@
 /// heartbeats.
 constexpr std::int64_t UpdateBytesPerMilli = 500;
 /// Operators try another keeper after a second without an answer.
-constexpr Millis AckTimeLimit{500};
+constexpr Millis AckTimeLimit{250};
 /// Operators wait longer for manifests with more routes than this, whose
 /// updates take longer to send over the leader's link.
 constexpr std::size_t RoutesWithinAckTime = 500;
 constexpr Millis AckTimePerThousandRoutes{2500};
 
+/// Keeps the manifest in force as a base for later updates.
 void rememberManifest(Keeper &Self) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
   if (Held.m_Version != 0)
     addTextVersion(Self.m_Manifests, Held.m_Version, Held.m_Text);
 }
 
+/// Drops the updates to an older manifest than the one in force.
+void refreshManifestUpdates(Keeper &Self) {
+  std::uint64_t Version = Self.m_State.m_Manifest.m_Version;
+  if (Self.m_UpdatesTo == Version)
+    return;
+  rememberManifest(Self);
+  Self.m_ManifestUpdates.clear();
+  Self.m_UpdatesTo = Version;
+}
+
 /// The update from a version, made once for all routers that hold it.
 const ManifestUpdate &manifestUpdate(Keeper &Self, std::uint64_t From) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
-  if (Self.m_UpdatesTo != Held.m_Version) {
-    rememberManifest(Self);
-    Self.m_ManifestUpdates.clear();
-    Self.m_UpdatesTo = Held.m_Version;
-  }
+  refreshManifestUpdates(Self);
   // Routers with an unknown version share the update with the whole text.
   std::uint64_t Base = hasTextVersion(Self.m_Manifests, From) ? From : 0;
   std::map<std::uint64_t, ManifestUpdate>::iterator Known =
@@ -119,8 +126,6 @@
         if (Known->m_Outcome == ManifestOutcome::BaseChanged)
           return proposeManifest(Self, Exchange, Version, Text, Routes);
         bool Applied = Known->m_Outcome == ManifestOutcome::InForce;
-        if (Applied)
-          rememberManifest(Self);
         logEvent(Applied ? Event::ManifestAccepted : Event::ManifestSuperseded,
                  {{"version", Version},
                   {"held", Known->m_Version},
@@ -189,27 +194,53 @@
 }
 
 void attachMemberIds(Keeper &Self, const Renew &Request, Grant &Granted) {
-  if (!Request.m_IdsOnly || Request.m_AckedEpoch >= Self.m_State.m_Epoch)
+  SharedMemberIds &Shared = Self.m_MemberIds;
+  Epoch Known = Self.m_State.m_Epoch;
+  if (!Request.m_IdsOnly || Request.m_AckedEpoch >= Known)
     return;
-  std::vector<NodeId> Nodes;
-  for (const std::pair<const NodeId, Member> &Row : Self.m_State.m_Members)
-    Nodes.push_back(Row.first);
-  std::string Text = encodeMemberIds(Nodes);
-  addTextVersion(Self.m_MemberIds, Self.m_State.m_Epoch.m_Value, Text);
-  TextUpdate Update =
-      makeTextUpdate(Self.m_MemberIds, Request.m_AckedEpoch.m_Value, Text);
-  Granted.m_IdsBase = Epoch(Update.m_Base);
-  Granted.m_IdsDelta = std::move(Update.m_Delta);
+  if (Shared.m_Epoch != Known) {
+    std::vector<NodeId> Nodes;
+    for (const std::pair<const NodeId, Member> &Row : Self.m_State.m_Members)
+      Nodes.push_back(Row.first);
+    Shared.m_Epoch = Known;
+    Shared.m_Text = encodeMemberIds(Nodes);
+    Shared.m_Updates.clear();
+    addTextVersion(Shared.m_History, Known.m_Value, Shared.m_Text);
+  }
+  std::uint64_t Held = Request.m_AckedEpoch.m_Value;
+  std::uint64_t Base = hasTextVersion(Shared.m_History, Held) ? Held : 0;
+  std::map<std::uint64_t, TextUpdate>::iterator Update =
+      Shared.m_Updates.find(Base);
+  if (Update == Shared.m_Updates.end())
+    Update = Shared.m_Updates
+                 .emplace(Base,
+                          makeTextUpdate(Shared.m_History, Base, Shared.m_Text))
+                 .first;
+  Granted.m_IdsEpoch = Known;
+  Granted.m_IdsBase = Epoch(Update->second.m_Base);
+  Granted.m_IdsDelta = Update->second.m_Delta;
 }
 
-void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted) {
+void stateManifestDeadline(const Keeper &Self, const Renew &Request,
+                           Grant &Granted) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
-  if (Request.m_ManifestHeld >= Held.m_Version)
-    return;
   // A leader that did not accept this manifest itself sends no deadline: the
   // manifest counts as acknowledged.
-  if (Self.m_ManifestAck.m_Version == Held.m_Version)
+  if (Request.m_ManifestHeld < Held.m_Version &&
+      Self.m_ManifestAck.m_Version == Held.m_Version)
     Granted.m_ManifestAckedIn = Self.m_ManifestAck.m_Deadline - monotonicNow();
+}
+
+void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted) {
+  const StoredManifest &Held = Self.m_State.m_Manifest;
+  // A follower that relays the grant may be behind the leader or, after a
+  // change of the leader, ahead of it.
+  if (Request.m_ManifestHeld >= Held.m_Version ||
+      Held.m_Version < Granted.m_ManifestVersion)
+    return;
+  Granted.m_ManifestVersion = Held.m_Version;
+  if (leads(Self))
+    stateManifestDeadline(Self, Request, Granted);
   const ManifestUpdate &Update = manifestUpdate(Self, Request.m_ManifestHeld);
   if (!reserveLink(Self.m_ManifestLink, Update.m_Delta.size(), monotonicNow()))
     return;
@@ -217,4 +248,22 @@
   Granted.m_ManifestDelta = Update.m_Delta;
 }
 
+bool addManifestUpdate(Keeper &Self, std::uint64_t Held, ControlUpdate &Change,
+                       Millis Now) {
+  const ManifestUpdate &Update = manifestUpdate(Self, Held);
+  if (!reserveLink(Self.m_ManifestLink, Update.m_Delta.size(), Now))
+    return false;
+  Change.m_ManifestBase = Update.m_Base;
+  Change.m_ManifestDelta = Update.m_Delta;
+  return true;
+}
+
+void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change) {
+  if (Self.m_State.m_Manifest.m_Version != Change.m_Version)
+    return;
+  refreshManifestUpdates(Self);
+  Self.m_ManifestUpdates[Change.m_BaseVersion] = {Change.m_BaseVersion,
+                                                  Change.m_Delta};
+}
+
 } // namespace vanillaferry::internal
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -85,6 +85,9 @@
       return;
     }
     Answer = applyCommand(Self.m_State, Entry.m_Index, Input.value());
+    if (const ReplaceManifest *Change =
+            std::get_if<ReplaceManifest>(&Input.value()))
+      rememberManifestChange(Self, *Change);
   } else if (Entry.m_Kind == EntryKind::KeeperSet) {
     logEvent(Event::KeeperSetChanged, {{"index", Entry.m_Index.m_Value}});
   }
@@ -108,7 +111,6 @@
   Waits.swap(Self.m_InForceWaits);
   for (InForceWait &Wait : Waits)
     Wait.m_OnDone(false);
-  Self.m_WaitingRenewals.clear();
   Self.m_Removing.clear();
   Self.m_Leases.reset();
 }
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -11,12 +11,6 @@
 
 constexpr Millis LeaseCheckInterval{100};
 constexpr Millis ClockInterval{60000};
-/// Time that a keeper with a twentieth of a core needs for one early renewal.
-/// Announcements are at least this long apart for each router.
-constexpr Millis RenewalProcessingTime{5};
-/// Most renewals kept while a new leader waits for its quorum lease; the target
-/// size has no more routers than this.
-constexpr std::size_t MaxWaitingRenewals = 10000;
 /// Largest message that is accepted in parts.
 constexpr std::size_t MaxLongMessageBytes = std::size_t(1) << 30;
 
@@ -39,65 +33,6 @@
 
 namespace {
 
-/// Records a router's running requests and adds the sum of the other routers'
-/// to its grant.
-void exchangeLoads(Keeper &Self, const Renew &Request, Grant &Granted,
-                   Millis Now) {
-  if (!Request.m_IdsOnly)
-    return;
-  Result<std::vector<KeyedLoad>> Loads = decodeLoads(Request.m_Loads);
-  if (!Loads) {
-    logEvent(Event::PeerFrameMalformed,
-             {{"from", Request.m_Node.m_Value}, {"why", Loads.error().m_Text}});
-    return;
-  }
-  noteLoads(Self.m_LoadBoard, Request.m_Node, std::move(Loads.value()), Now);
-  std::optional<std::vector<KeyedLoad>> Others = loadsOfOthers(
-      Self.m_LoadBoard, Request.m_Node, Self.m_State.m_Members.size(), Now);
-  Granted.m_LoadsSummed = Others.has_value();
-  if (Others)
-    Granted.m_OthersLoads = encodeLoads(*Others);
-}
-
-void renew(Keeper &Self, const Renew &Request, bool MayPropose) {
-  Millis Now = monotonicNow();
-  LeaseTable *Table = grantingTable(Self, Now);
-  if (!Table) {
-    if (leads(Self) && Self.m_WaitingRenewals.size() < MaxWaitingRenewals)
-      Self.m_WaitingRenewals[Request.m_Node] = Request;
-    return;
-  }
-  RenewDecision Decision = renewLease(*Table, Self.m_State, Request, Now);
-  if (Decision.m_Grant) {
-    addCounter(Self.m_Metrics, "vanillaferry_leases_granted_total");
-    attachManifest(Self, Request, *Decision.m_Grant);
-    attachTargets(Self, Request, *Decision.m_Grant);
-    attachMemberIds(Self, Request, *Decision.m_Grant);
-    exchangeLoads(Self, Request, *Decision.m_Grant, Now);
-    Self.m_Peers->send(Request.m_Node, std::move(*Decision.m_Grant));
-  }
-  if (!MayPropose)
-    return;
-  // Without a grant the router waits for the change; its renewal is handled
-  // once more when the change is applied.
-  bool Again = !Decision.m_Grant;
-  for (Command &Change : Decision.m_Propose)
-    proposeCommand(Self, std::move(Change),
-                   [&Self, Request, Again](const CommandAnswer *Answer) {
-                     if (Answer && Again)
-                       renew(Self, Request, false);
-                   });
-}
-
-void onRenew(Keeper &Self, const NodeId &From, const Renew &Request) {
-  if (Request.m_Node != From)
-    return;
-  if (!leads(Self))
-    redirectToLeader(Self, From);
-  else
-    renew(Self, Request, true);
-}
-
 void onLoadUpdate(Keeper &Self, const NodeId &From, const LoadUpdate &Update) {
   Millis Now = monotonicNow();
   LeaseTable *Table =
@@ -177,6 +112,14 @@
 void onMessage(Keeper &Self, const NodeId &From, PeerMessage &Message) {
   if (const Renew *Request = std::get_if<Renew>(&Message))
     onRenew(Self, From, *Request);
+  else if (Grant *Granted = std::get_if<Grant>(&Message))
+    onRelayedGrant(Self, From, std::move(*Granted));
+  else if (const TargetListUpdate *List =
+               std::get_if<TargetListUpdate>(&Message))
+    onTargetListUpdate(Self, From, *List);
+  else if (const TargetListRequest *Held =
+               std::get_if<TargetListRequest>(&Message))
+    onTargetListRequest(Self, From, *Held);
   else if (const LoadUpdate *Update = std::get_if<LoadUpdate>(&Message))
     onLoadUpdate(Self, From, *Update);
   else if (const JournalBegin *Begin = std::get_if<JournalBegin>(&Message))
@@ -223,27 +166,6 @@
   }
 }
 
-/// Asks routers to renew at once after a change, so that it is in force before
-/// their next ordinary renewal.
-void announceChanges(Keeper &Self, Millis Now) {
-  RenewRequest Change{Self.m_State.m_Epoch, Self.m_State.m_Document.m_Version};
-  if ((Change.m_Epoch <= Self.m_Announced.m_Epoch &&
-       Change.m_Version <= Self.m_Announced.m_Version) ||
-      Now < Self.m_NextAnnouncement)
-    return;
-  Self.m_Announced = Change;
-  const std::map<NodeId, NodeLease> &Leases = Self.m_Leases->m_Leases;
-  Self.m_NextAnnouncement =
-      Now + Millis(RenewalProcessingTime.m_Value *
-                   static_cast<std::int64_t>(Leases.size()));
-  for (const std::pair<const NodeId, NodeLease> &Row : Leases) {
-    bool OldMembers =
-        Row.second.m_AckedEpoch < Change.m_Epoch && !Row.second.m_IdsOnly;
-    if (OldMembers || Row.second.m_AckedVersion < Change.m_Version)
-      Self.m_Peers->send(Row.first, Change);
-  }
-}
-
 /// Asks routers to renew at once, so that they learn of a leaving VM before
 /// their next ordinary renewal.
 void announceLeavingVms(Keeper &Self, Millis Now) {
@@ -262,6 +184,13 @@
   return Options;
 }
 
+bool isKeeper(const Keeper &Self, const NodeId &Node) {
+  std::map<NodeId, ConnectedPeer>::const_iterator Known =
+      Self.m_Connected.find(Node);
+  return Known != Self.m_Connected.end() &&
+         Known->second.m_Role == NodeRole::Keeper;
+}
+
 bool leads(const Keeper &Self) {
   return Self.m_Running && Self.m_Replica.m_Role == ReplicaRole::Leader;
 }
@@ -280,14 +209,10 @@
   tickOrders(Self, Now);
   if (!grantingTable(Self, Now))
     return;
-  announceChanges(Self, Now);
   announceLeavingVms(Self, Now);
   repairKeeperSet(Self, Now);
   readTargetsWhenDue(Self, Now);
-  std::map<NodeId, Renew> Waiting;
-  Waiting.swap(Self.m_WaitingRenewals);
-  for (const std::pair<const NodeId, Renew> &Row : Waiting)
-    renew(Self, Row.second, true);
+  grantWaitingRenewals(Self);
   if (Now >= Self.m_NextLeaseCheck) {
     Self.m_NextLeaseCheck = Now + LeaseCheckInterval;
     removeExpiredMembers(Self, Now);
@@ -314,6 +239,7 @@
     Self.m_NextClaim = Millis(0);
   } else if (--Peer.m_Links == 0) {
     Self.m_Connected.erase(Event.m_From);
+    Self.m_Served.erase(Event.m_From);
     Self.m_Partial.erase(Event.m_From);
   }
 }
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -2,33 +2,14 @@
 #include "process/clock.hpp"
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
-#include "vanillaferry/process/node_lease.hpp"
 #include "vanillaferry/version/target_listing.hpp"
+#include "vanillaferry/version/text_delta.hpp"
 
 namespace vanillaferry::internal {
 
 namespace {
 
 constexpr Millis ReadInterval{700};
-/// Routers that renew at least this often learn of leaving targets in time
-/// without being asked to renew; asking all of them at once costs the leader as
-/// much as all their ordinary renewals.
-constexpr Millis FrequentRenewal{1000};
-
-/// Asks routers to renew at once, so that they learn of leaving targets before
-/// their next ordinary renewal.
-void announceTargets(Keeper &Self) {
-  if (!leads(Self) || !Self.m_Leases)
-    return;
-  const std::map<NodeId, NodeLease> &Leases = Self.m_Leases->m_Leases;
-  if (gatewayRenewInterval(Leases.size()) <= FrequentRenewal)
-    return;
-  for (const std::pair<const NodeId, NodeLease> &Row : Leases)
-    Self.m_Peers->send(
-        Row.first,
-        RenewRequest{Self.m_State.m_Epoch, Self.m_State.m_Document.m_Version});
-}
-
 /// The update from the list with this digest, computed once for all routers
 /// that hold it.
 const TextUpdate &targetUpdate(SharedTargetList &Shared, std::uint64_t Held) {
@@ -43,6 +24,55 @@
   return Known->second;
 }
 
+TargetListUpdate updateFrom(SharedTargetList &Shared, std::uint64_t Held) {
+  TargetListUpdate Message;
+  Message.m_Digest = Shared.m_Digest;
+  Message.m_Age = monotonicNow() - Shared.m_LastRead;
+  if (Held == Shared.m_Digest)
+    return Message;
+  const TextUpdate &Update = targetUpdate(Shared, Held);
+  Message.m_Base = Update.m_Base;
+  Message.m_Delta = Update.m_Delta;
+  return Message;
+}
+
+/// Replaces the list and sends the change to the gateways connected here, so
+/// that they know of leaving targets before their next renewal.
+void replaceSharedList(Keeper &Self, std::string Text, std::uint64_t Digest) {
+  SharedTargetList &Shared = Self.m_SharedTargets;
+  Shared.m_Digest = Digest;
+  Shared.m_Text = std::move(Text);
+  addTextVersion(Shared.m_History, Digest, Shared.m_Text);
+  Shared.m_Updates.clear();
+  for (std::pair<const NodeId, ServedGateway> &Row : Self.m_Served) {
+    std::uint64_t &Held = Row.second.m_Last.m_TargetsHeld;
+    if (Held == 0)
+      continue;
+    Self.m_Peers->send(Row.first, updateFrom(Shared, Held));
+    Held = Digest;
+  }
+}
+
+/// Sends the leader's list to the other keepers, as a change from the list that
+/// they were sent before.
+void sendToFollowers(Keeper &Self, std::uint64_t Before) {
+  TargetListUpdate Update = updateFrom(Self.m_SharedTargets, Before);
+  for (const std::pair<const NodeId, ConnectedPeer> &Row : Self.m_Connected)
+    if (Row.second.m_Role == NodeRole::Keeper)
+      Self.m_Peers->send(Row.first, Update);
+}
+
+/// A keeper that starts to lead continues from the former leader's list.
+void restoreColdTimes(SharedTargetList &Shared) {
+  if (!Shared.m_Last.empty() || Shared.m_Text.empty())
+    return;
+  Result<std::vector<ListedTarget>> Known = decodeTargets(Shared.m_Text);
+  if (Known)
+    Shared.m_Last = std::move(Known.value());
+  else
+    logEvent(Event::TargetListFailed, {{"why", Known.error().m_Text}});
+}
+
 void onTargetListRead(Keeper &Self, Result<std::vector<ListedTarget>> Read) {
   SharedTargetList &Shared = Self.m_SharedTargets;
   if (!Read) {
@@ -52,21 +82,22 @@
     addCounter(Self.m_Metrics, "vanillaferry_target_list_failures_total");
     return;
   }
+  if (!leads(Self))
+    return;
+  restoreColdTimes(Shared);
   retainColdTimes(Read.value(), Shared.m_Last);
   Shared.m_Last = std::move(Read.value());
   Shared.m_LastRead = monotonicNow();
   std::string Text = encodeTargets(Shared.m_Last);
   std::uint64_t Digest = textDigest(Text);
-  if (Digest == Shared.m_Digest)
-    return;
-  Shared.m_Digest = Digest;
-  Shared.m_Text = std::move(Text);
-  addTextVersion(Shared.m_History, Digest, Shared.m_Text);
-  logEvent(Event::TargetListRead,
-           {{"targets", static_cast<std::uint64_t>(Shared.m_Last.size())},
-            {"digest", Digest}});
-  Shared.m_Updates.clear();
-  announceTargets(Self);
+  std::uint64_t Before = Shared.m_Digest;
+  if (Digest != Before) {
+    logEvent(Event::TargetListRead,
+             {{"targets", static_cast<std::uint64_t>(Shared.m_Last.size())},
+              {"digest", Digest}});
+    replaceSharedList(Self, std::move(Text), Digest);
+  }
+  sendToFollowers(Self, Before);
 }
 
 } // namespace
@@ -92,13 +123,44 @@
   SharedTargetList &Shared = Self.m_SharedTargets;
   if (Shared.m_Digest == 0)
     return;
-  Granted.m_TargetsDigest = Shared.m_Digest;
-  Granted.m_TargetsAge = monotonicNow() - Shared.m_LastRead;
-  if (Request.m_TargetsHeld == Shared.m_Digest)
-    return;
-  const TextUpdate &Update = targetUpdate(Shared, Request.m_TargetsHeld);
+  TargetListUpdate Update = updateFrom(Shared, Request.m_TargetsHeld);
+  Granted.m_TargetsDigest = Update.m_Digest;
+  Granted.m_TargetsAge = Update.m_Age;
   Granted.m_TargetsBase = Update.m_Base;
-  Granted.m_TargetsDelta = Update.m_Delta;
+  Granted.m_TargetsDelta = std::move(Update.m_Delta);
+}
+
+void onTargetListUpdate(Keeper &Self, const NodeId &From,
+                        const TargetListUpdate &Update) {
+  SharedTargetList &Shared = Self.m_SharedTargets;
+  if (leads(Self) || !isKeeper(Self, From) || Update.m_Digest == 0)
+    return;
+  Millis ReadAt = monotonicNow() - Update.m_Age;
+  if (ReadAt < Shared.m_LastRead)
+    return;
+  if (Update.m_Digest != Shared.m_Digest) {
+    bool Applies = Update.m_Base == 0 || Update.m_Base == Shared.m_Digest;
+    if (Update.m_Delta.empty() || !Applies)
+      return Self.m_Peers->send(From, TargetListRequest{Shared.m_Digest});
+    Result<std::string> Text = applyTextDelta(
+        Update.m_Base == 0 ? std::string() : Shared.m_Text, Update.m_Delta);
+    if (!Text || textDigest(Text.value()) != Update.m_Digest) {
+      logEvent(Event::TargetListFailed,
+               {{"why", Text ? "the list has another digest than stated"
+                             : Text.error().m_Text}});
+      return Self.m_Peers->send(From, TargetListRequest{0});
+    }
+    Shared.m_Last.clear();
+    Shared.m_LastRead = ReadAt;
+    replaceSharedList(Self, std::move(Text.value()), Update.m_Digest);
+  }
+  Shared.m_LastRead = ReadAt;
+}
+
+void onTargetListRequest(Keeper &Self, const NodeId &From,
+                         const TargetListRequest &Request) {
+  if (leads(Self) && isKeeper(Self, From) && Self.m_SharedTargets.m_Digest != 0)
+    Self.m_Peers->send(From, updateFrom(Self.m_SharedTargets, Request.m_Held));
 }
 
 } // namespace vanillaferry::internal
--- a/src/daemon/process/mailbox.hpp
+++ b/src/daemon/process/mailbox.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 #include <glib.h>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <utility>
@@ -9,6 +12,13 @@
 
 namespace vanillaferry {
 
+struct MailboxOptions {
+  /// GLib priority of the handler among the context's other sources.
+  gint m_Priority = G_PRIORITY_DEFAULT;
+  /// Messages handled before the context's other sources get a turn.
+  std::size_t m_PerTurn = static_cast<std::size_t>(-1);
+};
+
 /// Queue of messages into a task on a GLib main context. Any thread may post;
 /// the handler runs on the context's thread. The lock covers only the queue
 /// itself, never a task's state.
@@ -16,9 +26,11 @@
 public:
   using Handler = std::function<void(Message)>;
 
-  Mailbox(GMainContext *Context, Handler OnMessage)
+  Mailbox(GMainContext *Context, Handler OnMessage, MailboxOptions Options = {})
       : m_State(std::make_shared<State>()) {
     m_State->m_OnMessage = std::move(OnMessage);
+    m_State->m_PerTurn = Options.m_PerTurn;
+    m_Priority = Options.m_Priority;
     m_Context = Context;
   }
   ~Mailbox() { m_State->m_Closed = true; }
@@ -34,7 +46,7 @@
       m_State->m_Scheduled = true;
     }
     GSource *Source = g_idle_source_new();
-    g_source_set_priority(Source, G_PRIORITY_DEFAULT);
+    g_source_set_priority(Source, m_Priority);
     g_source_set_callback(Source, &Mailbox::dispatch,
                           new std::shared_ptr<State>(m_State),
                           &Mailbox::release);
@@ -45,7 +57,8 @@
 private:
   struct State {
     std::mutex m_Mutex;
-    std::vector<Message> m_Queue;
+    std::deque<Message> m_Queue;
+    std::size_t m_PerTurn = 0;
     bool m_Scheduled = false;
     /// Read and written on the context's thread only.
     bool m_Closed = false;
@@ -55,17 +68,23 @@
   static gboolean dispatch(gpointer Data) {
     std::shared_ptr<State> Self = *static_cast<std::shared_ptr<State> *>(Data);
     std::vector<Message> Batch;
+    bool More = false;
     {
       std::lock_guard<std::mutex> Guard(Self->m_Mutex);
-      Batch.swap(Self->m_Queue);
-      Self->m_Scheduled = false;
+      std::deque<Message> &Queue = Self->m_Queue;
+      std::size_t Count = std::min(Queue.size(), Self->m_PerTurn);
+      Batch.assign(std::make_move_iterator(Queue.begin()),
+                   std::make_move_iterator(Queue.begin() + Count));
+      Queue.erase(Queue.begin(), Queue.begin() + Count);
+      More = !Queue.empty();
+      Self->m_Scheduled = More;
     }
     for (Message &Input : Batch) {
       if (Self->m_Closed)
-        break;
+        return G_SOURCE_REMOVE;
       Self->m_OnMessage(std::move(Input));
     }
-    return G_SOURCE_REMOVE;
+    return More ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
   }
 
   static void release(gpointer Data) {
@@ -74,6 +93,7 @@
 
   std::shared_ptr<State> m_State;
   GMainContext *m_Context = nullptr;
+  gint m_Priority = G_PRIORITY_DEFAULT;
 };
 
 } // namespace vanillaferry
--- a/tests/core/ManifestKnowledge.tests.cpp
+++ b/tests/core/ManifestKnowledge.tests.cpp
@@ -14,7 +14,7 @@
   BOOST_TEST(!mayRejectPermanently(Known, Millis(0)));
   noteManifestCurrent(Known, Millis(1000));
   BOOST_TEST(mayRejectPermanently(Known, Millis(1500)));
-  noteManifestOutdated(Known, Millis(2100));
+  noteManifestOutdated(Known, 2, Millis(2100));
   BOOST_TEST(!mayRejectPermanently(Known, Millis(1620)));
   noteManifestCurrent(Known, Millis(2300));
   BOOST_TEST(mayRejectPermanently(Known, Millis(2400)));
@@ -33,9 +33,9 @@
 BOOST_AUTO_TEST_CASE(AnOutdatedManifestIsUsedForALimitedTime) {
   ManifestKnowledge Known;
   noteManifestCurrent(Known, Millis(1000));
-  noteManifestOutdated(Known, Millis(2500));
+  noteManifestOutdated(Known, 2, Millis(2500));
   // A second newer manifest does not extend the time.
-  noteManifestOutdated(Known, Millis(3500));
+  noteManifestOutdated(Known, 3, Millis(3500));
   BOOST_TEST(mayUseManifest(Known, Millis(4000)));
   BOOST_TEST(!mayUseManifest(Known, Millis(4100)));
   noteManifestCurrent(Known, Millis(4200));
@@ -48,7 +48,7 @@
 BOOST_AUTO_TEST_CASE(AManifestThatIsAcknowledgedLateLeavesMoreTime) {
   ManifestKnowledge Known;
   noteManifestCurrent(Known, Millis(1000));
-  noteManifestOutdated(Known, Millis(1020 + 2250));
+  noteManifestOutdated(Known, 2, Millis(1020 + 2250));
   BOOST_TEST(mayUseManifest(Known, Millis(4700)));
   BOOST_TEST(!mayUseManifest(Known, Millis(4800)));
 }
@@ -58,8 +58,21 @@
 BOOST_AUTO_TEST_CASE(AnOldAcknowledgementLeavesNoTime) {
   ManifestKnowledge Known;
   noteManifestCurrent(Known, Millis(1000));
-  noteManifestOutdated(Known, Millis(5000));
+  noteManifestOutdated(Known, 2, Millis(5000));
   BOOST_TEST(!mayUseManifest(Known, Millis(9000)));
 }
 
+// Guards against refusals of a gateway that got the newer manifest from its
+// keeper, but whose next renewal is seconds away, as with 291 gateways.
+BOOST_AUTO_TEST_CASE(AManifestReceivedWithoutAGrantMayBeUsedButDeniesNothing) {
+  ManifestKnowledge Known;
+  noteManifestCurrent(Known, Millis(1000));
+  noteManifestOutdated(Known, 3, Millis(1200));
+  noteManifestReceived(Known, 2);
+  BOOST_TEST(!mayUseManifest(Known, Millis(2800)));
+  noteManifestReceived(Known, 3);
+  BOOST_TEST(mayUseManifest(Known, Millis(2800)));
+  BOOST_TEST(!mayRejectPermanently(Known, Millis(2800)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -73,8 +73,10 @@
              1ULL << 40,
              1ULL << 63,
              true,
-             std::string("\0\xff", 2)};
+             std::string("\0\xff", 2),
+             1ULL << 39};
   Renew Got = roundTrip(Sent);
+  SAME(m_KeeperSetHeld);
   SAME(m_Node);
   SAME(m_Incarnation);
   SAME(m_Sequence);
@@ -135,8 +137,16 @@
              "t2;n}",
              true,
              std::string("\xff\0", 2),
-             Millis(-7)};
+             Millis(-7),
+             NodeId("gateway-9"),
+             Epoch(6),
+             1ULL << 38,
+             {{"ws://10.0.0.1:7340"}}};
   Grant Got = roundTrip(Sent);
+  SAME(m_Node);
+  SAME(m_IdsEpoch);
+  SAME(m_KeeperSet);
+  SAME(m_Keepers.at(0).m_PeerUrl);
   SAME(m_Sequence);
   SAME(m_Duration);
   SAME(m_Epoch);
@@ -406,6 +416,33 @@
     SAME(m_Keeper);
     SAME(m_PeerUrl);
   }
+  {
+    TargetListUpdate Sent{1ULL << 63, 1ULL << 62, "t2;[]", Millis(12)};
+    TargetListUpdate Got = roundTrip(Sent);
+    SAME(m_Digest);
+    SAME(m_Base);
+    SAME(m_Delta);
+    SAME(m_Age);
+  }
+  {
+    TargetListRequest Sent{1ULL << 61};
+    TargetListRequest Got = roundTrip(Sent);
+    SAME(m_Held);
+  }
+  {
+    ControlUpdate Sent{DocumentVersion(4),
+                       {{ZoneId("Ibarra")}},
+                       1ULL << 41,
+                       1ULL << 40,
+                       std::string("\xff\0", 2)};
+    ControlUpdate Got = roundTrip(Sent);
+    SAME(m_Version);
+    BOOST_REQUIRE_EQUAL(Got.m_ZonesOut.size(), 1U);
+    SAME(m_ZonesOut[0].m_Zone);
+    SAME(m_ManifestVersion);
+    SAME(m_ManifestBase);
+    SAME(m_ManifestDelta);
+  }
 }
 
 // Guards against a batch that loses or reorders messages.
