Elect a leader at once when all voters have restarted

Cause: after all keepers stop at once, each holds back its vote for four heartbeats, because it may have confirmed a leader just before it stopped.

Change: a voter answers a pre-vote with whether it knew a leader since its start. When every voter of the newest set, and of the one before while that may be in force, answers so, no leader's lease counts on their confirmations, and the candidate's vote request says so. Without one answer everything stays as it was; a candidate also waits for its own confirmation to expire.

Ruled out: shorter heartbeats, which a keeper with 0.05 core misses.

--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -88,6 +88,10 @@
   LogIndex m_Acked;
   /// Answers: the sender's disk lost data or was re-created; it must not count.
   bool m_Regressed = false;
+  /// PreVoteAnswer: the sender does not lead and has heard no leader since its
+  /// start. Vote: all voters answered the candidate so, which rules out a
+  /// leader whose lease the receiver confirmed before it restarted.
+  bool m_NoLeader = false;
   /// InstallSnapshot: the chunk at m_Offset of a total of m_SnapshotSize bytes.
   std::optional<Snapshot> m_Snapshot;
   std::uint64_t m_SnapshotSize = 0;
@@ -189,10 +193,15 @@
   Millis m_LedSince;
   std::map<KeeperId, PeerProgress> m_Peers;
   std::set<KeeperId> m_Votes;
+  /// Candidate: voters that answered this pre-vote with m_NoLeader.
+  std::set<KeeperId> m_WithoutLeader;
   bool m_PreVoting = false;
   Millis m_ElectionDeadline;
   Millis m_NextHeartbeat;
   Millis m_LastLeaderContact;
+  Millis m_StartedAt;
+  /// This process led or heard a leader since it started.
+  bool m_KnewLeader = false;
   std::uint64_t m_ConfirmSequence = 0;
   /// Leader: when the first message with each sequence was sent.
   std::map<std::uint64_t, Millis> m_SequenceSentAt;
--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -48,6 +48,7 @@
   // The keeper may have answered a leader just before it restarted, and that
   // answer is part of the leader's lease.
   State.m_LastLeaderContact = Now;
+  State.m_StartedAt = Now;
   resetElectionDeadline(State, Now);
   return State;
 }
--- a/src/core/process/replication_codec.cpp
+++ b/src/core/process/replication_codec.cpp
@@ -139,8 +139,13 @@
 }
 
 bool readMessage(const Json &Item, ReplicaMessage &Out) {
-  if (!Item.is_array() || Item.size() != 16 || !readHead(Item, Out) ||
-      !Item[12].is_array())
+  // The last item is present only when it is true, so that keepers of an older
+  // build understand all other messages.
+  bool HasNoLeader = Item.is_array() && Item.size() == 17;
+  if (!Item.is_array() || (Item.size() != 16 && !HasNoLeader) ||
+      !readHead(Item, Out) || !Item[12].is_array())
+    return false;
+  if (HasNoLeader && !readBool(Item[16], Out.m_NoLeader))
     return false;
   Out.m_Entries.resize(Item[12].size());
   for (std::size_t I = 0; I < Out.m_Entries.size(); ++I)
@@ -199,7 +204,7 @@
   nlohmann::json Entries = nlohmann::json::array();
   for (const LogEntry &Entry : Message.m_Entries)
     Entries.push_back(entryToJson(Entry));
-  return encodeCbor(nlohmann::json::array(
+  nlohmann::json Items = nlohmann::json::array(
       {static_cast<unsigned>(Message.m_Kind), Message.m_From.m_Value,
        Message.m_To.m_Value, Message.m_Term.m_Value,
        Message.m_PreviousIndex.m_Value, Message.m_PreviousTerm.m_Value,
@@ -208,7 +213,10 @@
        std::move(Entries),
        Message.m_Snapshot ? snapshotToJson(*Message.m_Snapshot)
                           : nlohmann::json(),
-       Message.m_SnapshotSize, Message.m_Offset}));
+       Message.m_SnapshotSize, Message.m_Offset});
+  if (Message.m_NoLeader)
+    Items.push_back(true);
+  return encodeCbor(Items);
 }
 
 Result<ReplicaMessage> decodeReplicaMessage(const std::string &Data) {
--- a/src/core/process/replication_election.cpp
+++ b/src/core/process/replication_election.cpp
@@ -1,5 +1,7 @@
 #include "process/internal/replica.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry::internal {
 
 namespace {
@@ -19,12 +21,13 @@
 }
 
 void requestVotes(Replica &State, std::vector<ReplicaMessage> &Out,
-                  ReplicaMessage::Kind Kind, Term ForTerm) {
+                  ReplicaMessage::Kind Kind, Term ForTerm, bool NoLeader) {
   for (const KeeperAddress &Voter : State.m_Set.m_Voters) {
     if (Voter.m_Keeper == State.m_Self)
       continue;
     ReplicaMessage Message = makeMessage(State, Kind, Voter.m_Keeper);
     Message.m_Term = ForTerm;
+    Message.m_NoLeader = NoLeader;
     Message.m_PreviousIndex = lastIndex(State);
     Message.m_PreviousTerm = lastTerm(State);
     Out.push_back(std::move(Message));
@@ -38,7 +41,35 @@
   return Count >= quorumSize(State.m_Set);
 }
 
+/// Until votes by majority are allowed, a keeper asks often whether all voters
+/// have restarted.
+bool allMayHaveStopped(const Replica &State, Millis Now) {
+  return !State.m_KnewLeader &&
+         Now < State.m_StartedAt + State.m_Options.m_ElectionMin;
+}
+
+/// True when every voter of the newest set, and of the one before it if that
+/// may still be in force, answered this pre-vote without knowing a leader.
+/// Leases that a former leader held when all keepers stopped are then void.
+bool noneKnowsALeader(const Replica &State) {
+  auto AllAnswered = [&State](const KeeperSet &Set) {
+    return std::all_of(Set.m_Voters.begin(), Set.m_Voters.end(),
+                       [&State](const KeeperAddress &Voter) {
+                         return Voter.m_Keeper == State.m_Self ||
+                                State.m_Votes.count(Voter.m_Keeper) != 0 ||
+                                State.m_WithoutLeader.count(Voter.m_Keeper) !=
+                                    0;
+                       });
+  };
+  bool Uncommitted =
+      State.m_SetIndex > State.m_Commit && State.m_SetIndex > LogIndex(0);
+  return !State.m_KnewLeader && AllAnswered(State.m_Set) &&
+         (!Uncommitted ||
+          AllAnswered(setAt(State, LogIndex(State.m_SetIndex.m_Value - 1))));
+}
+
 void startVote(Replica &State, ReplicaActions &Actions, Millis Now) {
+  bool NoLeader = noneKnowsALeader(State);
   State.m_PreVoting = false;
   State.m_Hard.m_Term = Term(State.m_Hard.m_Term.m_Value + 1);
   State.m_Hard.m_VotedFor = State.m_Self;
@@ -55,7 +86,14 @@
   // This keeper's own vote must be synced before another one completes a
   // quorum.
   requestVotes(State, Actions.m_SendAfterSync, ReplicaMessage::Kind::Vote,
-               State.m_Hard.m_Term);
+               State.m_Hard.m_Term, NoLeader);
+}
+
+/// A majority suffices once this keeper's own confirmation of a leader has
+/// expired.
+bool mayStartVote(const Replica &State, Millis Now) {
+  return noneKnowsALeader(State) ||
+         (hasVoteQuorum(State) && !seesLiveLeader(State, Now));
 }
 
 } // namespace
@@ -71,9 +109,12 @@
 }
 
 void resetElectionDeadline(Replica &State, Millis Now) {
+  const ReplicaOptions &Options = State.m_Options;
+  std::int64_t Heartbeat = Options.m_HeartbeatInterval.m_Value;
+  bool Early = allMayHaveStopped(State, Now);
   std::uniform_int_distribution<std::int64_t> Spread(
-      State.m_Options.m_ElectionMin.m_Value,
-      State.m_Options.m_ElectionMax.m_Value);
+      Early ? Heartbeat / 2 : Options.m_ElectionMin.m_Value,
+      Early ? Heartbeat * 3 : Options.m_ElectionMax.m_Value);
   State.m_ElectionDeadline = Now + Millis(Spread(State.m_Random));
 }
 
@@ -112,13 +153,14 @@
   State.m_PreVoting = true;
   State.m_Leader = KeeperId();
   State.m_Votes = {State.m_Self};
+  State.m_WithoutLeader.clear();
   resetElectionDeadline(State, Now);
-  if (hasVoteQuorum(State)) {
+  if (mayStartVote(State, Now)) {
     startVote(State, Actions, Now);
     return;
   }
   requestVotes(State, Actions.m_Send, ReplicaMessage::Kind::PreVote,
-               Term(State.m_Hard.m_Term.m_Value + 1));
+               Term(State.m_Hard.m_Term.m_Value + 1), false);
 }
 
 void receivePreVote(Replica &State, ReplicaActions &Actions,
@@ -127,24 +169,34 @@
     return;
   ReplicaMessage Answer =
       makeMessage(State, ReplicaMessage::Kind::PreVoteAnswer, Message.m_From);
-  Answer.m_Granted = State.m_VotingAllowed && !seesLiveLeader(State, Now) &&
-                     Message.m_Term > State.m_Hard.m_Term &&
-                     isUpToDate(State, Message);
-  if (Answer.m_Granted)
+  bool Eligible = State.m_VotingAllowed &&
+                  Message.m_Term > State.m_Hard.m_Term &&
+                  isUpToDate(State, Message);
+  Answer.m_Granted = Eligible && !seesLiveLeader(State, Now);
+  Answer.m_NoLeader = Eligible && !Answer.m_Granted && !State.m_KnewLeader;
+  if (Answer.m_Granted || Answer.m_NoLeader)
     Answer.m_Term = Message.m_Term;
+  // Leaves the first candidate after a restart of all keepers time to win.
+  if (Answer.m_NoLeader && State.m_Role != ReplicaRole::Candidate)
+    State.m_ElectionDeadline = std::max(
+        State.m_ElectionDeadline, Now + State.m_Options.m_HeartbeatInterval);
   Actions.m_Send.push_back(std::move(Answer));
 }
 
 void receiveVote(Replica &State, ReplicaActions &Actions,
                  const ReplicaMessage &Message, Millis Now) {
-  if (isRemoved(State.m_Set, Message.m_From) || seesLiveLeader(State, Now))
+  // Without a leader among the voters, nobody relies on a confirmation that
+  // this keeper gave before it restarted.
+  bool Free = Message.m_NoLeader && !State.m_KnewLeader;
+  if (isRemoved(State.m_Set, Message.m_From) ||
+      (!Free && seesLiveLeader(State, Now)))
     return;
   if (Message.m_Term > State.m_Hard.m_Term)
     becomeFollower(State, Actions, Message.m_Term, KeeperId(), Now);
-  bool Free = State.m_Hard.m_VotedFor.empty() ||
-              State.m_Hard.m_VotedFor == Message.m_From;
+  bool HasVote = State.m_Hard.m_VotedFor.empty() ||
+                 State.m_Hard.m_VotedFor == Message.m_From;
   bool Granted = State.m_VotingAllowed &&
-                 Message.m_Term == State.m_Hard.m_Term && Free &&
+                 Message.m_Term == State.m_Hard.m_Term && HasVote &&
                  State.m_Leader.empty() && isUpToDate(State, Message);
   ReplicaMessage Answer =
       makeMessage(State, ReplicaMessage::Kind::VoteAnswer, Message.m_From);
@@ -162,7 +214,8 @@
 void receiveVoteAnswer(Replica &State, ReplicaActions &Actions,
                        const ReplicaMessage &Message, Millis Now) {
   bool PreVote = Message.m_Kind == ReplicaMessage::Kind::PreVoteAnswer;
-  if (!Message.m_Granted) {
+  bool Counts = Message.m_Granted || (PreVote && Message.m_NoLeader);
+  if (!Counts) {
     if (Message.m_Term > State.m_Hard.m_Term)
       becomeFollower(State, Actions, Message.m_Term, KeeperId(), Now);
     return;
@@ -172,12 +225,11 @@
   if (State.m_Role != ReplicaRole::Candidate || State.m_PreVoting != PreVote ||
       Message.m_Term != Expected)
     return;
-  State.m_Votes.insert(Message.m_From);
-  if (!hasVoteQuorum(State))
-    return;
-  if (PreVote)
+  (Message.m_Granted ? State.m_Votes : State.m_WithoutLeader)
+      .insert(Message.m_From);
+  if (PreVote && mayStartVote(State, Now))
     startVote(State, Actions, Now);
-  else
+  else if (!PreVote && hasVoteQuorum(State))
     becomeLeader(State, Actions, Now);
 }
 
--- a/src/core/process/replication_follower.cpp
+++ b/src/core/process/replication_follower.cpp
@@ -201,6 +201,7 @@
       State.m_Leader != Message.m_From)
     becomeFollower(State, Actions, Message.m_Term, Message.m_From, Now);
   State.m_LastLeaderContact = Now;
+  State.m_KnewLeader = true;
   resetElectionDeadline(State, Now);
   State.m_LeaderSequence = std::max(State.m_LeaderSequence, Message.m_Sequence);
   if (Message.m_Acked > lastIndex(State)) {
--- a/src/core/process/replication_leader.cpp
+++ b/src/core/process/replication_leader.cpp
@@ -148,6 +148,7 @@
   State.m_PreVoting = false;
   State.m_Votes.clear();
   State.m_Leader = State.m_Self;
+  State.m_KnewLeader = true;
   State.m_LedSince = Now;
   State.m_TermStart = LogIndex(lastIndex(State).m_Value + 1);
   State.m_Peers.clear();
--- a/tests/core/ReplicationCodec.tests.cpp
+++ b/tests/core/ReplicationCodec.tests.cpp
@@ -27,6 +27,7 @@
   Message.m_PreviousTerm = Term(6);
   Message.m_Commit = LogIndex(5);
   Message.m_Granted = true;
+  Message.m_NoLeader = true;
   Message.m_Match = LogIndex(4);
   Message.m_Sequence = 3;
   Message.m_Acked = LogIndex(2);
@@ -66,6 +67,7 @@
   BOOST_TEST(Got.m_Sequence == In.m_Sequence);
   BOOST_TEST(Got.m_Acked == In.m_Acked);
   BOOST_TEST(Got.m_Regressed == In.m_Regressed);
+  BOOST_TEST(Got.m_NoLeader == In.m_NoLeader);
   BOOST_TEST(Got.m_SnapshotSize == In.m_SnapshotSize);
   BOOST_TEST(Got.m_Offset == In.m_Offset);
   BOOST_REQUIRE_EQUAL(Got.m_Entries.size(), 1u);
--- a/tests/core/ReplicationRules.tests.cpp
+++ b/tests/core/ReplicationRules.tests.cpp
@@ -185,6 +185,70 @@
   BOOST_TEST(receive(State, Request, Late).m_Send.front().m_Granted);
 }
 
+// Guards against callers refused for most of a second after all keepers stopped
+// at once: each of them held back its vote, because it might have confirmed a
+// leader just before.
+BOOST_AUTO_TEST_CASE(VotersThatAllRestartedElectALeaderAtOnce) {
+  Replica State = keeperOne(3, 1, {});
+  Millis Early(500);
+  BOOST_REQUIRE(Early > State.m_ElectionDeadline);
+  BOOST_TEST(tick(State, Early).m_Send.size() == 2U);
+  ReplicaMessage Answer = from("k2", ReplicaMessage::Kind::PreVoteAnswer, 2);
+  Answer.m_Granted = false;
+  Answer.m_NoLeader = true;
+  BOOST_TEST(receive(State, Answer, Early).m_SendAfterSync.empty());
+  Answer.m_From = KeeperId("k3");
+  ReplicaActions Votes = receive(State, Answer, Early);
+  BOOST_REQUIRE_EQUAL(Votes.m_SendAfterSync.size(), 2U);
+  BOOST_TEST(Votes.m_SendAfterSync.front().m_NoLeader);
+  BOOST_TEST(
+      (Votes.m_SendAfterSync.front().m_Kind == ReplicaMessage::Kind::Vote));
+}
+
+// Guards against two leaders at once: a keeper that restarted alone may have
+// confirmed a leader just before, which still counts on it.
+BOOST_AUTO_TEST_CASE(AMajorityElectsNobodyWhileOneVoterMayLead) {
+  ReplicaOptions Options;
+  Millis Early = Options.m_ElectionMin - Millis(1);
+  Replica State = keeperOne(3, 1, {});
+  State.m_ElectionDeadline = Early;
+  tick(State, Early);
+  ReplicaMessage Answer = from("k2", ReplicaMessage::Kind::PreVoteAnswer, 2);
+  BOOST_TEST(receive(State, Answer, Early).m_SendAfterSync.empty());
+  BOOST_TEST((State.m_Role == ReplicaRole::Candidate));
+  // A voter that has heard a leader, or leads, does not answer "no leader".
+  Replica Follower = keeperOne(3, 1, {});
+  receive(Follower, append("k2", 1, 0, 0, {}), Millis(1));
+  ReplicaMessage Request = from("k3", ReplicaMessage::Kind::PreVote, 9);
+  Request.m_PreviousIndex = LogIndex(9);
+  ReplicaActions Refused = receive(Follower, Request, Early);
+  BOOST_TEST(!Refused.m_Send.front().m_NoLeader);
+  BOOST_TEST(!Refused.m_Send.front().m_Granted);
+  // Nor does it follow a candidate that found none.
+  Request.m_Kind = ReplicaMessage::Kind::Vote;
+  Request.m_NoLeader = true;
+  BOOST_TEST(receive(Follower, Request, Early).m_SendAfterSync.empty());
+}
+
+// Guards against a vote that is withheld, or given on a claim that was not
+// made, by a keeper that has heard no leader since its start.
+BOOST_AUTO_TEST_CASE(ARestartedVoterVotesEarlyOnlyWhenNobodyLeads) {
+  ReplicaOptions Options;
+  Millis Early = Options.m_ElectionMin - Millis(1);
+  Replica State = keeperOne(3, 1, {});
+  ReplicaMessage Request = from("k2", ReplicaMessage::Kind::PreVote, 2);
+  Request.m_PreviousIndex = LogIndex(9);
+  ReplicaActions Answered = receive(State, Request, Early);
+  BOOST_TEST(!Answered.m_Send.front().m_Granted);
+  BOOST_TEST(Answered.m_Send.front().m_NoLeader);
+  Request.m_Kind = ReplicaMessage::Kind::Vote;
+  BOOST_TEST(receive(State, Request, Early).m_SendAfterSync.empty());
+  Request.m_NoLeader = true;
+  ReplicaActions Voted = receive(State, Request, Early);
+  BOOST_REQUIRE_EQUAL(Voted.m_SendAfterSync.size(), 1U);
+  BOOST_TEST(Voted.m_SendAfterSync.front().m_Granted);
+}
+
 // Guards against a vote of a keeper that may have forgotten an earlier one or
 // an entry that it acknowledged.
 BOOST_AUTO_TEST_CASE(RecreatedDiskGrantsNoVoteAndDoesNotStand) {
