Bound what targets send, and skip answers to other requests

Interim answers, bodies and events had no limit. A stream that stalled after its first event was held until its deadline.

Change: an answer to another request is skipped and the own one awaited; a kept connection with unread bytes carries no request; heads, interim and skipped answers, bodies and events have limits. A stream that may be resumed goes on elsewhere after half of its caller's patience without a whole event. An update of a keeper that may be behind is not applied before a grant. A gateway of a large fleet does not read the platform's list between two grants.

--- a/include/vanillaferry/process/node_lease.hpp
+++ b/include/vanillaferry/process/node_lease.hpp
@@ -56,6 +56,12 @@
 /// gateways, which bounds the CPU time that the leader spends on renewals.
 Millis gatewayRenewInterval(std::size_t Gateways);
 
+/// True when a gateway applies a keeper's update to this version. The keeper
+/// may be behind the leader: before the first grant, and after one that stated
+/// a newer version, its state could bring back a withdrawn key or a zone that
+/// is out of service.
+bool acceptsUpdate(DocumentVersion Stated, DocumentVersion Update);
+
 /// True when a gateway acknowledges a change by a renewal at once. With more
 /// gateways, the leader could not handle all renewals before the next change.
 bool renewsAfterChange(std::size_t Gateways);
--- a/include/vanillaferry/request/stream_progress.hpp
+++ b/include/vanillaferry/request/stream_progress.hpp
@@ -8,6 +8,11 @@
 
 namespace vanillaferry {
 
+/// Pause between two events after which a stream that may be resumed is
+/// continued at another target. Callers leave after twice this time. Only whole
+/// events count: a target that sends single bytes makes no progress.
+Millis streamPauseLimit(Millis Objective, Millis LongestPause);
+
 /// Progress of one streamed answer at the receiver. Offsets count events from
 /// 0.
 struct StreamProgress {
--- a/include/vanillaferry/version/manifest.hpp
+++ b/include/vanillaferry/version/manifest.hpp
@@ -31,6 +31,9 @@
   Millis m_Timeout;
   /// Latency objective: time to the answer, or to the first event of a stream.
   Millis m_Objective;
+  /// Longest pause between two events of a stream that is still on time; 0 when
+  /// the route states none.
+  Millis m_LongestPause;
   /// 0 is the most urgent.
   int m_Priority = 0;
   std::vector<WeightedService> m_Services;
--- a/src/core/process/node_lease.cpp
+++ b/src/core/process/node_lease.cpp
@@ -30,6 +30,10 @@
   return gatewayRenewInterval(Gateways) == MinRenewInterval;
 }
 
+bool acceptsUpdate(DocumentVersion Stated, DocumentVersion Update) {
+  return Stated != DocumentVersion() && Update >= Stated;
+}
+
 std::uint64_t beginRenewal(RouterLease &Lease, Millis Now) {
   std::uint64_t Sequence = Lease.m_NextSequence++;
   Lease.m_Sent[Sequence] = Now;
--- a/src/core/request/stream_progress.cpp
+++ b/src/core/request/stream_progress.cpp
@@ -1,9 +1,17 @@
 #include "vanillaferry/request/stream_progress.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry {
 
 namespace {
 
+/// Half of the pauses after which callers leave: 2 s, four times the latency
+/// objective or eight times the longest pause, whichever is longest.
+constexpr Millis MinPauseLimit{1000};
+constexpr std::int64_t ObjectiveFactor = 2;
+constexpr std::int64_t PauseFactor = 4;
+
 bool isLate(const StreamProgress &Progress, const RequestId &Request,
             Attempt Try) {
   return Request != Progress.m_Request || Try != Progress.m_Attempt;
@@ -11,6 +19,11 @@
 
 } // namespace
 
+Millis streamPauseLimit(Millis Objective, Millis LongestPause) {
+  return std::max({MinPauseLimit, Millis(Objective.m_Value * ObjectiveFactor),
+                   Millis(LongestPause.m_Value * PauseFactor)});
+}
+
 ChunkDecision handleChunk(StreamProgress &Progress, const RequestId &Request,
                           Attempt Try, std::uint64_t Offset,
                           std::uint32_t Count, Millis Now) {
--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -32,6 +32,11 @@
 constexpr int ReadsPerRound = 8;
 constexpr int MaxConnections = 20000;
 constexpr std::uint32_t MaxAnswerHead = 64 * 1024;
+/// A target that sends more than this before its answer may never end.
+constexpr int MaxSkippedAnswers = 16;
+constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
+/// Chunk heads, trailers and other bytes between the parts of a body.
+constexpr std::size_t MaxUnparsed = MaxAnswerHead;
 constexpr int FirstFinalStatus = 200;
 /// Idle time of a kept connection when the target states none.
 constexpr Millis DefaultIdle{4000};
@@ -131,8 +136,13 @@
   std::string m_Pending;
   bool m_HeadReported = false;
   bool m_SkipBody = false;
+  /// The present answer belongs to another request.
+  bool m_Foreign = false;
+  int m_SkippedAnswers = 0;
+  std::size_t m_SkippedBytes = 0;
 
   void reset() {
+    m_Foreign = false;
     m_Parser.emplace();
     // Boost 1.74 takes no limit for a limit of 0.
     m_Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -306,7 +316,14 @@
   static std::array<char, ReadBytes> Body;
   std::shared_ptr<CallHandlers> Handlers = m_Handlers;
   bool Progress = true;
-  while (!m_Done && Progress && !m_Answer->m_Parser->is_done()) {
+  while (!m_Done && Progress) {
+    if (m_Answer->m_Parser->is_done()) {
+      if (!m_Answer->m_Foreign)
+        break;
+      if (!skipAnswer())
+        return false;
+      continue;
+    }
     http::response_parser<http::buffer_body> &Parser = *m_Answer->m_Parser;
     bool WasHead = Parser.is_header_done();
     Parser.get().body().data = Body.data();
@@ -327,21 +344,40 @@
       reportHead();
     if (Produced > 0 && !m_Done && m_Answer->m_HeadReported)
       Handlers->m_OnData(Body.data(), Produced);
+    if (m_Answer->m_Foreign)
+      m_Answer->m_SkippedBytes += Produced;
     Progress = Used > 0 || Produced > 0;
   }
-  if (!m_Done && m_Answer->m_Parser->is_done())
+  if (m_Done)
+    return false;
+  if (m_Answer->m_Parser->is_done())
     onFinished();
+  else if (Pending.size() > MaxUnparsed ||
+           m_Answer->m_SkippedBytes > MaxSkippedBytes)
+    end(CallEnd::Broken, "too many bytes that belong to no answer");
   return !m_Done;
 }
 
+bool TargetCall::skipAnswer() {
+  if (++m_Answer->m_SkippedAnswers > MaxSkippedAnswers) {
+    end(CallEnd::Broken, "too many answers that belong to other requests");
+    return false;
+  }
+  // What else comes on a connection with an answer of another request is
+  // uncertain.
+  if (m_Answer->m_Foreign)
+    m_Kept.reset();
+  m_Answer->reset();
+  return true;
+}
+
 void TargetCall::reportHead() {
   const http::response<http::buffer_body> &Read = m_Answer->m_Parser->get();
   if (Read.result_int() < FirstFinalStatus) {
     // An interim answer; the final one follows.
-    m_Answer->reset();
+    skipAnswer();
     return;
   }
-  m_Answer->m_HeadReported = true;
   TargetHead Head;
   Head.m_Status = static_cast<int>(Read.result_int());
   Head.m_ContentType = std::string(Read[http::field::content_type]);
@@ -350,6 +386,10 @@
     Head.m_Fields.emplace_back(std::string(Field.name_string()),
                                std::string(Field.value()));
   std::shared_ptr<CallHandlers> Handlers = m_Handlers;
+  m_Answer->m_Foreign = Handlers->m_IsOwn && !Handlers->m_IsOwn(Head);
+  if (m_Answer->m_Foreign)
+    return;
+  m_Answer->m_HeadReported = true;
   Handlers->m_OnHead(Head);
 }
 
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -59,6 +59,10 @@
   std::function<void(const char *Data, std::size_t Size)> m_OnData;
   /// Called once, last; not after cancel(), nor before start() has returned.
   std::function<void(CallEnd, const std::string &Detail)> m_OnEnd;
+  /// False for the answer to another request, such as a late second copy on a
+  /// kept connection: it is skipped and the next answer is read. Without it all
+  /// answers belong to this request.
+  std::function<bool(const TargetHead &)> m_IsOwn = nullptr;
 };
 
 /// One request to a target. Nothing is ever sent twice: a request that breaks
@@ -98,6 +102,8 @@
   /// Parses received bytes; false when the call ended.
   bool parse(const char *Data, std::size_t Size);
   void onFinished();
+  /// Begins to read the next answer; false when too many others came before it.
+  bool skipAnswer();
   void reportHead();
   void end(CallEnd How, const std::string &Detail);
   void release();
--- a/src/daemon/connection/target_connections.cpp
+++ b/src/daemon/connection/target_connections.cpp
@@ -1,7 +1,9 @@
 #include "connection/target_connections.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace vanillaferry {
@@ -11,6 +13,14 @@
 /// More idle connections to one target are not needed by one router.
 constexpr std::size_t MaxIdlePerTarget = 8;
 
+/// True when bytes or an end arrived that the main loop has not handled yet:
+/// they belong to no request, and the connection must not carry another one.
+bool hasUnread(int Fd) {
+  char Byte = 0;
+  ssize_t Count = recv(Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace
 
 TargetConnections::~TargetConnections() {
@@ -29,8 +39,9 @@
   if (Last.m_Since + MaxIdle < Now || Last.m_Until < Now)
     return -1;
   Found->second.pop_back();
-  release(Last, false);
-  return Last.m_Fd;
+  bool Unread = hasUnread(Last.m_Fd);
+  release(Last, Unread);
+  return Unread ? -1 : Last.m_Fd;
 }
 
 void TargetConnections::keep(const std::string &Address, int Fd,
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -71,6 +71,11 @@
     if (std::shared_ptr<Exchange> Self = Weak.lock())
       Self->onCallerDisconnected();
   };
+  m_Caller->m_OnDrained = [Weak = weak_from_this()] {
+    std::shared_ptr<Exchange> Self = Weak.lock();
+    if (Self && Self->m_Try)
+      Self->m_Try->m_Call->resume();
+  };
   addCounter(m_Gateway.m_Metrics, "vanillaferry_requests_total");
   if (decode())
     resume();
@@ -211,6 +216,7 @@
   m_Try.emplace();
   m_Try->m_Target = Target.m_Listed.m_Id;
   m_Try->m_StartedAt = Now;
+  m_LastProgress = Now;
   m_Events.m_Rest.clear();
   logEvent(Event::RequestSent,
            {{"request", m_Request.m_Id.m_Value},
@@ -234,6 +240,21 @@
     ++Self->m_PossibleRuns;
     return true;
   };
+  Handlers.m_IsOwn = [Weak](const TargetHead &Head) {
+    std::shared_ptr<Exchange> Self = Weak.lock();
+    if (!Self)
+      return false;
+    RequestId Stated = Self->m_Gateway.m_Protocol->m_ReadAnswer(Head).m_Request;
+    bool Own = Stated.empty() || Stated == Self->m_Request.m_Id;
+    if (!Own) {
+      addCounter(Self->m_Gateway.m_Metrics,
+                 "vanillaferry_foreign_answers_total");
+      logEvent(Event::ForeignAnswerSkipped,
+               {{"request", Self->m_Request.m_Id.m_Value},
+                {"answer_to", Stated.m_Value}});
+    }
+    return Own;
+  };
   Handlers.m_OnHead = [Weak](const TargetHead &Head) {
     if (std::shared_ptr<Exchange> Self = Weak.lock())
       Self->onHead(Head);
@@ -349,9 +370,7 @@
     return;
   if (!mayRetry())
     return;
-  m_Try->m_Call->cancel();
-  closeTry(TargetOutcome::Failed);
-  retryOrFail(RetryReason::StreamSilent, "no response within the time limit");
+  abandonTry(RetryReason::StreamSilent, "no response within the time limit");
 }
 
 void Exchange::onCallerDisconnected() {
@@ -385,6 +404,8 @@
   }
   m_DeadlineTimer.stop();
   m_ControlTimer.stop();
+  m_PauseTimer.stop();
+  m_Gateway.m_BufferedAnswers -= m_Buffered;
   logEvent(
       Event::RequestEnded,
       {{"request", m_Request.m_Id.m_Value},
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -80,6 +80,13 @@
   void onData(const char *Data, std::size_t Size);
   void onEnd(CallEnd How, const std::string &Detail);
   void relayEvents(const std::string &Events);
+  /// Ends the try when its answer exceeds the memory for it.
+  bool exceedsMemory(std::size_t Size);
+  /// Continues a stream elsewhere after a pause that its caller would not wait
+  /// out.
+  void checkPause();
+  /// Gives up the try as failed and goes on at another target where allowed.
+  void abandonTry(RetryReason Why, const std::string &Detail);
   void endStream();
   void endBufferedAnswer();
   void retryOrFail(RetryReason Why, const std::string &Detail);
@@ -117,6 +124,11 @@
   EventSplitter m_Events;
   bool m_StreamStarted = false;
   std::optional<Millis> m_FirstEvent;
+  /// When the last event, or the start of the present try, was.
+  Millis m_LastProgress;
+  Timer m_PauseTimer;
+  /// Part of Gateway::m_BufferedAnswers that this exchange uses.
+  std::size_t m_Buffered = 0;
   bool m_Done = false;
 };
 
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/request/stream_progress.hpp"
 
 namespace vanillaferry {
 
@@ -12,6 +13,15 @@
 constexpr int FirstServerError = 500;
 constexpr int MisdirectedRequest = 421;
 constexpr double MillisPerSecond = 1000;
+/// Answers that are not streams are held until they are whole, so that one that
+/// breaks off is never delivered. A gateway has 160 MB for everything.
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxBufferedAnswers = 48 * 1024 * 1024;
+/// An event holds a few tokens.
+constexpr std::size_t MaxEventBytes = 1024 * 1024;
+/// With more bytes waiting for a slow caller, nothing is read from the target.
+constexpr std::size_t CallerHighWater = 1024 * 1024;
+constexpr Millis PauseCheckInterval{250};
 
 bool isSuccess(int Status) {
   return Status >= FirstSuccess && Status < FirstRedirection;
@@ -36,12 +46,24 @@
     return retryOrFail(RetryReason::TargetRefused,
                        "the target refused the request");
   }
-  if (Answer.m_Request != m_Request.m_Id) {
-    m_Try->m_Call->cancel();
-    closeTry(TargetOutcome::Failed);
-    retryOrFail(RetryReason::StreamBroken,
-                "the answer belongs to another request");
-  }
+  if (Answer.m_Request != m_Request.m_Id)
+    abandonTry(RetryReason::StreamBroken, "the answer names no request");
+}
+
+void Exchange::abandonTry(RetryReason Why, const std::string &Detail) {
+  m_Try->m_Call->cancel();
+  closeTry(TargetOutcome::Failed);
+  retryOrFail(Why, Detail);
+}
+
+bool Exchange::exceedsMemory(std::size_t Size) {
+  bool TooLarge = m_Try->m_Body.size() + Size > MaxAnswerBytes ||
+                  m_Events.m_Rest.size() > MaxEventBytes ||
+                  m_Gateway.m_BufferedAnswers + Size > MaxBufferedAnswers;
+  if (TooLarge)
+    abandonTry(RetryReason::StreamBroken,
+               "the answer is larger than the memory for it");
+  return TooLarge;
 }
 
 void Exchange::onData(const char *Data, std::size_t Size) {
@@ -49,8 +71,12 @@
     return;
   bool Relayed =
       isStream() && isSuccess(m_Try->m_Status) && m_Try->m_Answer->m_Signed;
+  if (exceedsMemory(Relayed ? 0 : Size))
+    return;
   if (!Relayed) {
     m_Try->m_Body.append(Data, Size);
+    m_Buffered += Size;
+    m_Gateway.m_BufferedAnswers += Size;
     return;
   }
   std::string Events = extractEvents(m_Events, Data, Size);
@@ -58,6 +84,17 @@
     relayEvents(Events);
 }
 
+void Exchange::checkPause() {
+  Millis Limit = streamPauseLimit(m_Route.m_Objective, m_Route.m_LongestPause);
+  if (m_Done || !m_Try || monotonicNow() - m_LastProgress < Limit)
+    return;
+  // The caller is slow, not the target.
+  if (m_Caller->waiting() > 0)
+    return;
+  if (m_PossibleRuns < m_Route.m_MaxTargets && mayRetry())
+    abandonTry(RetryReason::StreamSilent, "no event within the pause limit");
+}
+
 void Exchange::relayEvents(const std::string &Events) {
   if (!m_FirstEvent) {
     m_FirstEvent = monotonicNow();
@@ -65,13 +102,22 @@
             static_cast<double>((*m_FirstEvent - m_ArrivedAt).m_Value) /
                 MillisPerSecond);
   }
+  m_LastProgress = monotonicNow();
   if (!m_StreamStarted) {
     m_StreamStarted = true;
+    if (repeatable())
+      m_PauseTimer.start(PauseCheckInterval.m_Value, [Weak = weak_from_this()] {
+        if (std::shared_ptr<Exchange> Self = Weak.lock())
+          Self->checkPause();
+        return true;
+      });
     // A stream continued at another target keeps the first target's header.
     if (!m_Caller->startStream(m_Try->m_ContentType, m_Try->m_Answer->m_Fields))
       return finish("caller_left", 0);
   }
   m_Caller->append(Events);
+  if (m_Caller->waiting() > CallerHighWater && m_Try)
+    m_Try->m_Call->pause();
 }
 
 void Exchange::onEnd(CallEnd How, const std::string &Detail) {
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -74,6 +74,8 @@
   TargetListState m_TargetList;
   std::map<PoolId, GatewayPool> m_Pools;
   std::set<std::shared_ptr<Exchange>> m_Exchanges;
+  /// Bytes of answers that are held until they are whole.
+  std::size_t m_BufferedAnswers = 0;
   /// Requests that wait for a grant, in order of arrival.
   std::vector<std::weak_ptr<Exchange>> m_AwaitingGrant;
   /// Last time at which requests could be sent, or the start.
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -213,7 +213,7 @@
 }
 
 void handleControlUpdate(Gateway &G, const ControlUpdate &Update) {
-  if (Update.m_Version <= G.m_Control.m_Version)
+  if (!acceptsUpdate(G.m_Control.m_ZonesVersion, Update.m_Version))
     return;
   applyZones(G, Update);
   ManifestOutcome Outcome = applyManifest(G, Update);
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -21,6 +21,13 @@
 constexpr std::size_t PageSize = 50;
 constexpr double MillisPerSecond = 1000;
 
+/// The keepers' list is confirmed with each grant, so in a large fleet it is
+/// older than that between two grants.
+Millis directReadAfter(const Gateway &G) {
+  return std::max(DirectReadAfter,
+                  Millis(G.m_Lease.m_RenewInterval.m_Value * 2));
+}
+
 /// Interval between direct reads that keeps all gateways within the call rate.
 Millis pollInterval(const Gateway &G) {
   double Routers = static_cast<double>(
@@ -153,7 +160,7 @@
   // After the start, the keepers' list comes with the first grants.
   Millis Since = List.m_Received ? List.m_ReadAt : G.m_StartedAt;
   // The list is of no use before requests can be sent to targets.
-  if (Now - Since <= DirectReadAfter || !mayServe(G, Now)) {
+  if (Now - Since <= directReadAfter(G) || !mayServe(G, Now)) {
     List.m_NextPoll.reset();
     return;
   }
--- a/tests/process/KeeperRouters.tests.cpp
+++ b/tests/process/KeeperRouters.tests.cpp
@@ -44,15 +44,19 @@
   std::optional<T> await(const std::function<bool(const T &)> &Condition) {
     std::optional<T> Found;
     waitFor([&] {
-      for (const PeerEvent &Event : m_Events)
-        if (const T *Message = std::get_if<T>(&Event.m_Message))
-          if (Event.m_Kind == PeerEvent::Kind::Message && Condition(*Message))
-            Found = *Message;
+      Found = newest(Condition);
       return Found.has_value();
     });
     return Found;
   }
 
+  /// The same among the messages that have arrived.
+  template <typename T>
+  std::optional<T> tryFind(const std::function<bool(const T &)> &Condition) {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    return newest(Condition);
+  }
+
   /// Renews at one keeper until a grant comes; acknowledges what is given.
   std::optional<Grant> renewAt(std::size_t Keeper, Epoch Epoch = {},
                                DocumentVersion Version = {}) {
@@ -110,6 +114,16 @@
   const Incarnation process() const { return m_Process; }
 
 private:
+  template <typename T>
+  std::optional<T> newest(const std::function<bool(const T &)> &Condition) {
+    std::optional<T> Found;
+    for (const PeerEvent &Event : m_Events)
+      if (const T *Message = std::get_if<T>(&Event.m_Message))
+        if (Event.m_Kind == PeerEvent::Kind::Message && Condition(*Message))
+          Found = *Message;
+    return Found;
+  }
+
   std::size_t count(PeerEvent::Kind Kind) {
     std::size_t Count = 0;
     for (const PeerEvent &Event : m_Events)
@@ -170,6 +184,63 @@
   BOOST_TEST((Answer->m_Status == JournalStatus::Unavailable));
 }
 
+/// A gateway's renewal; it needs the members' ids only.
+Renew gatewayRenewal(const FakeRouter &Gateway, std::uint64_t Sequence) {
+  Renew Request;
+  Request.m_Node = NodeId("g1");
+  Request.m_Incarnation = Gateway.process();
+  Request.m_Sequence = Sequence;
+  Request.m_PeerUrl = "ws://127.0.0.1:1";
+  Request.m_Zone = ZoneId("z");
+  Request.m_IdsOnly = true;
+  return Request;
+}
+
+// Guards against a fleet whose gateways all connect to the leader, which at 291
+// gateways was lost within two seconds, and against gateways that lose their
+// connections with a leader that is no keeper of theirs.
+BOOST_AUTO_TEST_CASE(AFollowerRelaysAGatewaysRenewalsAcrossAChangeOfLeader) {
+  KeeperFleet Fleet(3);
+  std::size_t Leader = form(Fleet);
+  std::size_t Follower = (Leader + 1) % 3;
+  FakeRouter Gateway(Fleet, "g1");
+  Gateway.send(Follower, gatewayRenewal(Gateway, 1));
+  std::optional<Grant> First = Gateway.await<Grant>(
+      [](const Grant &Granted) { return Granted.m_Sequence == 1; });
+  BOOST_REQUIRE(First.has_value());
+  BOOST_TEST(First->m_Node.empty());
+  BOOST_TEST(First->m_Keepers.size() == 3U);
+  BOOST_TEST(First->m_KeeperSet > 0U);
+  Fleet.process(Leader).kill();
+  // The follower keeps a renewal while it knows no leader, and says so.
+  std::optional<RedirectLeader> Held;
+  for (std::uint64_t Sequence = 2; Sequence < 60 && !Held; ++Sequence) {
+    Gateway.send(Follower, gatewayRenewal(Gateway, Sequence));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Held = Gateway.tryFind<RedirectLeader>([&](const RedirectLeader &Redirect) {
+      return Redirect.m_PeerUrl == Fleet.peerUrl(Follower);
+    });
+  }
+  BOOST_REQUIRE(Held.has_value());
+  std::optional<Grant> Next = Gateway.await<Grant>(
+      [](const Grant &Granted) { return Granted.m_Sequence > 1; });
+  BOOST_REQUIRE(Next.has_value());
+  BOOST_TEST(Next->m_Duration.m_Value > 0);
+}
+
+// Guards against a grant that a router obtains under another router's name.
+BOOST_AUTO_TEST_CASE(OnlyKeepersMayRelayRenewals) {
+  KeeperFleet Fleet(3);
+  std::size_t Leader = form(Fleet);
+  FakeRouter Gateway(Fleet, "g1");
+  FakeRouter Other(Fleet, "g2");
+  Other.send(Leader, gatewayRenewal(Gateway, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  auto Any = [](const Grant &) { return true; };
+  BOOST_TEST(!Other.tryFind<Grant>(Any).has_value());
+  BOOST_TEST(!Gateway.tryFind<Grant>(Any).has_value());
+}
+
 // Guards against "in force" being reported before a live router acknowledged,
 // and against a dead router holding it up for ever.
 BOOST_AUTO_TEST_CASE(AnEditIsInForceOnceEveryLiveLeaseAcknowledged) {
