Let requests wait for room, and send no change before the first grant

After a restart of all machines a keeper sent the manifest before the grant, the gateway did not apply it, and the keeper took it for delivered: served 1 s after the lease.

Change: such a request looks for room again every 25 ms, for a quarter of its time and 0.5 s at most. Changes go only to gateways that were granted a lease here; what a grant carries counts as held.

--- a/include/vanillaferry/request/control_wait.hpp
+++ b/include/vanillaferry/request/control_wait.hpp
@@ -20,4 +20,17 @@
 /// the router is then cut off and another one may serve the caller.
 Millis controlWait(const ControlOutage &Outage);
 
+/// A request that no target has room for at the moment.
+struct RoomShortage {
+  /// Time since the request found no room first.
+  Millis m_Waited;
+  /// Time that the caller still waits.
+  Millis m_TimeLeft;
+};
+
+/// Time after which the request looks for room again; zero when it is refused
+/// instead. Targets of plain services have room again after some milliseconds,
+/// so a short wait serves a burst that a refusal would send away for longer.
+Millis roomWait(const RoomShortage &Shortage);
+
 } // namespace vanillaferry
--- a/src/core/request/control_wait.cpp
+++ b/src/core/request/control_wait.cpp
@@ -13,8 +13,21 @@
 constexpr std::int64_t WaitDivisor = 3;
 constexpr Millis LongestWait{1500};
 
+/// A plain service answers within this time, so that a place is free again.
+constexpr Millis RoomCheckInterval{25};
+/// A longer shortage is an overload, in which waiting requests only age.
+constexpr Millis LongestRoomWait{500};
+constexpr std::int64_t RoomWaitDivisor = 4;
+
 } // namespace
 
+Millis roomWait(const RoomShortage &Shortage) {
+  Millis Whole = Shortage.m_Waited + Shortage.m_TimeLeft;
+  Millis Limit =
+      std::min(LongestRoomWait, Millis(Whole.m_Value / RoomWaitDivisor));
+  return Shortage.m_Waited < Limit ? RoomCheckInterval : Millis(0);
+}
+
 Millis controlWait(const ControlOutage &Outage) {
   Millis Left = LongestOutage - Outage.m_Duration;
   Millis Share(Outage.m_TimeLeft.m_Value / WaitDivisor);
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -204,8 +204,12 @@
         refuseDispatch(DispatchRefusal::NoneInService, Millis()));
   m_Need.m_ZonesOut = m_Gateway.m_Control.m_ZonesOut;
   DispatchChoice Choice = chooseTarget(Pool->m_Dispatch, m_Need, Now);
-  if (Choice.m_Refusal != DispatchRefusal::None || m_Tries >= MaxTries)
-    return refuseChoice(Choice);
+  if (Choice.m_Refusal != DispatchRefusal::None || m_Tries >= MaxTries) {
+    if (!awaitRoom(Choice.m_Refusal))
+      refuseChoice(Choice);
+    return;
+  }
+  m_NoRoomSince.reset();
   send(Pool->m_Dispatch.m_Targets[Choice.m_Target], Choice);
 }
 
@@ -310,6 +314,25 @@
   return Request;
 }
 
+bool Exchange::awaitRoom(DispatchRefusal Why) {
+  if (Why != DispatchRefusal::AllFull && Why != DispatchRefusal::ColdLimit)
+    return false;
+  Millis Now = monotonicNow();
+  if (!m_NoRoomSince)
+    m_NoRoomSince = Now;
+  Millis Pause = roomWait({Now - *m_NoRoomSince, timeLeft()});
+  if (Pause == Millis(0) || m_Tries >= MaxTries)
+    return false;
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_waits_for_room_total");
+  m_RoomTimer.start(Pause.m_Value, [Weak = weak_from_this()] {
+    std::shared_ptr<Exchange> Self = Weak.lock();
+    if (Self && !Self->m_Done)
+      Self->dispatch();
+    return false;
+  });
+  return true;
+}
+
 void Exchange::refuseChoice(const DispatchChoice &Choice) {
   if (m_FallbackAnswer || m_PossibleRuns > 0)
     return fail(RefusalReason::TargetFailed,
@@ -404,6 +427,7 @@
   }
   m_DeadlineTimer.stop();
   m_ControlTimer.stop();
+  m_RoomTimer.stop();
   m_PauseTimer.stop();
   m_Gateway.m_BufferedAnswers -= m_Buffered;
   logEvent(
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -68,6 +68,8 @@
   void send(DispatchTarget &Target, const DispatchChoice &Choice);
   TargetRequest targetRequest(const DispatchTarget &Target,
                               const DispatchChoice &Choice) const;
+  /// Waits until a target may have room; false when it would take too long.
+  bool awaitRoom(DispatchRefusal Why);
   void refuseChoice(const DispatchChoice &Choice);
   void refuse(RefusalReason Reason, Millis RetryAfter, const std::string &Why);
   void onDeadline();
@@ -121,6 +123,9 @@
   Timer m_ConnectTimer;
   /// Runs while the request waits for a grant.
   Timer m_ControlTimer;
+  /// Runs while the request waits for room at a target.
+  Timer m_RoomTimer;
+  std::optional<Millis> m_NoRoomSince;
   EventSplitter m_Events;
   bool m_StreamStarted = false;
   std::optional<Millis> m_FirstEvent;
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -169,6 +169,9 @@
   /// counts as held.
   Renew m_Last;
   Millis m_SentAt;
+  /// A grant was sent to this incarnation. Before it, a gateway applies no
+  /// changes, because this keeper may be behind the leader.
+  bool m_Granted = false;
 };
 
 /// State of the keeper's main task; accessed on the GLib main loop only.
--- a/src/daemon/process/keeper_renewals.cpp
+++ b/src/daemon/process/keeper_renewals.cpp
@@ -66,6 +66,17 @@
   attachKeeperSet(Self, Request, Granted);
 }
 
+/// Completes a grant for a gateway that is connected here. What it carries
+/// counts as held.
+void completeGrant(Keeper &Self, ServedGateway &Served, Grant &Granted) {
+  attachReplicated(Self, Served.m_Last, Granted);
+  Served.m_Granted = true;
+  if (Granted.m_ManifestDelta.empty())
+    return;
+  Served.m_Last.m_ManifestHeld = Granted.m_ManifestVersion;
+  Served.m_SentAt = monotonicNow();
+}
+
 void keepWaiting(Keeper &Self, const Renew &Request, const NodeId &From,
                  Millis Now) {
   if (Self.m_WaitingRenewals.size() >= MaxWaitingRenewals)
@@ -84,11 +95,11 @@
     Granted.m_Node = Request.m_Node;
     stateManifestDeadline(Self, Request, Granted);
   } else {
-    std::map<NodeId, ServedGateway>::const_iterator Served =
-        Self.m_Served.find(From);
-    attachReplicated(
-        Self, Served == Self.m_Served.end() ? Request : Served->second.m_Last,
-        Granted);
+    std::map<NodeId, ServedGateway>::iterator Served = Self.m_Served.find(From);
+    if (Served == Self.m_Served.end())
+      attachReplicated(Self, Request, Granted);
+    else
+      completeGrant(Self, Served->second, Granted);
   }
   Self.m_Peers->send(From, std::move(Granted));
 }
@@ -134,8 +145,9 @@
   Renew Before = std::move(Served.m_Last);
   Served.m_Last = Request;
   Served.m_Last.m_Loads.clear();
-  if (Before.m_Incarnation != Request.m_Incarnation ||
-      Now - Served.m_SentAt > DeliveryTime)
+  if (Before.m_Incarnation != Request.m_Incarnation)
+    Served.m_Granted = false;
+  if (!Served.m_Granted || Now - Served.m_SentAt > DeliveryTime)
     return;
   Served.m_Last.m_ManifestHeld =
       std::max(Before.m_ManifestHeld, Request.m_ManifestHeld);
@@ -201,13 +213,13 @@
 }
 
 void onRelayedGrant(Keeper &Self, const NodeId &From, Grant Granted) {
-  std::map<NodeId, ServedGateway>::const_iterator Served =
+  std::map<NodeId, ServedGateway>::iterator Served =
       Self.m_Served.find(Granted.m_Node);
   if (!isKeeper(Self, From) || Served == Self.m_Served.end())
     return;
   NodeId Gateway = std::move(Granted.m_Node);
   Granted.m_Node = NodeId();
-  attachReplicated(Self, Served->second.m_Last, Granted);
+  completeGrant(Self, Served->second, Granted);
   Self.m_Peers->send(Gateway, std::move(Granted));
 }
 
@@ -243,6 +255,8 @@
 void sendChanges(Keeper &Self, Millis Now) {
   for (std::pair<const NodeId, ServedGateway> &Row : Self.m_Served) {
     const Renew &Last = Row.second.m_Last;
+    if (!Row.second.m_Granted)
+      continue;
     if (Last.m_AckedVersion < Self.m_State.m_Document.m_Version ||
         Last.m_ManifestHeld < Self.m_State.m_Manifest.m_Version)
       sendChange(Self, Row.first, Row.second, Now);
--- a/tests/core/ControlWait.tests.cpp
+++ b/tests/core/ControlWait.tests.cpp
@@ -80,6 +80,34 @@
   BOOST_TEST((controlWait({Millis(60000), Millis(12000)}) == Millis(0)));
 }
 
+// Guards against refusals in a burst at a plain service: 40 requests of 20 ms
+// meet three targets with 6 places, as in the second after an outage. A refused
+// caller stays away for 0.4 s of its 0.6 s.
+BOOST_AUTO_TEST_CASE(ABurstAtAPlainServiceIsServedWithoutRefusals) {
+  constexpr int Places = 18;
+  constexpr Millis Service{20};
+  constexpr Millis Deadline{600};
+  int Served = 0;
+  for (int Request = 0; Request < 40; ++Request) {
+    Millis FreeAt((Request / Places) * Service.m_Value);
+    Millis Waited;
+    Millis Pause;
+    while (Waited < FreeAt &&
+           (Pause = roomWait({Waited, Deadline - Waited})) > Millis(0))
+      Waited = Waited + Pause;
+    Served += Waited >= FreeAt ? 1 : 0;
+  }
+  BOOST_TEST(Served == 40);
+}
+
+// Guards against requests that age in a gateway under a lasting overload, when
+// another one could serve their callers.
+BOOST_AUTO_TEST_CASE(ALastingShortageRefusesInTime) {
+  BOOST_TEST((roomWait({Millis(500), Millis(11500)}) == Millis(0)));
+  BOOST_TEST((roomWait({Millis(149), Millis(451)}) > Millis(0)));
+  BOOST_TEST((roomWait({Millis(150), Millis(450)}) == Millis(0)));
+}
+
 // Guards against a withdrawn key or a zone out of service that is in use again
 // after a restart: a keeper that is behind sends its older state to a gateway
 // that has no grant yet, or one that stated a newer version.
--- a/tests/process/KeeperRouters.tests.cpp
+++ b/tests/process/KeeperRouters.tests.cpp
@@ -228,6 +228,26 @@
   BOOST_TEST(Next->m_Duration.m_Value > 0);
 }
 
+// Guards against a change that is sent before the first grant: a gateway does
+// not apply it, and its keeper took the manifest for delivered, so that the
+// gateway served a second later after a restart of all machines.
+BOOST_AUTO_TEST_CASE(AGatewayWithoutAGrantIsSentNoChanges) {
+  KeeperFleet Fleet(3);
+  std::size_t Leader = form(Fleet);
+  FakeRouter Gateway(Fleet, "g1");
+  BOOST_TEST(Fleet.edit("zones", 0, "e1", zonesWith("a")).m_HttpStatus == 202);
+  Fleet.process(Leader).kill();
+  Fleet.process((Leader + 1) % 3).kill();
+  std::size_t Left = (Leader + 2) % 3;
+  Gateway.send(Left, gatewayRenewal(Gateway, 1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  auto Any = [](const ControlUpdate &) { return true; };
+  BOOST_TEST(!Gateway.tryFind<ControlUpdate>(Any).has_value());
+  Fleet.start(Leader);
+  BOOST_TEST(
+      Gateway.await<Grant>([](const Grant &) { return true; }).has_value());
+}
+
 // Guards against a grant that a router obtains under another router's name.
 BOOST_AUTO_TEST_CASE(OnlyKeepersMayRelayRenewals) {
   KeeperFleet Fleet(3);
