Split text fetches from the target client, share cached text updates

Two copies of the cache of edit scripts became one. A follower that finds no leader sends a gateway on without naming the leader it last knew.

--- a/include/vanillaferry/version/text_history.hpp
+++ b/include/vanillaferry/version/text_history.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,4 +41,13 @@
 TextUpdate makeTextUpdate(const TextHistory &History, std::uint64_t Held,
                           const std::string &Text);
 
+/// The updates to one text, by the version that their receivers hold.
+using TextUpdates = std::map<std::uint64_t, TextUpdate>;
+
+/// The update from version Held, made once for all receivers that hold it;
+/// those whose version the history lacks share the whole text.
+const TextUpdate &sharedTextUpdate(TextUpdates &Made,
+                                   const TextHistory &History,
+                                   std::uint64_t Held, const std::string &Text);
+
 } // namespace vanillaferry
--- a/src/core/version/text_history.cpp
+++ b/src/core/version/text_history.cpp
@@ -58,4 +58,15 @@
   return {Held, makeTextDelta(*Base, Text)};
 }
 
+const TextUpdate &sharedTextUpdate(TextUpdates &Made,
+                                   const TextHistory &History,
+                                   std::uint64_t Held,
+                                   const std::string &Text) {
+  std::uint64_t Base = hasTextVersion(History, Held) ? Held : 0;
+  TextUpdates::iterator Known = Made.find(Base);
+  if (Known == Made.end())
+    Known = Made.emplace(Base, makeTextUpdate(History, Base, Text)).first;
+  return Known->second;
+}
+
 } // namespace vanillaferry
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -2,11 +2,9 @@
 
 #include "connection/caller.hpp"
 #include "connection/fd_watcher.hpp"
-#include "connection/glib_handle.hpp"
 #include "vanillaferry/process/units.hpp"
 
 #include <functional>
-#include <libsoup/soup.h>
 #include <memory>
 #include <string>
 
@@ -132,14 +130,4 @@
   bool m_Done = false;
 };
 
-/// A libsoup session for small documents of targets and the platform: no
-/// redirects, no cookies, no decoding, no proxy.
-GHandle<SoupSession> makeTargetSession();
-
-/// Fetches a small document, such as a load report; the handler gets an empty
-/// text when the status is not 200 or the exchange failed.
-void fetchText(SoupSession *Session, const std::string &Url,
-               std::int64_t TimeoutMs,
-               std::function<void(const std::string &)> OnText);
-
 } // namespace vanillaferry
--- a/src/daemon/connection/target_list_reader.cpp
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -1,7 +1,7 @@
 #include "connection/target_list_reader.hpp"
 
 #include "connection/platform_protocol.hpp"
-#include "connection/target_client.hpp"
+#include "connection/text_fetch.hpp"
 #include "process/log.hpp"
 
 namespace vanillaferry {
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -143,7 +143,7 @@
   std::uint64_t m_Digest = 0;
   TextHistory m_History;
   /// Deltas to m_Text, by the digest of the list that a router holds.
-  std::map<std::uint64_t, TextUpdate> m_Updates;
+  TextUpdates m_Updates;
 };
 
 /// The members' ids as text, and the updates to it, computed once for all
@@ -152,7 +152,7 @@
   Epoch m_Epoch;
   std::string m_Text;
   TextHistory m_History;
-  std::map<std::uint64_t, TextUpdate> m_Updates;
+  TextUpdates m_Updates;
 };
 
 /// A renewal that waits until this keeper may grant it or knows the leader.
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -207,18 +207,12 @@
     Shared.m_Updates.clear();
     addTextVersion(Shared.m_History, Known.m_Value, Shared.m_Text);
   }
-  std::uint64_t Held = Request.m_AckedEpoch.m_Value;
-  std::uint64_t Base = hasTextVersion(Shared.m_History, Held) ? Held : 0;
-  std::map<std::uint64_t, TextUpdate>::iterator Update =
-      Shared.m_Updates.find(Base);
-  if (Update == Shared.m_Updates.end())
-    Update = Shared.m_Updates
-                 .emplace(Base,
-                          makeTextUpdate(Shared.m_History, Base, Shared.m_Text))
-                 .first;
+  const TextUpdate &Update =
+      sharedTextUpdate(Shared.m_Updates, Shared.m_History,
+                       Request.m_AckedEpoch.m_Value, Shared.m_Text);
   Granted.m_IdsEpoch = Known;
-  Granted.m_IdsBase = Epoch(Update->second.m_Base);
-  Granted.m_IdsDelta = Update->second.m_Delta;
+  Granted.m_IdsBase = Epoch(Update.m_Base);
+  Granted.m_IdsDelta = Update.m_Delta;
 }
 
 void stateManifestDeadline(const Keeper &Self, const Renew &Request,
--- a/src/daemon/process/keeper_renewals.cpp
+++ b/src/daemon/process/keeper_renewals.cpp
@@ -247,7 +247,7 @@
     if (Follows && Direct)
       relay(Self, Waiting.m_Request);
     else if (Direct)
-      redirectToLeader(Self, Waiting.m_From);
+      Self.m_Peers->send(Waiting.m_From, RedirectLeader());
     Row = Self.m_WaitingRenewals.erase(Row);
   }
 }
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -10,27 +10,14 @@
 namespace {
 
 constexpr Millis ReadInterval{700};
-/// The update from the list with this digest, computed once for all routers
-/// that hold it.
-const TextUpdate &targetUpdate(SharedTargetList &Shared, std::uint64_t Held) {
-  std::uint64_t Base = hasTextVersion(Shared.m_History, Held) ? Held : 0;
-  std::map<std::uint64_t, TextUpdate>::iterator Known =
-      Shared.m_Updates.find(Base);
-  if (Known == Shared.m_Updates.end())
-    Known = Shared.m_Updates
-                .emplace(Base,
-                         makeTextUpdate(Shared.m_History, Base, Shared.m_Text))
-                .first;
-  return Known->second;
-}
-
 TargetListUpdate updateFrom(SharedTargetList &Shared, std::uint64_t Held) {
   TargetListUpdate Message;
   Message.m_Digest = Shared.m_Digest;
   Message.m_Age = monotonicNow() - Shared.m_LastRead;
   if (Held == Shared.m_Digest)
     return Message;
-  const TextUpdate &Update = targetUpdate(Shared, Held);
+  const TextUpdate &Update =
+      sharedTextUpdate(Shared.m_Updates, Shared.m_History, Held, Shared.m_Text);
   Message.m_Base = Update.m_Base;
   Message.m_Delta = Update.m_Delta;
   return Message;
--- a/src/daemon/process/poller.cpp
+++ b/src/daemon/process/poller.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/engine_adapter.hpp"
 #include "connection/platform_adapter.hpp"
+#include "connection/text_fetch.hpp"
 #include "process/clock.hpp"
 #include "process/lease_client.hpp"
 #include "process/router.hpp"
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -1,5 +1,6 @@
 #include "process/router.hpp"
 
+#include "connection/text_fetch.hpp"
 #include "process/clock.hpp"
 #include "process/lease_client.hpp"
 #include "process/poller.hpp"
--- a/tests/core/Manifest.tests.cpp
+++ b/tests/core/Manifest.tests.cpp
@@ -185,6 +185,24 @@
       "{4},y");
 }
 
+// Guards against an edit script that is made anew for each of many receivers,
+// and against a receiver of an unknown version that gets a script for another.
+BOOST_AUTO_TEST_CASE(ReceiversOfOneVersionShareItsUpdate) {
+  TextHistory History;
+  addTextVersion(History, 7, "a},b},");
+  TextUpdates Made;
+  const std::string Text = "a},b},c},";
+  const TextUpdate &First = sharedTextUpdate(Made, History, 7, Text);
+  BOOST_TEST(First.m_Base == 7U);
+  BOOST_TEST(applyTextDelta("a},b},", First.m_Delta).value() == Text);
+  BOOST_TEST(&sharedTextUpdate(Made, History, 7, Text) == &First);
+  const TextUpdate &Whole = sharedTextUpdate(Made, History, 3, Text);
+  BOOST_TEST(Whole.m_Base == 0U);
+  BOOST_TEST(applyTextDelta("", Whole.m_Delta).value() == Text);
+  BOOST_TEST(&sharedTextUpdate(Made, History, 4, Text) == &Whole);
+  BOOST_TEST(Made.size() == 2U);
+}
+
 // Guards against sending the whole member list to every router on a membership
 // change: with 81 routers this occupied a keeper's link for 0.9 s at each
 // restart.
