Decode an answer's head once, share the reservation of a manifest update

The head of each answer was decoded twice, once to see whether it answers this request and once to use it. The reservation of the link for a manifest update stood twice, the check of what a gateway lacks twice, the wait for the newest manifest twice, and checkPause() repeated a condition of mayRetry(). A random number was drawn for every grant, also when it lists no keepers. Behaviour is meant to stay as it is.

--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -143,10 +143,8 @@
   const ManifestRoute *Route =
       findRoute(Routes, hostOf(m_Request.m_Host), m_Raw.m_Path);
   if (!Route) {
-    if (!holdsNewestManifest()) {
-      waitOrRefuse("a newer manifest may allow the request");
-      return false;
-    }
+    if (!holdsNewestManifest())
+      return awaitNewestManifest();
     refuse(RefusalReason::UnknownRoute, Millis(0),
            "no route has this host and path");
     return false;
@@ -156,10 +154,8 @@
   if (Account)
     m_Account = Account->m_Id;
   else if (!m_Route.m_Public && !Routes.m_Manifest.m_Accounts.empty()) {
-    if (!holdsNewestManifest()) {
-      waitOrRefuse("a newer manifest may allow the request");
-      return false;
-    }
+    if (!holdsNewestManifest())
+      return awaitNewestManifest();
     refuse(RefusalReason::UnknownApiKey, Millis(0),
            "no client account has this API key");
     return false;
@@ -176,6 +172,11 @@
                               monotonicNow());
 }
 
+bool Exchange::awaitNewestManifest() {
+  waitOrRefuse("a newer manifest may allow the request");
+  return false;
+}
+
 void Exchange::startTimers() {
   Millis Limit = m_Route.m_Timeout;
   if (m_Request.m_TimeLeft)
@@ -246,18 +247,7 @@
   };
   Handlers.m_IsOwn = [Weak](const TargetHead &Head) {
     std::shared_ptr<Exchange> Self = Weak.lock();
-    if (!Self)
-      return false;
-    RequestId Stated = Self->m_Gateway.m_Protocol->m_ReadAnswer(Head).m_Request;
-    bool Own = Stated.empty() || Stated == Self->m_Request.m_Id;
-    if (!Own) {
-      addCounter(Self->m_Gateway.m_Metrics,
-                 "vanillaferry_foreign_answers_total");
-      logEvent(Event::ForeignAnswerSkipped,
-               {{"request", Self->m_Request.m_Id.m_Value},
-                {"answer_to", Stated.m_Value}});
-    }
-    return Own;
+    return Self && Self->isOwnAnswer(Head);
   };
   Handlers.m_OnHead = [Weak](const TargetHead &Head) {
     if (std::shared_ptr<Exchange> Self = Weak.lock())
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -63,6 +63,9 @@
   /// True while the keepers' last confirmation that this gateway's manifest is
   /// the newest one is recent enough to deny requests for good.
   bool holdsNewestManifest() const;
+  /// Waits or refuses, as not run, what a newer manifest may allow; returns
+  /// false, which admit() passes on.
+  bool awaitNewestManifest();
   void startTimers();
   void dispatch();
   void send(DispatchTarget &Target, const DispatchChoice &Choice);
@@ -78,6 +81,8 @@
   void finish(const char *Outcome, int Status);
 
   // exchange_answer.cpp: answers of targets
+  /// Decodes the head of an answer; false when it answers another request.
+  bool isOwnAnswer(const TargetHead &Head);
   void onHead(const TargetHead &Head);
   void onData(const char *Data, std::size_t Size);
   void onEnd(CallEnd How, const std::string &Detail);
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -29,10 +29,24 @@
 
 } // namespace
 
-void Exchange::onHead(const TargetHead &Head) {
+bool Exchange::isOwnAnswer(const TargetHead &Head) {
   if (m_Done || !m_Try)
+    return false;
+  TargetAnswer Answer = m_Gateway.m_Protocol->m_ReadAnswer(Head);
+  if (Answer.m_Request.empty() || Answer.m_Request == m_Request.m_Id) {
+    m_Try->m_Answer = std::move(Answer);
+    return true;
+  }
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_foreign_answers_total");
+  logEvent(Event::ForeignAnswerSkipped,
+           {{"request", m_Request.m_Id.m_Value},
+            {"answer_to", Answer.m_Request.m_Value}});
+  return false;
+}
+
+void Exchange::onHead(const TargetHead &Head) {
+  if (m_Done || !m_Try || !m_Try->m_Answer)
     return;
-  m_Try->m_Answer = m_Gateway.m_Protocol->m_ReadAnswer(Head);
   m_Try->m_Status = Head.m_Status;
   m_Try->m_ContentType = Head.m_ContentType;
   const TargetAnswer &Answer = *m_Try->m_Answer;
@@ -91,7 +105,7 @@
   // The caller is slow, not the target.
   if (m_Caller->waiting() > 0)
     return;
-  if (m_PossibleRuns < m_Route.m_MaxTargets && mayRetry())
+  if (mayRetry())
     abandonTry(RetryReason::StreamSilent, "no event within the pause limit");
 }
 
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -187,6 +187,8 @@
 }
 
 void applyKeeperSet(Gateway &G, const Grant &Granted, Millis Now) {
+  if (Granted.m_Keepers.empty())
+    return;
   std::vector<std::string> Urls;
   for (const KeeperUrl &Each : Granted.m_Keepers)
     Urls.push_back(Each.m_PeerUrl);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -331,10 +331,10 @@
                            Grant &Granted);
 /// Adds to a grant the update from the router's manifest to the one in force.
 void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted);
-/// Adds to a change the update from version Held; false while the link is busy
-/// with earlier ones.
-bool addManifestUpdate(Keeper &Self, std::uint64_t Held, ControlUpdate &Change,
-                       Millis Now);
+/// The update from version Held, for which it takes the link; null while the
+/// link is busy with earlier ones.
+const ManifestUpdate *reserveManifestUpdate(Keeper &Self, std::uint64_t Held,
+                                            Millis Now);
 /// Keeps the update that the log carries for gateways that hold its base.
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change);
 
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -225,6 +225,13 @@
     Granted.m_ManifestAckedIn = Self.m_ManifestAck.m_Deadline - monotonicNow();
 }
 
+const ManifestUpdate *reserveManifestUpdate(Keeper &Self, std::uint64_t Held,
+                                            Millis Now) {
+  const ManifestUpdate &Update = manifestUpdate(Self, Held);
+  return reserveLink(Self.m_ManifestLink, Update.m_Delta.size(), Now) ? &Update
+                                                                      : nullptr;
+}
+
 void attachManifest(Keeper &Self, const Renew &Request, Grant &Granted) {
   const StoredManifest &Held = Self.m_State.m_Manifest;
   // A follower that relays the grant may be behind the leader or, after a
@@ -235,21 +242,12 @@
   Granted.m_ManifestVersion = Held.m_Version;
   if (leads(Self))
     stateManifestDeadline(Self, Request, Granted);
-  const ManifestUpdate &Update = manifestUpdate(Self, Request.m_ManifestHeld);
-  if (!reserveLink(Self.m_ManifestLink, Update.m_Delta.size(), monotonicNow()))
+  const ManifestUpdate *Update =
+      reserveManifestUpdate(Self, Request.m_ManifestHeld, monotonicNow());
+  if (!Update)
     return;
-  Granted.m_ManifestBase = Update.m_Base;
-  Granted.m_ManifestDelta = Update.m_Delta;
-}
-
-bool addManifestUpdate(Keeper &Self, std::uint64_t Held, ControlUpdate &Change,
-                       Millis Now) {
-  const ManifestUpdate &Update = manifestUpdate(Self, Held);
-  if (!reserveLink(Self.m_ManifestLink, Update.m_Delta.size(), Now))
-    return false;
-  Change.m_ManifestBase = Update.m_Base;
-  Change.m_ManifestDelta = Update.m_Delta;
-  return true;
+  Granted.m_ManifestBase = Update->m_Base;
+  Granted.m_ManifestDelta = Update->m_Delta;
 }
 
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change) {
--- a/src/daemon/process/keeper_renewals.cpp
+++ b/src/daemon/process/keeper_renewals.cpp
@@ -161,22 +161,27 @@
 void sendChange(Keeper &Self, const NodeId &Gateway, ServedGateway &Served,
                 Millis Now) {
   const StateMachine &State = Self.m_State;
+  Renew &Held = Served.m_Last;
+  bool LacksVersion = Held.m_AckedVersion < State.m_Document.m_Version;
+  bool LacksManifest = Held.m_ManifestHeld < State.m_Manifest.m_Version;
+  if (!Served.m_Granted || (!LacksVersion && !LacksManifest))
+    return;
+  const ManifestUpdate *Update =
+      LacksManifest ? reserveManifestUpdate(Self, Held.m_ManifestHeld, Now)
+                    : nullptr;
+  if (!Update && !LacksVersion)
+    return;
   ControlUpdate Change;
   Change.m_Version = State.m_Document.m_Version;
   Change.m_ZonesOut = zonesOut(State);
   Change.m_ManifestVersion = State.m_Manifest.m_Version;
-  bool LacksManifest =
-      Served.m_Last.m_ManifestHeld < State.m_Manifest.m_Version;
-  bool LacksZones = Served.m_Last.m_AckedVersion < Change.m_Version;
-  bool Added =
-      LacksManifest &&
-      addManifestUpdate(Self, Served.m_Last.m_ManifestHeld, Change, Now);
-  if (!Added && !LacksZones)
-    return;
-  Self.m_Peers->send(Gateway, Change);
-  Served.m_Last.m_AckedVersion = Change.m_Version;
-  if (Added)
-    Served.m_Last.m_ManifestHeld = Change.m_ManifestVersion;
+  Held.m_AckedVersion = Change.m_Version;
+  if (Update) {
+    Change.m_ManifestBase = Update->m_Base;
+    Change.m_ManifestDelta = Update->m_Delta;
+    Held.m_ManifestHeld = Change.m_ManifestVersion;
+  }
+  Self.m_Peers->send(Gateway, std::move(Change));
   Served.m_SentAt = Now;
 }
 
@@ -255,14 +260,8 @@
 }
 
 void sendChanges(Keeper &Self, Millis Now) {
-  for (std::pair<const NodeId, ServedGateway> &Row : Self.m_Served) {
-    const Renew &Last = Row.second.m_Last;
-    if (!Row.second.m_Granted)
-      continue;
-    if (Last.m_AckedVersion < Self.m_State.m_Document.m_Version ||
-        Last.m_ManifestHeld < Self.m_State.m_Manifest.m_Version)
-      sendChange(Self, Row.first, Row.second, Now);
-  }
+  for (std::pair<const NodeId, ServedGateway> &Row : Self.m_Served)
+    sendChange(Self, Row.first, Row.second, Now);
 }
 
 void announceChanges(Keeper &Self, Millis Now) {
