Log the prompt parts of requests and each answer that breaks off

RequestSent lists the parts that other requests may share, AnswerBroken (4008) has target, parts, the time since the request was sent and since its first event, RequestRetried the target. No behaviour changes otherwise.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -201,5 +201,7 @@
 
 /// Hash of all prompt parts but the last, which differs between requests.
 std::uint64_t hashSharedPrefix(const std::vector<PromptPart> &Parts);
+/// Ids of the same parts, separated by commas, for the log.
+std::string sharedPartNames(const std::vector<PromptPart> &Parts);
 
 } // namespace vanillaferry
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -420,4 +420,11 @@
   return Hash;
 }
 
+std::string sharedPartNames(const std::vector<PromptPart> &Parts) {
+  std::string Names;
+  for (std::size_t Index = 0; Index + 1 < Parts.size(); ++Index)
+    Names += (Names.empty() ? "" : ",") + Parts[Index].m_Id;
+  return Names;
+}
+
 } // namespace vanillaferry
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -220,6 +220,7 @@
   noteStarted(Target, Now);
   m_Try.emplace();
   m_Try->m_Target = Target.m_Listed.m_Id;
+  m_LastTarget = m_Try->m_Target;
   m_Try->m_StartedAt = Now;
   m_LastProgress = Now;
   m_Events.m_Rest.clear();
@@ -231,6 +232,7 @@
             {"load", static_cast<std::int64_t>(Choice.m_Load)},
             {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
             {"prefix_from", Choice.m_PrefixSource.m_Value},
+            {"parts", sharedPartNames(m_Request.m_PromptParts)},
             {"list_age_ms", (Now - m_Gateway.m_TargetList.m_ReadAt).m_Value},
             {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
             {"left_ms", timeLeft().m_Value}});
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -18,6 +18,8 @@
   TargetId m_Target;
   std::shared_ptr<TargetCall> m_Call;
   Millis m_StartedAt;
+  /// Absent until the first event of a stream has arrived.
+  std::optional<Millis> m_FirstEventAt;
   /// Absent until the header of the answer has arrived.
   std::optional<TargetAnswer> m_Answer;
   int m_Status = 0;
@@ -97,6 +99,7 @@
   void endStream();
   void endBufferedAnswer();
   void retryOrFail(RetryReason Why, const std::string &Detail);
+  void logBrokenAnswer(const std::string &Detail) const;
   bool mayRetry();
   void deliver(const FallbackAnswer &Answer);
   void fail(RefusalReason Reason, const std::string &Why);
@@ -122,6 +125,8 @@
   int m_PossibleRuns = 0;
   int m_Tries = 0;
   std::optional<TargetTry> m_Try;
+  /// Target of the present or else the last try.
+  TargetId m_LastTarget;
   std::optional<FallbackAnswer> m_FallbackAnswer;
   Timer m_DeadlineTimer;
   Timer m_FirstResponseTimer;
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -117,6 +117,8 @@
                 MillisPerSecond);
   }
   m_LastProgress = monotonicNow();
+  if (!m_Try->m_FirstEventAt)
+    m_Try->m_FirstEventAt = m_LastProgress;
   if (!m_StreamStarted) {
     m_StreamStarted = true;
     if (repeatable())
@@ -146,6 +148,7 @@
     return refuseChoice(
         refuseDispatch(DispatchRefusal::NoneInService, Millis()));
   case CallEnd::Broken:
+    logBrokenAnswer(Detail);
     closeTry(TargetOutcome::Failed);
     return retryOrFail(RetryReason::StreamBroken, Detail);
   case CallEnd::Complete:
@@ -157,6 +160,21 @@
     endBufferedAnswer();
 }
 
+void Exchange::logBrokenAnswer(const std::string &Detail) const {
+  Millis Now = monotonicNow();
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_answers_broken_total");
+  logEvent(
+      Event::AnswerBroken,
+      {{"request", m_Request.m_Id.m_Value},
+       {"target", m_Try->m_Target.m_Value},
+       {"route", m_Route.m_Name},
+       {"why", Detail},
+       {"sent_ms", (Now - m_Try->m_StartedAt).m_Value},
+       {"event_ms",
+        m_Try->m_FirstEventAt ? (Now - *m_Try->m_FirstEventAt).m_Value : -1},
+       {"parts", sharedPartNames(m_Request.m_PromptParts)}});
+}
+
 void Exchange::endStream() {
   if (!m_Events.m_Rest.empty()) {
     // Bytes after the last event separator belong to the answer as well.
@@ -215,6 +233,7 @@
   }
   countRetry(m_Gateway.m_Metrics, Why);
   logEvent(Event::RequestRetried, {{"request", m_Request.m_Id.m_Value},
+                                   {"target", m_LastTarget.m_Value},
                                    {"reason", retryName(Why)},
                                    {"why", Detail},
                                    {"tries", m_Tries}});
