--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -21,6 +21,18 @@
          Engine.m_CompletedSinceCold < Engine.m_Options.m_WarmAfter;
 }
 
+bool containsCrashText(const EngineState &Engine, const json &Messages) {
+  const std::string &Text = Engine.m_Options.m_CrashOn;
+  if (Text.empty())
+    return false;
+  return std::any_of(
+      Messages.begin(), std::prev(Messages.end()),
+      [&Text](const json &Message) {
+        return Message.value("content", std::string()).find(Text) !=
+               std::string::npos;
+      });
+}
+
 std::shared_ptr<Generation> startGeneration(EngineState &Engine,
                                             const json &Body,
                                             const std::string &RequestId,
@@ -29,6 +41,7 @@
   Work->m_RequestId = RequestId;
   Work->m_Answer = expectedAnswer(Body);
   Work->m_Stream = Body.value("stream", false);
+  Work->m_Crashes = containsCrashText(Engine, Body.at("messages"));
   std::string Continued = Body.value("continue_text", std::string());
   Work->m_FirstIndex =
       std::min(countTokens(Continued), Work->m_Answer.m_Tokens);
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -34,6 +34,9 @@
   std::uint32_t m_CopyMs = 20;
   /// File to which "run" lines of a history are appended; empty for none.
   std::string m_Record;
+  /// The process ends as it begins to write an answer to messages of which one
+  /// before the last contains this text; empty for never.
+  std::string m_CrashOn;
   /// A stream without a connection is cancelled after this time.
   std::uint32_t m_ResumeWindowMs = 10000;
 };
--- a/src/standin/engine_generation.cpp
+++ b/src/standin/engine_generation.cpp
@@ -2,6 +2,7 @@
 #include "http_server.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace vanillaferry::standin {
@@ -11,6 +12,7 @@
 using nlohmann::json;
 
 constexpr gint64 UsPerMs = 1000;
+constexpr int CrashExitCode = 134;
 
 /// Number of events in the complete answer: one for each token, one with the
 /// finish reason, and [DONE].
@@ -220,6 +222,8 @@
     }
     ++Row;
     std::uint32_t Due = eventsDue(Engine, *Work, NowUs);
+    if (Work->m_Crashes && Due > 0)
+      std::_Exit(CrashExitCode);
     if (!Work->m_Finished && Due == eventCount(*Work))
       finishGeneration(Engine, *Work);
     if (Work->m_Stream)
--- a/src/standin/engine_state.hpp
+++ b/src/standin/engine_state.hpp
@@ -30,6 +30,8 @@
   gint64 m_StartUs = 0;
   gint64 m_FirstTokenUs = 0;
   bool m_Stream = true;
+  /// The prompt contains the text that ends the engine.
+  bool m_Crashes = false;
   bool m_Finished = false;
   bool m_Cancelled = false;
   /// Connection that reads the answer; a reference is held while connected.
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -39,6 +39,9 @@
                       "Time to copy a prefix from another engine");
   Command->add_option("--record", Options.m_Record,
                       "File to append run lines of a history to");
+  Command->add_option("--crash-on", Options.m_CrashOn,
+                      "Exit at the start of an answer to messages of which "
+                      "one before the last contains this text");
   Command->add_option("--resume-window-ms", Options.m_ResumeWindowMs,
                       "How long a broken stream can be resumed");
   Command->callback([&Options, &Code] { Code = runEngine(Options); });
--- a/tests/process/GatewayCallers.cpp
+++ b/tests/process/GatewayCallers.cpp
@@ -50,6 +50,7 @@
     Text += "Vanillaferry-Model: m\r\n"
             "Vanillaferry-Token-Counts: 100,60\r\n"
             "Vanillaferry-Prompt-Prefix: aa:80," +
+            (Record.m_Subject.empty() ? "" : Record.m_Subject + ":30,") +
             Record.m_Id + ":20\r\n";
   if (!IsGet)
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
@@ -110,8 +111,9 @@
 } // namespace
 
 GatewayCallers::GatewayCallers(GatewayFleet &Fleet, FoundFaults &Found,
-                               std::size_t Count, std::uint64_t Seed)
-    : m_Fleet(Fleet), m_Found(Found) {
+                               std::size_t Count, std::uint64_t Seed,
+                               CallerOptions Options)
+    : m_Fleet(Fleet), m_Found(Found), m_Options(std::move(Options)) {
   for (std::size_t Caller = 0; Caller < Count; ++Caller)
     m_Threads.emplace_back(
         [this, Seed, Caller] { run(Seed * 1000 + Caller, Caller); });
@@ -132,7 +134,6 @@
 }
 
 void GatewayCallers::run(std::uint64_t Seed, std::size_t Caller) {
-  constexpr std::chrono::milliseconds Pause{20};
   std::mt19937_64 Random(Seed);
   std::vector<Connection> Open(m_Fleet.gateways());
   for (int Number = 1; !m_Stop; ++Number) {
@@ -143,7 +144,11 @@
                   static_cast<unsigned>(Seed & 0xFFFFFFFF),
                   static_cast<unsigned>(Caller), Number);
     Record.m_Id = Id;
-    Record.m_Kind = static_cast<CallKind>(Random() % 4);
+    Record.m_Kind =
+        m_Options.m_Kind.value_or(static_cast<CallKind>(Random() % 4));
+    if (!m_Options.m_Subjects.empty())
+      Record.m_Subject =
+          m_Options.m_Subjects[Random() % m_Options.m_Subjects.size()];
     Record.m_Key = "key-" + std::to_string(Random() % Accounts) +
                    (Random() % 2 ? "-first" : "-second");
     Record.m_Gateway = Random() % m_Fleet.gateways();
@@ -154,7 +159,7 @@
       std::lock_guard<std::mutex> Lock(m_Mutex);
       m_Calls.push_back(Record);
     }
-    std::this_thread::sleep_for(Pause);
+    std::this_thread::sleep_for(m_Options.m_Pause);
   }
   for (Connection &Each : Open)
     if (Each.m_Socket >= 0)
--- a/tests/process/GatewayCallers.hpp
+++ b/tests/process/GatewayCallers.hpp
@@ -4,8 +4,10 @@
 #include "GatewayFleet.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -31,6 +33,8 @@
   std::string m_Id;
   CallKind m_Kind = CallKind::Lookup;
   std::string m_Key;
+  /// Second part of the prompt; empty for none.
+  std::string m_Subject;
   std::size_t m_Gateway = 0;
   double m_Start = 0;
   double m_End = 0;
@@ -38,12 +42,21 @@
   int m_Status = 0;
 };
 
+/// What a group of callers sends.
+struct CallerOptions {
+  /// Absent for requests of all kinds.
+  std::optional<CallKind> m_Kind;
+  /// Second parts of the prompts, drawn for each; none by default.
+  std::vector<std::string> m_Subjects;
+  std::chrono::milliseconds m_Pause{20};
+};
+
 /// Callers that send requests of all kinds to all gateways, over connections
 /// that they keep open as long as the gateway does, and check each answer.
 class GatewayCallers {
 public:
   GatewayCallers(GatewayFleet &Fleet, FoundFaults &Found, std::size_t Count,
-                 std::uint64_t Seed);
+                 std::uint64_t Seed, CallerOptions Options = {});
   ~GatewayCallers();
 
   void stop();
@@ -63,6 +76,7 @@
 
   GatewayFleet &m_Fleet;
   FoundFaults &m_Found;
+  CallerOptions m_Options;
   std::atomic<bool> m_Stop{false};
   mutable std::mutex m_Mutex;
   std::vector<CallRecord> m_Calls;
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -20,6 +20,9 @@
 constexpr int Slots = 32;
 constexpr std::chrono::milliseconds EventTime{8};
 constexpr std::chrono::milliseconds WorkTime{5};
+/// Time from the head of an answer to the end of its engine.
+constexpr std::chrono::milliseconds CrashDelay{40};
+constexpr double RestartMs = 1500;
 const std::array<const char *, 3> Zones = {"north", "south", "west"};
 
 std::string chunkOf(const std::string &Data) {
@@ -112,16 +115,20 @@
   m_Accept = std::thread([this] { acceptAll(); });
 }
 
-FakeListener::~FakeListener() {
+void FakeListener::close() {
   m_Stop = true;
   ::shutdown(m_Listen, SHUT_RDWR);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  for (int Socket : m_Open)
+    ::shutdown(Socket, SHUT_RDWR);
+}
+
+FakeListener::~FakeListener() {
+  close();
   m_Accept.join();
   ::close(m_Listen);
-  {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    for (int Socket : m_Open)
-      ::shutdown(Socket, SHUT_RDWR);
-  }
+  // A connection that was accepted meanwhile.
+  close();
   for (std::thread &Each : m_Threads)
     Each.join();
   for (int Socket : m_Open)
@@ -179,9 +186,12 @@
   m_List = std::make_unique<FakeListener>(
       listAddress(),
       [this](int Socket, const FakeRequest &) { return serveList(Socket); });
+  m_Restarts = std::thread([this] { restartCrashed(); });
 }
 
 PlatformFakes::~PlatformFakes() {
+  m_Stop = true;
+  m_Restarts.join();
   m_List.reset();
   for (std::unique_ptr<Target> &Each : m_Targets)
     Each->m_Listener.reset();
@@ -193,10 +203,12 @@
 
 void PlatformFakes::listen(Target &Each) {
   Target *Raw = &Each;
-  Each.m_Listener = std::make_unique<FakeListener>(
+  std::unique_ptr<FakeListener> Started = std::make_unique<FakeListener>(
       Each.m_Address, [this, Raw](int Socket, const FakeRequest &Request) {
         return serve(*Raw, Socket, Request);
       });
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  Each.m_Listener = std::move(Started);
 }
 
 void PlatformFakes::setFaults(std::size_t Index, const TargetFaults &Faults) {
@@ -217,6 +229,53 @@
     listen(*m_Targets[Index]);
 }
 
+void PlatformFakes::setCrashingPart(const std::string &Part) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_CrashingPart = Part;
+}
+
+std::vector<EngineCrash> PlatformFakes::crashes() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Crashes;
+}
+
+bool PlatformFakes::crashes(const FakeRequest &Request) const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  std::string Parts = "," + Request.field("Vanillaferry-Prompt-Prefix");
+  std::size_t Found = Parts.find("," + m_CrashingPart + ":");
+  return !m_CrashingPart.empty() && Found != std::string::npos &&
+         Parts.find(',', Found + 1) != std::string::npos;
+}
+
+void PlatformFakes::crash(Target &Each) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (Each.m_StartsAt != 0 || !Each.m_Listener)
+    return;
+  Each.m_StartsAt = historyNow() + RestartMs;
+  m_Crashes.push_back({Each.m_Id, historyNow()});
+  Each.m_Listener->close();
+}
+
+void PlatformFakes::restartCrashed() {
+  constexpr std::chrono::milliseconds Interval{20};
+  while (!m_Stop) {
+    std::this_thread::sleep_for(Interval);
+    for (std::size_t Index = 0; Index < m_Targets.size(); ++Index) {
+      std::unique_ptr<FakeListener> Ended;
+      {
+        std::lock_guard<std::mutex> Lock(m_Mutex);
+        Target &Each = *m_Targets[Index];
+        if (Each.m_StartsAt == 0 || historyNow() < Each.m_StartsAt)
+          continue;
+        Each.m_StartsAt = 0;
+        Ended = std::move(Each.m_Listener);
+      }
+      Ended.reset();
+      restart(Index);
+    }
+  }
+}
+
 void PlatformFakes::setLeaving(std::size_t Index, bool Leaving) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   m_Targets[Index]->m_Leaving = Leaving;
@@ -284,7 +343,7 @@
       ",0," + std::to_string(Slots) + "\r\n";
   bool Broken = draw(Faults.m_Broken);
   if (Request.m_Path.compare(0, 5, "/desk") != 0 && !IsError)
-    return serveStream(Head, Socket, Request, Broken);
+    return serveStream(Each, Head, Socket, Request, Broken);
   std::this_thread::sleep_for(WorkTime);
   std::string Answer =
       withLength(Head, IsError ? "failed" : answerOf(RequestId));
@@ -297,14 +356,20 @@
   return sendAll(Socket, Answer);
 }
 
-bool PlatformFakes::serveStream(const std::string &Head, int Socket,
-                                const FakeRequest &Request, bool Broken) {
+bool PlatformFakes::serveStream(Target &Each, const std::string &Head,
+                                int Socket, const FakeRequest &Request,
+                                bool Broken) {
   std::string RequestId = Request.field("Vanillaferry-Attempt-Id");
   std::string Last = Request.field("Last-Event-Id");
   int Number = Last.empty() ? 0 : std::stoi(Last);
   if (!sendAll(Socket, Head + "Content-Type: text/event-stream\r\n"
                               "Transfer-Encoding: chunked\r\n\r\n"))
     return false;
+  if (crashes(Request)) {
+    std::this_thread::sleep_for(CrashDelay);
+    crash(Each);
+    return false;
+  }
   int BreakAt = Broken ? Number + (StreamEvents - Number) / 2 : -1;
   while (Number < StreamEvents) {
     std::this_thread::sleep_for(EventTime);
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -33,6 +33,8 @@
 
   FakeListener(LoopbackAddress Address, Handler Serve);
   ~FakeListener();
+  /// Ends all connections and accepts no more, from any thread.
+  void close();
   FakeListener(const FakeListener &) = delete;
   FakeListener &operator=(const FakeListener &) = delete;
 
@@ -76,6 +78,12 @@
   double m_At = 0;
 };
 
+/// An engine that ended while it began to write an answer.
+struct EngineCrash {
+  std::string m_Target;
+  double m_At = 0;
+};
+
 /// Events of each emulated stream.
 constexpr int StreamEvents = 12;
 /// The body with which a plain service answers a request.
@@ -100,6 +108,10 @@
   /// Starts a stopped target as a new instance.
   void restart(std::size_t Index);
   void setLeaving(std::size_t Index, bool Leaving);
+  /// Each engine ends shortly after it begins to write an answer to a prompt
+  /// with this part before its last one, and starts again after some time.
+  void setCrashingPart(const std::string &Part);
+  std::vector<EngineCrash> crashes() const;
   void setListFails(bool Fails) { m_ListFails = Fails; }
   std::vector<TargetRun> runs() const;
 
@@ -112,16 +124,21 @@
     TargetFaults m_Faults;
     bool m_Leaving = false;
     std::atomic<int> m_Running{0};
+    /// When an engine that has crashed starts again; 0 while it runs.
+    double m_StartsAt = 0;
     std::unique_ptr<FakeListener> m_Listener;
   };
 
   void listen(Target &Each);
   bool serve(Target &Each, int Socket, const FakeRequest &Request);
   bool serveRun(Target &Each, int Socket, const FakeRequest &Request);
-  bool serveStream(const std::string &Head, int Socket,
+  bool serveStream(Target &Each, const std::string &Head, int Socket,
                    const FakeRequest &Request, bool Broken);
   bool serveList(int Socket);
   bool draw(double Share);
+  bool crashes(const FakeRequest &Request) const;
+  void crash(Target &Each);
+  void restartCrashed();
 
   std::string m_Network;
   std::uint16_t m_Port;
@@ -131,6 +148,10 @@
   std::vector<TargetRun> m_Runs;
   int m_Instances = 0;
   std::atomic<bool> m_ListFails{false};
+  std::string m_CrashingPart;
+  std::vector<EngineCrash> m_Crashes;
+  std::atomic<bool> m_Stop{false};
+  std::thread m_Restarts;
   std::unique_ptr<FakeListener> m_List;
 };
 
--- a/tests/process/RouterFleet.cpp
+++ b/tests/process/RouterFleet.cpp
@@ -404,10 +404,15 @@
                    I == 1 ? Lines : "");
 }
 
-int RouterFleet::checkHistory() {
-  std::string All = readWholeFile(path("notes.jsonl"));
+std::string RouterFleet::recordedRuns() const {
+  std::string All;
   for (std::size_t I = 0; I < m_Engines.size(); ++I)
     All += readWholeFile(path("runs-engine-" + std::to_string(I) + ".jsonl"));
+  return All;
+}
+
+int RouterFleet::checkHistory() {
+  std::string All = readWholeFile(path("notes.jsonl")) + recordedRuns();
   All += readWholeFile(path("runs-service.jsonl"));
   All += recordedCalls();
   writeWholeFile(path("history.jsonl"), All);
--- a/tests/process/RouterFleet.hpp
+++ b/tests/process/RouterFleet.hpp
@@ -96,6 +96,8 @@
   int checkHistory();
   /// The calls that the load generators recorded, one JSON object a line.
   std::string recordedCalls() const;
+  /// The runs that the engines recorded, in the same form.
+  std::string recordedRuns() const;
   /// Takes the place of the recorded calls in checkHistory.
   void replaceRecordedCalls(const std::string &Lines);
   std::string historyReport() const;
