Refuse prompt parts that end engines at the routers' own interface

The owner of an engine knew of its ends, the entry router tried the request at the next owner, and no router knew of the others' ends.

Change: each message of a chat is a part. Owners report requests that were cut at their targets, entry routers refuse chats with a refused message before they ask an owner, owners check once more directly before the first byte, and a chat with a suspected message is not continued at another engine.

--- a/src/daemon/connection/engine_adapter.cpp
+++ b/src/daemon/connection/engine_adapter.cpp
@@ -68,6 +68,21 @@
   return Name;
 }
 
+std::vector<PromptPart> partsOf(const json &Messages) {
+  std::vector<PromptPart> Parts;
+  for (const json &Message : Messages) {
+    std::string Text =
+        Message.dump(-1, ' ', false, json::error_handler_t::replace);
+    char Name[24];
+    std::snprintf(
+        Name, sizeof Name, "m-%016llx",
+        static_cast<unsigned long long>(XXH3_64bits(Text.data(), Text.size())));
+    Parts.push_back({PromptPartId(Name), Tokens(static_cast<std::int64_t>(
+                                             Text.size() / BytesPerToken))});
+  }
+  return Parts;
+}
+
 } // namespace
 
 namespace {
@@ -135,6 +150,7 @@
   Chat.m_PromptTokens =
       Tokens(static_cast<std::int64_t>(Body.size() / BytesPerToken));
   Chat.m_FirstMessages = ChatId(hashFirstMessages(Value["messages"]));
+  Chat.m_Parts = partsOf(Value["messages"]);
   return Chat;
 }
 
--- a/src/daemon/connection/engine_adapter.hpp
+++ b/src/daemon/connection/engine_adapter.hpp
@@ -5,6 +5,7 @@
 #include "vanillaferry/process/prefix_cache.hpp"
 #include "vanillaferry/process/result.hpp"
 #include "vanillaferry/process/target_state.hpp"
+#include "vanillaferry/request/prompt_part.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,8 @@
   Tokens m_PromptTokens;
   /// Hash of the first messages, for chats without an id.
   ChatId m_FirstMessages;
+  /// One part for each message.
+  std::vector<PromptPart> m_Parts;
 };
 
 Result<ChatBody> parseChatBody(const std::string &Body);
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -392,6 +392,8 @@
   Visit("b", rawBytes(Data.m_Body));
   Visit("f", Data.m_ResumeOffset);
   Visit("x", rawBytes(Data.m_ResumeText));
+  Visit("pp", Data.m_PromptParts);
+  Visit("pc", Data.m_PromptChat);
 }
 
 template <typename V, typename M, IfMessage<M, ForwardAccept> * = nullptr>
--- a/src/daemon/process/lease_client.cpp
+++ b/src/daemon/process/lease_client.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/router.hpp"
+#include "request/prompt_refusal.hpp"
 #include "request/run.hpp"
 
 #include <algorithm>
@@ -73,6 +74,7 @@
   Renewal.m_AckedEpoch = R.m_Keeper.m_AckedEpoch;
   Renewal.m_AckedVersion = R.m_Keeper.m_AckedVersion;
   Renewal.m_Leaving = R.m_Draining;
+  Renewal.m_QuarantineHeld = R.m_Prompts.m_Version;
   keepSent(R.m_Keeper.m_RenewalsSent, Renewal.m_Sequence,
            countLoads(R, Renewal.m_Pools, Now));
   addTargetLoads(R, Renewal);
@@ -331,6 +333,7 @@
     return;
   R.m_Keeper.m_LastAnswer = Now;
   bool Understood = applyChanges(R, Granted, Now);
+  applyRefusedParts(R, Granted);
   regainAfterInterruption(R);
   applyShares(R.m_Accounts, Granted.m_Shares);
   applyLoads(R, Granted, Now);
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -7,6 +7,7 @@
 #include "process/recorder.hpp"
 #include "request/entry.hpp"
 #include "request/journal_client.hpp"
+#include "request/prompt_refusal.hpp"
 #include "request/run.hpp"
 #include "request/session.hpp"
 
@@ -61,6 +62,9 @@
   void operator()(RedirectLeader &Message) {
     handleRedirect(m_Router, Message);
   }
+  void operator()(PromptWatch &Message) {
+    handlePromptWatch(m_Router, Message);
+  }
   void operator()(JournalAnswer &Message) {
     takeJournalAnswer(m_Router, Message);
   }
@@ -253,6 +257,7 @@
 
 void tickRouter(Router &R) {
   checkLease(R);
+  sendPromptReportWhenDue(R);
   noteLease(R);
   updateDispatchable(R);
   checkRuns(R);
--- a/src/daemon/process/router.hpp
+++ b/src/daemon/process/router.hpp
@@ -13,6 +13,7 @@
 #include "vanillaferry/request/account_limit.hpp"
 #include "vanillaferry/request/admission_queue.hpp"
 #include "vanillaferry/request/placement.hpp"
+#include "vanillaferry/request/prompt_guard.hpp"
 #include "vanillaferry/request/retry.hpp"
 #include "vanillaferry/version/pool.hpp"
 #include "version/router_document.hpp"
@@ -154,6 +155,7 @@
   /// Requests of former owners at each target, from the last grant.
   std::map<TargetId, std::uint32_t> m_Residual;
 
+  PromptGuard m_Prompts;
   AccountTable m_Accounts;
   std::map<PoolId, PoolQueue> m_Queues;
   RetryTable m_Retries;
--- a/src/daemon/request/entry.cpp
+++ b/src/daemon/request/entry.cpp
@@ -137,6 +137,8 @@
       ChatId(Account.m_Value + "/" +
              (ChatName.empty() ? Chat.m_FirstMessages.m_Value : ChatName));
   S->m_Order.m_PromptTokens = Chat.m_PromptTokens;
+  S->m_Order.m_PromptParts = joinPartIds(sharedParts(Chat.m_Parts));
+  S->m_Order.m_PromptChat = hashOwnPart(Chat.m_Parts);
   S->m_Order.m_Stream = Chat.m_Stream;
   S->m_Order.m_Body = std::move(Request.m_Body);
   addCounter(R.m_Metrics, "vanillaferry_requests_total{kind=\"chat\"}");
--- a/src/daemon/request/run.cpp
+++ b/src/daemon/request/run.cpp
@@ -6,6 +6,7 @@
 #include "process/poller.hpp"
 #include "process/router.hpp"
 #include "request/internal/run_steps.hpp"
+#include "request/prompt_refusal.hpp"
 
 #include <algorithm>
 
@@ -184,6 +185,7 @@
 void onEnd(const std::shared_ptr<Run> &Work, CallEnd How, bool Resumed,
            const std::string &Detail) {
   Run &W = *Work;
+  bool Ended = W.m_Call && W.m_Call->connectionEnded();
   W.m_Call.reset();
   if (W.m_Done)
     return;
@@ -203,6 +205,9 @@
     return;
   }
   noteStreamBroken(W.m_Router, W.m_Target.m_Id);
+  // Bytes that are no answer come from a target that has not ended.
+  if (Ended && !NothingSent)
+    recordRunCut(W);
   tryResume(Work, RetryReason::StreamBroken,
             Detail.empty() ? "the connection closed" : Detail);
 }
@@ -227,7 +232,8 @@
   CallHandlers Handlers;
   Handlers.m_MayDispatch = [Work, Resume] {
     Run &Self = *Work;
-    bool May = !Self.m_Done && mayDispatchOrResume(Self, Resume);
+    bool May = !Self.m_Done && mayDispatchOrResume(Self, Resume) &&
+               mayPromptTarget(Self);
     Self.m_EverSent = Self.m_EverSent || May;
     return May;
   };
@@ -266,6 +272,8 @@
   Work.m_Done = true;
   if (Work.m_Call)
     Work.m_Call->cancel();
+  if (How == StreamEnd::Complete && Work.m_Status == HttpOk)
+    recordRunServed(Work);
   releaseSlot(Work, How == StreamEnd::Complete);
   if (How == StreamEnd::Cancelled || How == StreamEnd::Broken)
     cancelAtTarget(Work);
--- a/src/daemon/request/session.cpp
+++ b/src/daemon/request/session.cpp
@@ -8,6 +8,7 @@
 #include "request/entry.hpp"
 #include "request/internal/session_steps.hpp"
 #include "request/journal_client.hpp"
+#include "request/prompt_refusal.hpp"
 #include "request/run.hpp"
 
 namespace vanillaferry {
@@ -327,6 +328,7 @@
   if (S->m_CountedAsRunning)
     endForAccount(R.m_Accounts, S->m_Order.m_Account);
   S->m_CountedAsRunning = false;
+  endPromptTrial(*S);
   noteWalkEnded(R, S->m_Order.m_Pool, S->m_Order.m_Request,
                 !S->m_RanAt.empty());
 }
--- a/src/daemon/request/session.hpp
+++ b/src/daemon/request/session.hpp
@@ -83,6 +83,8 @@
   StreamProgress m_Progress;
   /// A try may have run, so a refusal must not state "not run".
   bool m_MayHaveRun = false;
+  /// The trial of a refused prompt part.
+  bool m_IsTrial = false;
   /// Number of tries that reached a target, for the retry budget.
   std::uint32_t m_Tries = 0;
   TargetId m_RanAt;
--- a/src/daemon/request/session_retry.cpp
+++ b/src/daemon/request/session_retry.cpp
@@ -5,6 +5,7 @@
 #include "process/lease_client.hpp"
 #include "process/router.hpp"
 #include "request/entry.hpp"
+#include "request/prompt_refusal.hpp"
 
 #include <optional>
 
@@ -63,6 +64,8 @@
 }
 
 void askOwner(const std::shared_ptr<Session> &S) {
+  if (!admitPrompt(S))
+    return;
   S->m_Step = SessionStep::Asking;
   S->m_Order.m_Attempt = S->m_Progress.m_Attempt;
   S->m_Order.m_Target = S->m_Asked.m_Target;
@@ -114,6 +117,12 @@
 void retryBroken(const std::shared_ptr<Session> &S, RetryReason Why,
                  const std::string &Detail) {
   S->m_MayHaveRun = true;
+  // The next engine may end as well.
+  if (Why == RetryReason::StreamBroken && isSuspectPrompt(*S)) {
+    refuseSession(S, RefusalReason::PromptRefused, NotRun::Unknown,
+                  "engines ended under a message of the prompt");
+    return;
+  }
   if (!S->m_Caller->streaming()) {
     S->m_BufferedBody.clear();
     S->m_Bytes = 0;
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -319,8 +319,12 @@
                "application/json",
                allBytes(),
                17,
-               allBytes()};
+               allBytes(),
+               "m-1,m-2",
+               1ULL << 63};
   Forward Got = roundTrip(Sent);
+  SAME(m_PromptParts);
+  SAME(m_PromptChat);
   SAME(m_Request);
   SAME(m_Attempt);
   SAME(m_Account);
