Take a stream that ends inside an event for broken off

Cause: the gateway took the bytes after the last event separator for a part of the answer whenever the framing allowed an end, and without length and chunks a close is a regular end. The routers' own interface needs [DONE] and was right.

Change: such a stream, and one that ends without an event, is broken off: it goes on at another engine where the route allows, else the caller's answer is broken off too.

--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -104,6 +104,9 @@
   /// Gives up the try as failed and goes on at another target where allowed.
   void abandonTry(RetryReason Why, const std::string &Detail);
   void endStream();
+  /// Ends a try whose answer broke off and goes on at another target where
+  /// allowed.
+  void endBrokenAnswer(const std::string &Detail);
   void endBufferedAnswer();
   void retryOrFail(RetryReason Why, const std::string &Detail);
   bool mayRetry();
@@ -120,6 +123,8 @@
   /// Records the end of a connection to a target that has not answered whole.
   void recordCut(const std::string &Detail);
   void recordServed();
+  /// True when the answer has gone on for AnswerSurvivalTime.
+  bool survives() const;
 
   bool repeatable() const;
   bool isStream() const { return m_Route.m_Kind == RequestKind::Stream; }
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -150,9 +150,7 @@
     return refuseChoice(
         refuseDispatch(DispatchRefusal::NoneInService, Millis()));
   case CallEnd::Broken:
-    recordCut(Detail);
-    closeTry(TargetOutcome::Failed);
-    return retryOrFail(RetryReason::StreamBroken, Detail);
+    return endBrokenAnswer(Detail);
   case CallEnd::Complete:
     break;
   }
@@ -163,25 +161,25 @@
 }
 
 void Exchange::endStream() {
-  if (!m_Events.m_Rest.empty()) {
-    // Bytes after the last event separator belong to the answer as well.
-    std::string Rest = std::move(m_Events.m_Rest);
-    m_Events.m_Rest.clear();
-    relayEvents(Rest);
-  }
-  if (m_Done)
-    return;
-  if (m_StreamStarted)
-    recordServed();
+  if (!m_Events.m_Rest.empty())
+    return endBrokenAnswer("the stream ended inside an event");
+  // An answer without a length and chunks ends with its connection, as one does
+  // whose target has ended. Nothing may be left of a continued stream.
+  bool MayBeWhole = m_StreamStarted && !m_Try->m_Call->connectionEnded();
+  if (!m_Try->m_FirstEventAt && !MayBeWhole)
+    return endBrokenAnswer("the stream ended without an event");
+  recordServed();
   closeTry(TargetOutcome::Served);
-  if (m_StreamStarted)
-    m_Caller->finish();
-  else
-    return fail(RefusalReason::TargetFailed,
-                "the stream ended without an event");
+  m_Caller->finish();
   finish("complete", FirstSuccess);
 }
 
+void Exchange::endBrokenAnswer(const std::string &Detail) {
+  recordCut(Detail);
+  closeTry(TargetOutcome::Failed);
+  retryOrFail(RetryReason::StreamBroken, Detail);
+}
+
 void Exchange::endBufferedAnswer() {
   FallbackAnswer Answer{m_Try->m_Status, m_Try->m_ContentType,
                         std::move(m_Try->m_Body), m_Try->m_Answer->m_Fields};
--- a/src/daemon/gateway/exchange_prompt.cpp
+++ b/src/daemon/gateway/exchange_prompt.cpp
@@ -61,13 +61,22 @@
 }
 
 void Exchange::recordServed() {
-  if (!m_SharedParts.empty())
-    recordPromptServed(m_Gateway.m_Prompts, promptOfRequest(), monotonicNow());
+  if (m_SharedParts.empty())
+    return;
+  // An answer that ends with its connection may have been cut between two
+  // events.
+  if (m_Try->m_Call->connectionEnded() && !survives())
+    return;
+  recordPromptServed(m_Gateway.m_Prompts, promptOfRequest(), monotonicNow());
+}
+
+bool Exchange::survives() const {
+  return m_Try->m_FirstEventAt &&
+         monotonicNow() - *m_Try->m_FirstEventAt >= AnswerSurvivalTime;
 }
 
 void Exchange::recordSurvival() {
-  if (m_Try && m_Try->m_FirstEventAt &&
-      monotonicNow() - *m_Try->m_FirstEventAt >= AnswerSurvivalTime)
+  if (m_Try && survives())
     recordServed();
 }
 
--- a/tests/process/GatewayFaults.tests.cpp
+++ b/tests/process/GatewayFaults.tests.cpp
@@ -145,6 +145,40 @@
   BOOST_TEST((Later.m_Body == Large));
 }
 
+// Guards against a stream without a length and chunks that ends inside an event
+// and reaches its caller as complete.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInsideAnEventIsNotWhole) {
+  GatewayFleet Fleet(3, 1, 3, 1);
+  FoundFaults Found;
+  GatewayOperator Operator(Fleet, Found, 1);
+  BOOST_REQUIRE(Operator.begin(StartLimitMs));
+  waitAllReady(Fleet, StartLimitMs);
+  auto Call = [&](CallKind Kind, std::uint64_t Seed) {
+    GatewayCallers Load(Fleet, Found, 2, Seed, {Kind, {}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    Load.stop();
+    return countEndings(Load.calls());
+  };
+  TargetFaults Whole;
+  Whole.m_Unframed = 1;
+  TargetFaults Cut = Whole;
+  Cut.m_Broken = 1;
+  for (std::size_t Engine : {0, 1})
+    Fleet.targets().setFaults(Engine, Whole);
+  std::map<CallEnding, int> Endings = Call(CallKind::Stream, 11);
+  BOOST_TEST(Endings[CallEnding::Answered] > 0);
+  BOOST_TEST(Endings.size() == 1U);
+  Fleet.targets().setFaults(1, Cut);
+  Endings = Call(CallKind::ResumableStream, 12);
+  BOOST_TEST(Endings[CallEnding::Answered] > 0);
+  BOOST_TEST(Endings[CallEnding::Closed] == 0);
+  Fleet.targets().setFaults(0, Cut);
+  Endings = Call(CallKind::Stream, 13);
+  BOOST_TEST(Endings[CallEnding::Answered] == 0);
+  BOOST_TEST(Endings[CallEnding::Closed] > 0);
+  reportFaults(Found);
+}
+
 // Guards against breaking any guarantee of docs/PROOFS.md while faults of all
 // kinds coincide. docs/testing.md has the command for a long run.
 BOOST_AUTO_TEST_CASE(AGatewayFleetUnderFaultsKeepsItsPromises) {
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -343,7 +343,8 @@
       ",0," + std::to_string(Slots) + "\r\n";
   bool Broken = draw(Faults.m_Broken);
   if (Request.m_Path.compare(0, 5, "/desk") != 0 && !IsError)
-    return serveStream(Each, Head, Socket, Request, Broken);
+    return serveStream(Each, Head, Socket, Request,
+                       {Broken, draw(Faults.m_Unframed)});
   std::this_thread::sleep_for(WorkTime);
   std::string Answer =
       withLength(Head, IsError ? "failed" : answerOf(RequestId));
@@ -358,30 +359,35 @@
 
 bool PlatformFakes::serveStream(Target &Each, const std::string &Head,
                                 int Socket, const FakeRequest &Request,
-                                bool Broken) {
+                                const StreamFaults &Faults) {
   std::string RequestId = Request.field("Vanillaferry-Attempt-Id");
   std::string Last = Request.field("Last-Event-Id");
   int Number = Last.empty() ? 0 : std::stoi(Last);
-  if (!sendAll(Socket, Head + "Content-Type: text/event-stream\r\n"
-                              "Transfer-Encoding: chunked\r\n\r\n"))
+  if (!sendAll(Socket,
+               Head + "Content-Type: text/event-stream\r\n" +
+                   (Faults.m_Unframed ? "\r\n"
+                                      : "Transfer-Encoding: chunked\r\n\r\n")))
     return false;
+  auto Framed = [&Faults](const std::string &Data) {
+    return Faults.m_Unframed ? Data : chunkOf(Data);
+  };
   if (crashes(Request)) {
     std::this_thread::sleep_for(CrashDelay);
     crash(Each);
     return false;
   }
-  int BreakAt = Broken ? Number + (StreamEvents - Number) / 2 : -1;
+  int BreakAt = Faults.m_Broken ? Number + (StreamEvents - Number) / 2 : -1;
   while (Number < StreamEvents) {
     std::this_thread::sleep_for(EventTime);
     std::string Event = eventOf(RequestId, ++Number);
-    if (Number > BreakAt && Broken) {
-      sendAll(Socket, chunkOf(Event.substr(0, Event.size() / 2)));
+    if (Number > BreakAt && Faults.m_Broken) {
+      sendAll(Socket, Framed(Event.substr(0, Event.size() / 2)));
       return false;
     }
-    if (!sendAll(Socket, chunkOf(Event)))
+    if (!sendAll(Socket, Framed(Event)))
       return false;
   }
-  return sendAll(Socket, "0\r\n\r\n");
+  return !Faults.m_Unframed && sendAll(Socket, "0\r\n\r\n");
 }
 
 bool PlatformFakes::serveList(int Socket) {
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -67,6 +67,9 @@
   double m_Silent = 0;
   /// The request runs, and the answer has status 500.
   double m_Error = 0;
+  /// A stream has neither a length nor chunks and ends with its connection; a
+  /// broken one ends inside an event.
+  double m_Unframed = 0;
 };
 
 /// A request that a target started to run.
@@ -132,8 +135,12 @@
   void listen(Target &Each);
   bool serve(Target &Each, int Socket, const FakeRequest &Request);
   bool serveRun(Target &Each, int Socket, const FakeRequest &Request);
+  struct StreamFaults {
+    bool m_Broken = false;
+    bool m_Unframed = false;
+  };
   bool serveStream(Target &Each, const std::string &Head, int Socket,
-                   const FakeRequest &Request, bool Broken);
+                   const FakeRequest &Request, const StreamFaults &Faults);
   bool serveList(int Socket);
   bool draw(double Share);
   bool crashes(const FakeRequest &Request) const;
