Log a digest of each request's content

RequestSent and AnswerBroken carry the same digest for every repeat of a request, under whatever id, so that logs tell a request that ends targets from a prompt part that does.

--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -161,6 +161,7 @@
            "no client account has this API key");
     return false;
   }
+  m_Content = contentDigest();
   m_Service = chooseService(m_Route, hashText(m_Request.m_Id.m_Value));
   if (isStream())
     m_Priority = Account && Account->m_Priority ? *Account->m_Priority
@@ -237,6 +238,7 @@
             {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
             {"prefix_from", Choice.m_PrefixSource.m_Value},
             {"parts", joinPartIds(m_SharedParts)},
+            {"content", m_Content},
             {"list_age_ms", (Now - m_Gateway.m_TargetList.m_ReadAt).m_Value},
             {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
             {"left_ms", timeLeft().m_Value}});
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -120,6 +120,7 @@
   bool mayBePrompted() const;
   void refusePrompt();
   PromptOfRequest promptOfRequest() const;
+  std::string contentDigest() const;
   /// Records the end of a connection to a target that has not answered whole.
   void recordCut(const std::string &Detail);
   void recordServed();
@@ -140,6 +141,8 @@
   std::optional<int> m_Priority;
   DispatchCriteria m_Need;
   std::vector<PromptPartId> m_SharedParts;
+  /// Digest of what a repeat of this request has in common with it.
+  std::string m_Content;
   /// The present try is the trial of a refused part.
   bool m_IsTrial = false;
   Millis m_ArrivedAt;
--- a/src/daemon/gateway/exchange_prompt.cpp
+++ b/src/daemon/gateway/exchange_prompt.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "request/request_content.hpp"
 
 namespace vanillaferry {
 
@@ -31,6 +32,14 @@
              " of the prompt ends engines");
 }
 
+std::string Exchange::contentDigest() const {
+  std::string Path = m_Raw.m_Path;
+  if (!m_Raw.m_Query.empty())
+    Path += "?" + m_Raw.m_Query;
+  return digestOf(
+      {m_Account.value_or(AccountId()), m_Raw.m_Method, Path, m_Raw.m_Body});
+}
+
 PromptOfRequest Exchange::promptOfRequest() const {
   PromptOfRequest Prompt;
   Prompt.m_Request = m_Request.m_Id;
@@ -53,7 +62,8 @@
             {"why", Detail},
             {"sent_ms", (Now - m_Try->m_StartedAt).m_Value},
             {"event_ms", FirstEvent.value_or(Millis(-1)).m_Value},
-            {"parts", joinPartIds(m_SharedParts)}});
+            {"parts", joinPartIds(m_SharedParts)},
+            {"content", m_Content}});
   // Bytes that are no answer come from a target that has not ended.
   if (m_Try->m_Call->connectionEnded())
     recordPromptCut(m_Gateway.m_Prompts, promptOfRequest(), m_Try->m_Target,
--- a/src/daemon/request/prompt_refusal.cpp
+++ b/src/daemon/request/prompt_refusal.cpp
@@ -5,6 +5,7 @@
 #include "process/log.hpp"
 #include "process/router.hpp"
 #include "request/internal/run_steps.hpp"
+#include "request/request_content.hpp"
 #include "request/run.hpp"
 #include "request/session.hpp"
 
@@ -91,7 +92,9 @@
             {"target", Work.m_Target.m_Id.m_Value},
             {"sent_ms", (monotonicNow() - Work.m_StartedAt).m_Value},
             {"event_ms", FirstEvent.value_or(Millis(-1)).m_Value},
-            {"parts", Work.m_Order.m_PromptParts}});
+            {"parts", Work.m_Order.m_PromptParts},
+            {"content", digestOf({Work.m_Order.m_Account, Work.m_Order.m_Method,
+                                  Work.m_Order.m_Path, Work.m_Order.m_Body})}});
   recordPromptCut(Work.m_Router.m_Prompts, promptOf(Work.m_Order),
                   Work.m_Target.m_Id, FirstEvent, monotonicNow());
 }
