Add failing tests for a request that ends target after target

The request comes again with the same client account, path and body at any router, beside sound requests that share account, path and prompt parts.

--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -21,16 +21,18 @@
          Engine.m_CompletedSinceCold < Engine.m_Options.m_WarmAfter;
 }
 
+bool holdsText(const json &Message, const std::string &Text) {
+  return !Text.empty() && Message.value("content", std::string()).find(Text) !=
+                              std::string::npos;
+}
+
 bool containsCrashText(const EngineState &Engine, const json &Messages) {
-  const std::string &Text = Engine.m_Options.m_CrashOn;
-  if (Text.empty())
-    return false;
-  return std::any_of(
-      Messages.begin(), std::prev(Messages.end()),
-      [&Text](const json &Message) {
-        return Message.value("content", std::string()).find(Text) !=
-               std::string::npos;
-      });
+  const EngineOptions &Options = Engine.m_Options;
+  return holdsText(Messages.back(), Options.m_CrashOnLast) ||
+         std::any_of(Messages.begin(), std::prev(Messages.end()),
+                     [&Options](const json &Message) {
+                       return holdsText(Message, Options.m_CrashOn);
+                     });
 }
 
 std::shared_ptr<Generation> startGeneration(EngineState &Engine,
--- a/src/standin/engine.hpp
+++ b/src/standin/engine.hpp
@@ -37,6 +37,8 @@
   /// The process ends as it begins to write an answer to messages of which one
   /// before the last contains this text; empty for never.
   std::string m_CrashOn;
+  /// Likewise, for a text in the last message.
+  std::string m_CrashOnLast;
   /// A stream without a connection is cancelled after this time.
   std::uint32_t m_ResumeWindowMs = 10000;
 };
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -42,6 +42,9 @@
   Command->add_option("--crash-on", Options.m_CrashOn,
                       "Exit at the start of an answer to messages of which "
                       "one before the last contains this text");
+  Command->add_option("--crash-on-last", Options.m_CrashOnLast,
+                      "Exit at the start of an answer to messages of which "
+                      "the last one contains this text");
   Command->add_option("--resume-window-ms", Options.m_ResumeWindowMs,
                       "How long a broken stream can be resumed");
   Command->callback([&Options, &Code] { Code = runEngine(Options); });
--- a/tests/process/GatewayCallers.cpp
+++ b/tests/process/GatewayCallers.cpp
@@ -38,7 +38,7 @@
 
 std::string requestText(const CallRecord &Record) {
   bool IsGet = Record.m_Kind == CallKind::Lookup;
-  std::string Body = IsGet ? "" : "body of " + Record.m_Id;
+  const std::string &Body = Record.m_Body;
   std::string Text = std::string(IsGet ? "GET " : "POST ") +
                      pathOf(Record.m_Kind) + "x HTTP/1.1\r\n" +
                      "Host: fleet.example\r\n" +
@@ -151,6 +151,11 @@
           m_Options.m_Subjects[Random() % m_Options.m_Subjects.size()];
     Record.m_Key = "key-" + std::to_string(Random() % Accounts) +
                    (Random() % 2 ? "-first" : "-second");
+    if (!m_Options.m_Key.empty())
+      Record.m_Key = m_Options.m_Key;
+    if (Record.m_Kind != CallKind::Lookup)
+      Record.m_Body = m_Options.m_Body.empty() ? "body of " + Record.m_Id
+                                               : m_Options.m_Body;
     Record.m_Gateway = Random() % m_Fleet.gateways();
     Record.m_Start = historyNow();
     call(Open[Record.m_Gateway], Record);
--- a/tests/process/GatewayCallers.hpp
+++ b/tests/process/GatewayCallers.hpp
@@ -35,6 +35,7 @@
   std::string m_Key;
   /// Second part of the prompt; empty for none.
   std::string m_Subject;
+  std::string m_Body;
   std::size_t m_Gateway = 0;
   double m_Start = 0;
   double m_End = 0;
@@ -49,6 +50,10 @@
   /// Second parts of the prompts, drawn for each; none by default.
   std::vector<std::string> m_Subjects;
   std::chrono::milliseconds m_Pause{20};
+  /// Body and API key of all requests; by default each has its own body and a
+  /// key that is drawn.
+  std::string m_Body = {};
+  std::string m_Key = {};
 };
 
 /// Callers that send requests of all kinds to all gateways, over connections
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -234,6 +234,11 @@
   m_CrashingPart = Part;
 }
 
+void PlatformFakes::setCrashingBody(const std::string &Body) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_CrashingBody = Body;
+}
+
 std::vector<EngineCrash> PlatformFakes::crashes() const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return m_Crashes;
@@ -241,6 +246,8 @@
 
 bool PlatformFakes::crashes(const FakeRequest &Request) const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (!m_CrashingBody.empty() && Request.m_Body == m_CrashingBody)
+    return true;
   std::string Parts = "," + Request.field("Vanillaferry-Prompt-Prefix");
   std::size_t Found = Parts.find("," + m_CrashingPart + ":");
   return !m_CrashingPart.empty() && Found != std::string::npos &&
@@ -346,6 +353,10 @@
     return serveStream(Each, Head, Socket, Request,
                        {Broken, draw(Faults.m_Unframed)});
   std::this_thread::sleep_for(WorkTime);
+  if (crashes(Request)) {
+    crash(Each);
+    return false;
+  }
   std::string Answer =
       withLength(Head, IsError ? "failed" : answerOf(RequestId));
   if (Broken) {
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -81,7 +81,7 @@
   double m_At = 0;
 };
 
-/// An engine that ended while it began to write an answer.
+/// A target that ended while it began to run a request.
 struct EngineCrash {
   std::string m_Target;
   double m_At = 0;
@@ -114,6 +114,9 @@
   /// Each engine ends shortly after it begins to write an answer to a prompt
   /// with this part before its last one, and starts again after some time.
   void setCrashingPart(const std::string &Part);
+  /// Each target ends shortly after it begins to run a request with this body,
+  /// and starts again after some time.
+  void setCrashingBody(const std::string &Body);
   std::vector<EngineCrash> crashes() const;
   void setListFails(bool Fails) { m_ListFails = Fails; }
   std::vector<TargetRun> runs() const;
@@ -156,6 +159,7 @@
   int m_Instances = 0;
   std::atomic<bool> m_ListFails{false};
   std::string m_CrashingPart;
+  std::string m_CrashingBody;
   std::vector<EngineCrash> m_Crashes;
   std::atomic<bool> m_Stop{false};
   std::thread m_Restarts;
--- a/tests/process/PromptCrashes.tests.cpp
+++ b/tests/process/PromptCrashes.tests.cpp
@@ -1,14 +1,8 @@
-#include "GatewayCallers.hpp"
-#include "RouterFleet.hpp"
+#include "EngineCrashes.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <chrono>
-#include <map>
-#include <set>
 #include <sstream>
-#include <thread>
 
 using namespace vanillaferry;
 using namespace vanillaferry::tests;
@@ -16,185 +10,12 @@
 
 namespace {
 
-constexpr int StartLimitMs = 20000;
-/// The users' time for what one machine learns to reach the others.
-constexpr double ContactMs = 3000;
 /// The users' rule counts from this crash on.
 constexpr std::size_t CountedCrash = 5;
 /// Requests with the part that may reach an engine after that.
 constexpr std::size_t LateRunsAllowed = 3;
 constexpr const char *CrashingPart = "dead";
 
-void pause(double Ms) {
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(static_cast<std::int64_t>(Ms)));
-}
-
-/// Time of the fifth crash, or of the last one when there are fewer.
-double countedCrash(const std::vector<EngineCrash> &Crashes) {
-  return Crashes[std::min(Crashes.size(), CountedCrash) - 1].m_At;
-}
-
-/// Share of the requests sent in a span of time that an engine began to run.
-double shareRun(const std::vector<CallRecord> &Calls,
-                const std::vector<TargetRun> &Runs, double From, double Until) {
-  std::set<std::string> Ran;
-  for (const TargetRun &Run : Runs)
-    Ran.insert(Run.m_Request);
-  double Sent = 0;
-  double Begun = 0;
-  for (const CallRecord &Call : Calls)
-    if (Call.m_Start >= From && Call.m_Start < Until) {
-      ++Sent;
-      Begun += static_cast<double>(Ran.count(Call.m_Id));
-    }
-  return Sent == 0 ? 0 : Begun / Sent;
-}
-
-/// Runs of these calls that began after a time, each repeat counted.
-std::size_t runsAfter(const std::vector<CallRecord> &Calls,
-                      const std::vector<TargetRun> &Runs, double At) {
-  std::set<std::string> Ids;
-  for (const CallRecord &Call : Calls)
-    Ids.insert(Call.m_Id);
-  return static_cast<std::size_t>(
-      std::count_if(Runs.begin(), Runs.end(), [&](const TargetRun &Run) {
-        return Run.m_At > At && Ids.count(Run.m_Request) != 0;
-      }));
-}
-
-/// Starts engines again some time after they ended by themselves.
-class EngineRestarts {
-public:
-  explicit EngineRestarts(RouterFleet &Fleet, std::size_t Engines)
-      : m_Fleet(Fleet), m_Thread([this, Engines] { run(Engines); }) {}
-  ~EngineRestarts() { stop(); }
-
-  void stop() {
-    m_Stop = true;
-    if (m_Thread.joinable())
-      m_Thread.join();
-  }
-  /// Only after stop().
-  const std::vector<EngineCrash> &crashes() const { return m_Crashes; }
-  std::size_t count() const { return m_Count; }
-
-private:
-  void run(std::size_t Engines) {
-    constexpr double RestartMs = 1000;
-    std::map<std::size_t, double> StartsAt;
-    while (!m_Stop) {
-      for (std::size_t Index = 0; Index < Engines; ++Index) {
-        bool Down = StartsAt.count(Index) != 0;
-        if (Down && historyNow() > StartsAt[Index]) {
-          m_Fleet.startEngine(Index);
-          StartsAt.erase(Index);
-        } else if (!Down && m_Fleet.engine(Index).waitForExit(0) >= 0) {
-          m_Crashes.push_back({std::to_string(Index), historyNow()});
-          m_Count = m_Crashes.size();
-          StartsAt[Index] = historyNow() + RestartMs;
-        }
-      }
-      pause(5);
-    }
-  }
-
-  RouterFleet &m_Fleet;
-  std::vector<EngineCrash> m_Crashes;
-  std::atomic<std::size_t> m_Count{0};
-  std::atomic<bool> m_Stop{false};
-  std::thread m_Thread;
-};
-
-/// A streamed chat that shares its first message with others of its kind.
-OperatorRequest chatWith(const std::string &Subject, const std::string &Id) {
-  json Messages = {{{"role", "system"}, {"content", "You sort leather."}},
-                   {{"role", "user"}, {"content", Subject}},
-                   {{"role", "assistant"}, {"content", "Noted."}},
-                   {{"role", "user"}, {"content", "Question " + Id}}};
-  json Body = {{"model", "workshop"},
-               {"user", Id},
-               {"stream", true},
-               {"max_tokens", 8},
-               {"messages", Messages}};
-  OperatorRequest Request{"POST", "/v1/chat/completions", {}, Body.dump()};
-  Request.m_Headers = {{"X-Chat-Id", Id}};
-  return Request;
-}
-
-/// Sends chats of one subject to all routers in turn.
-class ChatCallers {
-public:
-  ChatCallers(RouterFleet &Fleet, std::size_t Routers, std::string Subject,
-              double PauseMs)
-      : m_Fleet(Fleet), m_Routers(Routers), m_Subject(std::move(Subject)),
-        m_PauseMs(PauseMs) {
-    for (int Caller = 0; Caller < Callers; ++Caller)
-      m_Threads.emplace_back([this, Caller] { run(Caller); });
-  }
-  ~ChatCallers() { stop(); }
-
-  void stop() {
-    m_Stop = true;
-    for (std::thread &Each : m_Threads)
-      if (Each.joinable())
-        Each.join();
-  }
-  std::vector<CallRecord> calls() const {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    return m_Calls;
-  }
-
-private:
-  static constexpr int Callers = 4;
-
-  void run(int Caller) {
-    for (int Number = 0; !m_Stop; ++Number) {
-      CallRecord Record;
-      Record.m_Id = m_Subject + "-" + std::to_string(Caller) + "-" +
-                    std::to_string(Number);
-      Record.m_Start = historyNow();
-      std::size_t Router =
-          static_cast<std::size_t>(Caller + Number) % m_Routers;
-      OperatorReply Reply =
-          m_Fleet.call(Router, chatWith(m_Subject, Record.m_Id));
-      Record.m_Status = Reply.m_HttpStatus;
-      if (Reply.m_Body.is_object() && Reply.m_Body.contains("error") &&
-          Reply.m_Body["error"]["not_run"] == true)
-        Record.m_Ending = CallEnding::Refused;
-      {
-        std::lock_guard<std::mutex> Lock(m_Mutex);
-        m_Calls.push_back(Record);
-      }
-      pause(m_PauseMs);
-    }
-  }
-
-  RouterFleet &m_Fleet;
-  std::size_t m_Routers;
-  std::string m_Subject;
-  double m_PauseMs;
-  std::atomic<bool> m_Stop{false};
-  mutable std::mutex m_Mutex;
-  std::vector<CallRecord> m_Calls;
-  std::vector<std::thread> m_Threads;
-};
-
-/// The runs in the engines' records.
-std::vector<TargetRun> recordedRuns(const std::string &Lines) {
-  std::vector<TargetRun> Runs;
-  std::istringstream Stream(Lines);
-  for (std::string Line; std::getline(Stream, Line);) {
-    json Value = json::parse(Line, nullptr, false);
-    if (!Value.is_object())
-      continue;
-    TargetRun &Run = Runs.emplace_back();
-    Run.m_Request = Value.value("request", "");
-    Run.m_At = Value.value("time", 0.0);
-  }
-  return Runs;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PromptCrashes)
@@ -238,19 +59,19 @@
   CallerOptions BadOptions{
       CallKind::Stream, {CrashingPart}, std::chrono::milliseconds(250)};
   GatewayCallers Sound(Fleet, Found, 12, 7, SoundOptions);
-  pause(ContactMs);
+  pauseFor(ContactMs);
   Fleet.targets().setCrashingPart(CrashingPart);
   double BadFrom = historyNow();
   GatewayCallers Bad(Fleet, Found, 4, 9, BadOptions);
   BOOST_REQUIRE(
       waitUntil([&] { return !Fleet.targets().crashes().empty(); }, 5000));
-  pause(4 * ContactMs);
+  pauseFor(4 * ContactMs);
   Bad.stop();
   double BadUntil = historyNow();
   Sound.stop();
   std::vector<EngineCrash> Crashes = Fleet.targets().crashes();
   std::vector<TargetRun> Runs = Fleet.targets().runs();
-  double Counted = countedCrash(Crashes);
+  double Counted = crashTime(Crashes, CountedCrash);
   std::vector<CallRecord> Calls = Sound.calls();
   double Before = shareRun(Calls, Runs, BadFrom - ContactMs / 2, BadFrom);
   double After = shareRun(Calls, Runs, Counted + 2 * ContactMs, BadUntil);
@@ -281,7 +102,7 @@
       CallKind::Stream, {CrashingPart}, std::chrono::milliseconds(250)};
   {
     GatewayCallers Sound(Fleet, Found, 6, 7, {CallKind::Stream, {"b1", "b2"}});
-    pause(ContactMs);
+    pauseFor(ContactMs);
     Fleet.targets().setCrashingPart(CrashingPart);
     GatewayCallers Bad(Fleet, Found, 3, 9, BadOptions);
     BOOST_REQUIRE(waitUntil(
@@ -305,7 +126,7 @@
   std::size_t Crashes = Fleet.targets().crashes().size();
   {
     GatewayCallers Bad(Fleet, Found, 3, 19, BadOptions);
-    pause(ContactMs);
+    pauseFor(ContactMs);
     Bad.stop();
     for (const CallRecord &Call : Bad.calls())
       BOOST_TEST((Call.m_Ending == CallEnding::Refused),
@@ -322,9 +143,9 @@
           .order("DELETE", std::string("/quarantine/") + CrashingPart, "", 5000)
           .m_HttpStatus,
       200);
-  pause(1000);
+  pauseFor(1000);
   GatewayCallers Mended(Fleet, Found, 3, 29, BadOptions);
-  pause(1000);
+  pauseFor(1000);
   Mended.stop();
   for (const CallRecord &Call : Mended.calls())
     BOOST_TEST((Call.m_Ending == CallEnding::Answered),
@@ -337,19 +158,19 @@
   FleetPlan Plan{3, 3, 6};
   Plan.m_EngineArguments = {"--crash-on", CrashingPart};
   RouterFleet Fleet(Plan);
-  ChatCallers Sound(Fleet, Plan.m_Routers, "sound", 40);
-  pause(ContactMs);
+  ChatCallers Sound(Fleet, Plan.m_Routers, {"sound", 40, ""});
+  pauseFor(ContactMs);
   double BadFrom = historyNow();
   EngineRestarts Restarts(Fleet, Plan.m_Engines);
-  ChatCallers Bad(Fleet, Plan.m_Routers, CrashingPart, 250);
+  ChatCallers Bad(Fleet, Plan.m_Routers, {CrashingPart, 250, ""});
   BOOST_REQUIRE(waitUntil([&] { return Restarts.count() > 0; }, 5000));
-  pause(4 * ContactMs);
+  pauseFor(4 * ContactMs);
   Bad.stop();
   double BadUntil = historyNow();
   Sound.stop();
   Restarts.stop();
   std::vector<TargetRun> Runs = recordedRuns(Fleet.recordedRuns());
-  double Counted = countedCrash(Restarts.crashes());
+  double Counted = crashTime(Restarts.crashes(), CountedCrash);
   double Before = shareRun(Sound.calls(), Runs, BadFrom - ContactMs, BadFrom);
   double After =
       shareRun(Sound.calls(), Runs, Counted + 2 * ContactMs, BadUntil);
