Refuse a request that ends targets, as a whole, in the whole fleet

Cause: a query of death that is one request, not a prompt part. The quarantine asked what different requests have in common: the last part of a prompt and requests without a prompt were not judged, parts that sound requests share were excused by their answers, and ends under one chat counted less. So the request went on from target to target, by its gateway's second try and by its caller's repeats at other gateways.

Change: a whole request (method, host or service, path, query, client account, body) is one more part in the same evidence, report, state, check and operator commands. It is refused after three ends without an answer, whatever else ended; a prompt part with no more than its ends stays served. Ends that a refused request explains count against a part again after two others, so a part that is to blame is refused after five ends. A router that saw two targets end under a request does not send it to a third.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -382,7 +382,7 @@
   std::uint64_t m_ResumeOffset = 0;
   /// Text that the caller already has, for continuing at another engine.
   std::string m_ResumeText;
-  /// Parts of the prompt that other chats may share, see joinPartIds().
+  /// What the request may be refused for, see judgedParts() and joinPartIds().
   std::string m_PromptParts;
   /// Hash of the last part.
   std::uint64_t m_PromptChat = 0;
--- a/include/vanillaferry/process/reason.hpp
+++ b/include/vanillaferry/process/reason.hpp
@@ -32,6 +32,8 @@
   ColdTargets = 205,
   /// A part of the prompt ends engines.
   PromptRefused = 206,
+  /// The request as a whole ends targets.
+  CrashingRequest = 207,
   // State of the routers, keepers and targets.
   NoLease = 300,
   NotReady = 301,
--- a/include/vanillaferry/request/prompt_guard.hpp
+++ b/include/vanillaferry/request/prompt_guard.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/process/reason.hpp"
 #include "vanillaferry/request/prompt_part.hpp"
 #include "vanillaferry/request/served_parts.hpp"
 
@@ -12,8 +13,10 @@
 
 namespace vanillaferry {
 
-// Some prompt parts end every engine that begins to write an answer to them.
-// Each router reports the ends that it sees to the leading keeper, which counts
+// Some prompt parts end every engine that begins to write an answer to them,
+// and some requests every target that begins to run them. In the following a
+// part may also be a request as a whole (request_content.hpp). Each router
+// reports the ends that it sees to the leading keeper, which counts
 // them for the whole fleet (process/prompt_suspects.hpp) and states which parts
 // must not be sent any more.
 
@@ -23,13 +26,15 @@
   AccountId m_Account;
   /// Hash of the last part, which belongs to one chat.
   std::uint64_t m_Chat = 0;
-  /// sharedParts() of its prompt.
+  /// judgedParts() of the request.
   std::vector<PromptPartId> m_Parts;
 };
 
 /// A request that lost its answer when its target ended.
 struct ObservedCut {
   TargetId m_Target;
+  /// The request as a whole.
+  PromptPartId m_Whole;
   Millis m_At;
   CutRequest m_Cut;
   bool m_Reported = false;
@@ -51,6 +56,9 @@
   std::set<PromptPartId> m_Suspects;
 
   ServedParts m_Served;
+  /// Whole requests that were answered. They are kept apart from the parts,
+  /// which they would push out.
+  ServedParts m_ServedRequests;
   /// Recent cuts, all of which each report repeats: a new leader knows none.
   std::deque<ObservedCut> m_Cuts;
   /// Suspects and refused parts with which a target has answered since the last
@@ -85,10 +93,15 @@
                                         const NodeId &Self,
                                         const std::vector<NodeId> &Routers);
 
-/// True when the request must not be sent to another target after its first one
-/// has ended.
-bool isSuspect(const PromptGuard &Guard, const std::vector<PromptPartId> &Parts,
-               Millis Now);
+/// Why and with which message a request with the refused part is refused.
+RefusalReason refusalReason(const PromptPartId &Part);
+std::string refusalText(const PromptPartId &Part);
+
+/// The first part for which the request must not be sent to another target
+/// after its last one has ended; absent when it may be.
+std::optional<PromptPartId> suspectPart(const PromptGuard &Guard,
+                                        const std::vector<PromptPartId> &Parts,
+                                        Millis Now);
 
 /// To be called when a request is sent; true when it is the trial of a refused
 /// part.
--- a/include/vanillaferry/request/prompt_part.hpp
+++ b/include/vanillaferry/request/prompt_part.hpp
@@ -23,9 +23,12 @@
 /// Hash of the last part; 0 without parts.
 std::uint64_t hashOwnPart(const std::vector<PromptPart> &Parts);
 
-/// Ids of the parts that may be shared, each once. A very long id is replaced
-/// by its hash, and only the first MaxSharedParts count, so that what is kept
-/// of a request is bounded.
+/// Begins the id of a request as a whole (request_content.hpp).
+constexpr const char *WholeRequestPrefix = "request:";
+
+/// Ids of the parts that may be shared, each once. A very long id, or one that
+/// looks like that of a whole request, is replaced by its hash, and only the
+/// first MaxSharedParts count, so that what is kept of a request is bounded.
 std::vector<PromptPartId> sharedParts(const std::vector<PromptPart> &Parts);
 constexpr std::size_t MaxSharedParts = 256;
 
--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -1,6 +1,6 @@
 #include "vanillaferry/process/prompt_suspects.hpp"
 
-#include "vanillaferry/request/prompt_part.hpp"
+#include "vanillaferry/request/request_content.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -38,9 +38,15 @@
 /// what is sound: after a start of the fleet no part was answered yet.
 constexpr Millis HistoryNeeded{10000};
 
+/// A part that was at this many ends beyond those of a refused request may be
+/// what ended these too.
+constexpr std::size_t EndsBeyondRequest = 2;
+
 /// What speaks against one part.
 struct PartEvidence {
   std::vector<const TargetEnd *> m_Ends;
+  /// Ends that a refused request explains; its prompt may be to blame.
+  std::vector<const TargetEnd *> m_EndsOfRequests;
   std::set<std::uint64_t> m_Chats;
   /// See weigh().
   std::size_t m_Count = 0;
@@ -96,12 +102,20 @@
                      });
 }
 
-bool isExplained(const TargetEnd &End, const PromptQuarantine &Held) {
-  return std::any_of(
-      Held.m_Parts.begin(), Held.m_Parts.end(),
-      [&End](const std::pair<const PromptPartId, QuarantinedPart> &Row) {
-        return contains(End, Row.first);
-      });
+/// What explains an end.
+enum class Explanation { None, RefusedRequest, RefusedPart };
+
+Explanation explain(const TargetEnd &End, const PromptQuarantine &Held) {
+  Explanation Found = Explanation::None;
+  for (const std::pair<const PromptPartId, QuarantinedPart> &Row :
+       Held.m_Parts) {
+    if (!contains(End, Row.first))
+      continue;
+    if (!isWholeRequest(Row.first))
+      return Explanation::RefusedPart;
+    Found = Explanation::RefusedRequest;
+  }
+  return Found;
 }
 
 std::optional<Millis> servedAt(const PromptSuspects &Suspects,
@@ -113,8 +127,8 @@
   return Known->second;
 }
 
-/// More ends are needed when all were under one chat, which may only be unlucky
-/// with its repeats.
+/// More ends are needed against a part when all were under one chat, which may
+/// only be unlucky with its repeats.
 constexpr std::size_t ExtraEndsOfOneChat = 2;
 
 /// The number of ends, those with a shared cause counted once.
@@ -134,34 +148,46 @@
 }
 
 /// The weight of the evidence against a part, in ends.
-std::size_t weigh(PartEvidence &Evidence) {
+std::size_t weigh(const PromptPartId &Part, PartEvidence &Evidence) {
+  if (Evidence.m_Ends.size() >= EndsBeyondRequest)
+    Evidence.m_Ends.insert(Evidence.m_Ends.end(),
+                           Evidence.m_EndsOfRequests.begin(),
+                           Evidence.m_EndsOfRequests.end());
   std::size_t Count = countEnds(Evidence.m_Ends);
-  if (Evidence.m_Chats.size() > 1)
+  if (isWholeRequest(Part) || Evidence.m_Chats.size() > 1)
     return Count;
   return Count - std::min(Count, ExtraEndsOfOneChat);
 }
 
+void addEvidence(PartEvidence &Evidence, const TargetEnd &End,
+                 const CrashedRequest &Request, Explanation Why) {
+  bool OfRequest = Why == Explanation::RefusedRequest;
+  std::vector<const TargetEnd *> &Ends =
+      OfRequest ? Evidence.m_EndsOfRequests : Evidence.m_Ends;
+  if (Ends.empty() || Ends.back() != &End)
+    Ends.push_back(&End);
+  Evidence.m_Chats.insert(Request.m_Chat);
+}
+
 /// Evidence against all parts that are not refused, from the ends that no
 /// refused part explains and that came after the last answer with the part.
 EvidenceTable collectEvidence(const PromptSuspects &Suspects,
                               const PromptQuarantine &Held) {
   EvidenceTable Table;
   for (const TargetEnd &End : Suspects.m_Ends) {
-    if (isExplained(End, Held))
+    Explanation Why = explain(End, Held);
+    if (Why == Explanation::RefusedPart)
       continue;
     for (const CrashedRequest &Request : End.m_Requests)
       for (const PromptPartId &Part : Request.m_Parts) {
         std::optional<Millis> Served = servedAt(Suspects, Part);
-        if (Served && End.m_At <= *Served)
-          continue;
-        PartEvidence &Evidence = Table[Part];
-        if (Evidence.m_Ends.empty() || Evidence.m_Ends.back() != &End)
-          Evidence.m_Ends.push_back(&End);
-        Evidence.m_Chats.insert(Request.m_Chat);
+        bool Before = Served && End.m_At <= *Served;
+        if (!Before && Held.m_Parts.count(Part) == 0)
+          addEvidence(Table[Part], End, Request, Why);
       }
   }
   for (std::pair<const PromptPartId, PartEvidence> &Row : Table)
-    Row.second.m_Count = weigh(Row.second);
+    Row.second.m_Count = weigh(Row.first, Row.second);
   return Table;
 }
 
@@ -193,18 +219,27 @@
   return Names;
 }
 
-/// The parts with the most ends. Among equals, those with which no target has
-/// answered lately go first: a sound part is answered elsewhere.
+/// What is judged: whole requests and prompt parts, one kind after the other.
+enum class Judged { Requests, Parts };
+
+/// The requests or parts with the most ends. Among equals, those with which no
+/// target has answered lately go first: a sound part is answered elsewhere.
 std::vector<PromptPartId> strongest(const PromptSuspects &Suspects,
-                                    const EvidenceTable &Table) {
-  std::size_t Most = 0;
-  for (const std::pair<const PromptPartId, PartEvidence> &Row : Table)
-    Most = std::max(Most, Row.second.m_Count);
+                                    const EvidenceTable &Table, Judged Kind) {
+  std::size_t Most = 1;
   std::vector<PromptPartId> Unserved;
   std::vector<PromptPartId> Served;
-  for (const std::pair<const PromptPartId, PartEvidence> &Row : Table)
-    if (Row.second.m_Count == Most)
-      (servedAt(Suspects, Row.first) ? Served : Unserved).push_back(Row.first);
+  for (const std::pair<const PromptPartId, PartEvidence> &Row : Table) {
+    bool OfKind = isWholeRequest(Row.first) == (Kind == Judged::Requests);
+    if (!OfKind || Row.second.m_Count < Most)
+      continue;
+    if (Row.second.m_Count > Most) {
+      Most = Row.second.m_Count;
+      Unserved.clear();
+      Served.clear();
+    }
+    (servedAt(Suspects, Row.first) ? Served : Unserved).push_back(Row.first);
+  }
   return Unserved.empty() ? Served : Unserved;
 }
 
@@ -212,13 +247,16 @@
 std::size_t endsNeeded(const PromptSuspects &Suspects,
                        const PromptQuarantine &Held, const PromptPartId &Part,
                        const PartEvidence &Evidence, Millis Now) {
+  bool NeverServed = !servedAt(Suspects, Part);
+  // Hardly any sound request is cut three times without an answer.
+  if (isWholeRequest(Part))
+    return NeverServed ? QuarantineThreshold : ThresholdAmongOthers;
   Millis From = std::min(Evidence.m_Ends.front()->m_At, Now - RecentEnds);
   std::vector<const TargetEnd *> Recent;
   for (const TargetEnd &End : Suspects.m_Ends)
-    if (End.m_At >= From && !isExplained(End, Held))
+    if (End.m_At >= From && explain(End, Held) == Explanation::None)
       Recent.push_back(&End);
   bool UnderMost = Evidence.m_Count * 2 > countEnds(Recent);
-  bool NeverServed = !servedAt(Suspects, Part);
   if (!UnderMost && !NeverServed)
     return ThresholdOfServed;
   bool Known = Suspects.m_History >= HistoryNeeded;
@@ -226,31 +264,56 @@
                                            : ThresholdAmongOthers;
 }
 
-/// The parts to refuse now; empty when the evidence does not suffice.
-std::vector<PromptPartId> partsToRefuse(const PromptSuspects &Suspects,
-                                        const PromptQuarantine &Held,
-                                        const EvidenceTable &Table,
-                                        Millis Now) {
-  std::vector<PromptPartId> Parts = strongest(Suspects, Table);
+bool wasAnswered(const PromptSuspects &Suspects, const PromptPartId &Part,
+                 Millis Now) {
+  std::map<PromptPartId, Millis>::const_iterator Asked =
+      Suspects.m_Asked.find(Part);
+  return Asked != Suspects.m_Asked.end() && Asked->second + AnswerTime <= Now;
+}
+
+/// The strongest of one kind if the evidence suffices, else none.
+std::vector<PromptPartId> refusable(const PromptSuspects &Suspects,
+                                    const PromptQuarantine &Held,
+                                    const EvidenceTable &Table, Judged Kind,
+                                    Millis Now) {
+  std::vector<PromptPartId> Parts = strongest(Suspects, Table, Kind);
   if (Parts.empty())
     return Parts;
   const PartEvidence &Evidence = Table.at(Parts.front());
-  std::size_t Count = Evidence.m_Count;
   std::size_t Needed = endsNeeded(Suspects, Held, Parts.front(), Evidence, Now);
   if (Parts.size() > 1)
     Needed = std::max(Needed, TieThreshold);
   bool Answered =
       std::all_of(Parts.begin(), Parts.end(), [&](const PromptPartId &Part) {
-        std::map<PromptPartId, Millis>::const_iterator Asked =
-            Suspects.m_Asked.find(Part);
-        return Asked != Suspects.m_Asked.end() &&
-               Asked->second + AnswerTime <= Now;
+        return wasAnswered(Suspects, Part, Now);
       });
-  if (Count < Needed || !Answered)
+  if (Evidence.m_Count < Needed || !Answered)
     Parts.clear();
   return Parts;
 }
 
+std::size_t countOf(const EvidenceTable &Table,
+                    const std::vector<PromptPartId> &Parts) {
+  return Parts.empty() ? 0 : Table.at(Parts.front()).m_Count;
+}
+
+/// The requests or parts to refuse now. A part goes first when it was at more
+/// ends than one request explains; else the request is the narrower
+/// explanation, which leaves the other requests with the part in service.
+std::vector<PromptPartId> partsToRefuse(const PromptSuspects &Suspects,
+                                        const PromptQuarantine &Held,
+                                        const EvidenceTable &Table,
+                                        Millis Now) {
+  std::vector<PromptPartId> Requests =
+      refusable(Suspects, Held, Table, Judged::Requests, Now);
+  std::vector<PromptPartId> Parts =
+      refusable(Suspects, Held, Table, Judged::Parts, Now);
+  std::size_t OfRequest =
+      countOf(Table, strongest(Suspects, Table, Judged::Requests));
+  std::size_t Beyond = Requests.empty() ? 1 : EndsBeyondRequest;
+  return countOf(Table, Parts) >= OfRequest + Beyond ? Parts : Requests;
+}
+
 /// True when each end under the part was also under another refused part that
 /// has more of them.
 bool isExplainedAway(const PromptSuspects &Suspects,
--- a/src/core/request/prompt_guard.cpp
+++ b/src/core/request/prompt_guard.cpp
@@ -1,5 +1,7 @@
 #include "vanillaferry/request/prompt_guard.hpp"
 
+#include "vanillaferry/request/request_content.hpp"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -35,9 +37,15 @@
   Guard.m_NextReport = std::max(Guard.m_NextReport, At);
 }
 
+std::optional<Millis> lastAnswered(const PromptGuard &Guard,
+                                   const PromptPartId &Part) {
+  return lastServed(
+      isWholeRequest(Part) ? Guard.m_ServedRequests : Guard.m_Served, Part);
+}
+
 bool answeredLately(const PromptGuard &Guard, const PromptPartId &Part,
                     Millis Now) {
-  std::optional<Millis> At = lastServed(Guard.m_Served, Part);
+  std::optional<Millis> At = lastAnswered(Guard, Part);
   return At && Now < *At + RecentAnswer;
 }
 
@@ -101,7 +109,7 @@
   Guard.m_Suspects.clear();
   for (const SuspectPart &Each : Watch.m_Suspects) {
     Guard.m_Suspects.insert(Each.m_Part);
-    if (!lastServed(Guard.m_Served, Each.m_Part))
+    if (!lastAnswered(Guard, Each.m_Part))
       continue;
     Guard.m_ServedNews.insert(Each.m_Part);
     scheduleReport(Guard, Millis());
@@ -148,12 +156,46 @@
   return std::nullopt;
 }
 
-bool isSuspect(const PromptGuard &Guard, const std::vector<PromptPartId> &Parts,
-               Millis Now) {
-  return std::any_of(
-      Parts.begin(), Parts.end(), [&Guard, Now](const PromptPartId &Part) {
-        return isWatched(Guard, Part) && !answeredLately(Guard, Part, Now);
-      });
+RefusalReason refusalReason(const PromptPartId &Part) {
+  return isWholeRequest(Part) ? RefusalReason::CrashingRequest
+                              : RefusalReason::PromptRefused;
+}
+
+std::string refusalText(const PromptPartId &Part) {
+  if (isWholeRequest(Part))
+    return "the same request ended the targets that ran it (" + Part.m_Value +
+           ")";
+  return "part " + Part.m_Value + " of the prompt ends engines";
+}
+
+namespace {
+
+/// True when this router saw two targets end under the whole request, whatever
+/// the leader knows of it.
+bool endedTwoTargets(const PromptGuard &Guard, const PromptPartId &Whole) {
+  const TargetId *First = nullptr;
+  for (const ObservedCut &Each : Guard.m_Cuts) {
+    if (Each.m_Whole != Whole)
+      continue;
+    if (First && *First != Each.m_Target)
+      return true;
+    First = &Each.m_Target;
+  }
+  return false;
+}
+
+} // namespace
+
+std::optional<PromptPartId> suspectPart(const PromptGuard &Guard,
+                                        const std::vector<PromptPartId> &Parts,
+                                        Millis Now) {
+  for (const PromptPartId &Part : Parts) {
+    bool Accused = isWatched(Guard, Part) ||
+                   (isWholeRequest(Part) && endedTwoTargets(Guard, Part));
+    if (Accused && !answeredLately(Guard, Part, Now))
+      return Part;
+  }
+  return std::nullopt;
 }
 
 namespace {
@@ -189,7 +231,13 @@
 
 void recordPromptServed(PromptGuard &Guard, const PromptOfRequest &Prompt,
                         Millis Now) {
-  recordServed(Guard.m_Served, Prompt.m_Parts, Prompt.m_Account, Now);
+  std::vector<PromptPartId> Whole;
+  std::vector<PromptPartId> Shared;
+  for (const PromptPartId &Part : Prompt.m_Parts)
+    (isWholeRequest(Part) ? Whole : Shared).push_back(Part);
+  recordServed(Guard.m_ServedRequests, Whole, Prompt.m_Account, Now);
+  if (!Shared.empty())
+    recordServed(Guard.m_Served, Shared, Prompt.m_Account, Now);
   for (const PromptPartId &Part : Prompt.m_Parts) {
     if (!isWatched(Guard, Part))
       continue;
@@ -211,6 +259,8 @@
     return;
   ObservedCut Cut;
   Cut.m_Target = Target;
+  if (isWholeRequest(Parts.front()))
+    Cut.m_Whole = Parts.front();
   Cut.m_At = Now;
   Cut.m_Cut = {hashOf(Prompt.m_Request.m_Value), Prompt.m_Chat,
                joinPartIds(Parts)};
@@ -234,7 +284,7 @@
     Report.m_History = Now - *Guard.m_Served.m_Since;
   addCuts(Guard, Report, Now);
   for (const PromptPartId &Part : Guard.m_ServedNews)
-    if (std::optional<Millis> At = lastServed(Guard.m_Served, Part))
+    if (std::optional<Millis> At = lastAnswered(Guard, Part))
       Report.m_Served.push_back({Part, Now - *At});
   Guard.m_ServedNews.clear();
   return Report;
--- a/src/core/request/prompt_part.cpp
+++ b/src/core/request/prompt_part.cpp
@@ -12,7 +12,8 @@
 constexpr char Separator = ',';
 
 PromptPartId boundedId(const PromptPartId &Id) {
-  if (Id.m_Value.size() <= MaxIdLength)
+  if (Id.m_Value.size() <= MaxIdLength &&
+      Id.m_Value.rfind(WholeRequestPrefix, 0) != 0)
     return Id;
   char Text[24];
   std::snprintf(Text, sizeof Text, "hash-%016llx",
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -3,6 +3,7 @@
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "vanillaferry/request/control_wait.hpp"
+#include "vanillaferry/request/request_content.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -88,7 +89,6 @@
     return false;
   }
   m_Request = std::move(Decoded.value());
-  m_SharedParts = sharedParts(m_Request.m_PromptParts);
   return true;
 }
 
@@ -161,7 +161,7 @@
            "no client account has this API key");
     return false;
   }
-  m_Content = contentDigest();
+  m_JudgedParts = judgedParts(wholeId(), m_Request.m_PromptParts);
   m_Service = chooseService(m_Route, hashText(m_Request.m_Id.m_Value));
   if (isStream())
     m_Priority = Account && Account->m_Priority ? *Account->m_Priority
@@ -222,7 +222,7 @@
   Millis Now = monotonicNow();
   ++m_Tries;
   noteStarted(Target, Now);
-  m_IsTrial = recordPromptSent(m_Gateway.m_Prompts, m_SharedParts);
+  m_IsTrial = recordPromptSent(m_Gateway.m_Prompts, m_JudgedParts);
   m_Try.emplace();
   m_Try->m_Target = Target.m_Listed.m_Id;
   m_LastTarget = m_Try->m_Target;
@@ -237,8 +237,8 @@
             {"load", static_cast<std::int64_t>(Choice.m_Load)},
             {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
             {"prefix_from", Choice.m_PrefixSource.m_Value},
-            {"parts", joinPartIds(m_SharedParts)},
-            {"content", m_Content},
+            {"parts", joinPartIds(sharedParts(m_Request.m_PromptParts))},
+            {"content", m_JudgedParts.front().m_Value},
             {"list_age_ms", (Now - m_Gateway.m_TargetList.m_ReadAt).m_Value},
             {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
             {"left_ms", timeLeft().m_Value}});
@@ -405,7 +405,7 @@
   if (DispatchTarget *Target =
           findTarget(m_Gateway, m_Service, m_Try->m_Target))
     noteEnded(*Target, How, monotonicNow());
-  recordPromptEnded(m_Gateway.m_Prompts, m_SharedParts);
+  recordPromptEnded(m_Gateway.m_Prompts, m_JudgedParts);
   m_IsTrial = false;
   m_Need.m_Excluded.insert(m_Try->m_Target);
   m_ConnectTimer.stop();
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -120,7 +120,8 @@
   bool mayBePrompted() const;
   void refusePrompt();
   PromptOfRequest promptOfRequest() const;
-  std::string contentDigest() const;
+  /// The request as a whole, which needs its client account.
+  PromptPartId wholeId() const;
   /// Records the end of a connection to a target that has not answered whole.
   void recordCut(const std::string &Detail);
   void recordServed();
@@ -140,9 +141,8 @@
   std::optional<AccountId> m_Account;
   std::optional<int> m_Priority;
   DispatchCriteria m_Need;
-  std::vector<PromptPartId> m_SharedParts;
-  /// Digest of what a repeat of this request has in common with it.
-  std::string m_Content;
+  /// What it may be refused for; the first is the request as a whole.
+  std::vector<PromptPartId> m_JudgedParts;
   /// The present try is the trial of a refused part.
   bool m_IsTrial = false;
   Millis m_ArrivedAt;
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -201,9 +201,9 @@
 }
 
 bool Exchange::mayRetry() {
-  // The next engine may end as well.
+  // The next target may end as well.
   if (m_PossibleRuns > 0 &&
-      isSuspect(m_Gateway.m_Prompts, m_SharedParts, monotonicNow()))
+      suspectPart(m_Gateway.m_Prompts, m_JudgedParts, monotonicNow()))
     return false;
   if (m_PossibleRuns > 0 &&
       (!repeatable() || m_PossibleRuns >= m_Route.m_MaxTargets))
--- a/src/daemon/gateway/exchange_prompt.cpp
+++ b/src/daemon/gateway/exchange_prompt.cpp
@@ -2,7 +2,7 @@
 
 #include "process/clock.hpp"
 #include "process/log.hpp"
-#include "request/request_content.hpp"
+#include "vanillaferry/request/request_content.hpp"
 
 namespace vanillaferry {
 
@@ -15,7 +15,7 @@
 } // namespace
 
 bool Exchange::mayBePrompted() const {
-  return m_IsTrial || !refusedPart(m_Gateway.m_Prompts, m_SharedParts,
+  return m_IsTrial || !refusedPart(m_Gateway.m_Prompts, m_JudgedParts,
                                    m_Gateway.m_Settings.m_Node,
                                    m_Gateway.m_Control.m_Routers);
 }
@@ -23,21 +23,18 @@
 void Exchange::refusePrompt() {
   if (m_FallbackAnswer || m_PossibleRuns > 0)
     return fail(RefusalReason::TargetFailed,
-                "the prompt has a part that ends engines");
-  std::optional<PromptPartId> Part =
-      refusedPart(m_Gateway.m_Prompts, m_SharedParts,
-                  m_Gateway.m_Settings.m_Node, m_Gateway.m_Control.m_Routers);
-  refuse(RefusalReason::PromptRefused, RetryRefusedPrompt,
-         "part " + Part.value_or(PromptPartId()).m_Value +
-             " of the prompt ends engines");
+                "the request, or a part of its prompt, ends targets");
+  PromptPartId Part =
+      refusedPart(m_Gateway.m_Prompts, m_JudgedParts,
+                  m_Gateway.m_Settings.m_Node, m_Gateway.m_Control.m_Routers)
+          .value_or(PromptPartId());
+  refuse(refusalReason(Part), RetryRefusedPrompt, refusalText(Part));
 }
 
-std::string Exchange::contentDigest() const {
-  std::string Path = m_Raw.m_Path;
-  if (!m_Raw.m_Query.empty())
-    Path += "?" + m_Raw.m_Query;
-  return digestOf(
-      {m_Account.value_or(AccountId()), m_Raw.m_Method, Path, m_Raw.m_Body});
+PromptPartId Exchange::wholeId() const {
+  std::string Url = m_Request.m_Host + m_Raw.m_Path + "?" + m_Raw.m_Query;
+  return wholeRequest(
+      {m_Account.value_or(AccountId()), m_Raw.m_Method, Url, m_Raw.m_Body});
 }
 
 PromptOfRequest Exchange::promptOfRequest() const {
@@ -45,7 +42,7 @@
   Prompt.m_Request = m_Request.m_Id;
   Prompt.m_Account = m_Account.value_or(AccountId());
   Prompt.m_Chat = hashOwnPart(m_Request.m_PromptParts);
-  Prompt.m_Parts = m_SharedParts;
+  Prompt.m_Parts = m_JudgedParts;
   return Prompt;
 }
 
@@ -62,8 +59,8 @@
             {"why", Detail},
             {"sent_ms", (Now - m_Try->m_StartedAt).m_Value},
             {"event_ms", FirstEvent.value_or(Millis(-1)).m_Value},
-            {"parts", joinPartIds(m_SharedParts)},
-            {"content", m_Content}});
+            {"parts", joinPartIds(sharedParts(m_Request.m_PromptParts))},
+            {"content", m_JudgedParts.front().m_Value}});
   // Bytes that are no answer come from a target that has not ended.
   if (m_Try->m_Call->connectionEnded())
     recordPromptCut(m_Gateway.m_Prompts, promptOfRequest(), m_Try->m_Target,
@@ -71,8 +68,6 @@
 }
 
 void Exchange::recordServed() {
-  if (m_SharedParts.empty())
-    return;
   // An answer that ends with its connection may have been cut between two
   // events.
   if (m_Try->m_Call->connectionEnded() && !survives())
--- a/src/daemon/request/entry.cpp
+++ b/src/daemon/request/entry.cpp
@@ -7,6 +7,7 @@
 #include "process/digest.hpp"
 #include "process/router.hpp"
 #include "request/idempotency_key.hpp"
+#include "vanillaferry/request/request_content.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -96,6 +97,12 @@
   return true;
 }
 
+/// The request as a whole.
+PromptPartId wholeId(const Forward &Order, const CallerRequest &Request) {
+  std::string Url = Order.m_Pool.m_Value + Order.m_Path;
+  return wholeRequest({Order.m_Account, Order.m_Method, Url, Request.m_Body});
+}
+
 void openSession(Router &R, const std::shared_ptr<Session> &S) {
   R.m_Sessions[S->m_Order.m_Request] = S;
   std::weak_ptr<Session> Weak = S;
@@ -137,7 +144,8 @@
       ChatId(Account.m_Value + "/" +
              (ChatName.empty() ? Chat.m_FirstMessages.m_Value : ChatName));
   S->m_Order.m_PromptTokens = Chat.m_PromptTokens;
-  S->m_Order.m_PromptParts = joinPartIds(sharedParts(Chat.m_Parts));
+  S->m_Order.m_PromptParts =
+      joinPartIds(judgedParts(wholeId(S->m_Order, Request), Chat.m_Parts));
   S->m_Order.m_PromptChat = hashOwnPart(Chat.m_Parts);
   S->m_Order.m_Stream = Chat.m_Stream;
   S->m_Order.m_Body = std::move(Request.m_Body);
@@ -205,6 +213,8 @@
   S->m_Order.m_Path = Slash == std::string::npos ? "/" : Rest.substr(Slash);
   if (!Request.m_Query.empty())
     S->m_Order.m_Path += "?" + Request.m_Query;
+  S->m_Order.m_PromptParts =
+      joinPartIds(judgedParts(wholeId(S->m_Order, Request), {}));
   S->m_Order.m_Body = std::move(Request.m_Body);
   addCounter(R.m_Metrics, "vanillaferry_requests_total{kind=\"service\"}");
   openSession(R, S);
--- a/src/daemon/request/prompt_refusal.cpp
+++ b/src/daemon/request/prompt_refusal.cpp
@@ -5,7 +5,6 @@
 #include "process/log.hpp"
 #include "process/router.hpp"
 #include "request/internal/run_steps.hpp"
-#include "request/request_content.hpp"
 #include "request/run.hpp"
 #include "request/session.hpp"
 
@@ -53,14 +52,14 @@
     S->m_IsTrial = recordPromptSent(R.m_Prompts, Parts);
     return true;
   }
-  refuseSession(S, RefusalReason::PromptRefused,
+  refuseSession(S, refusalReason(*Refused),
                 S->m_MayHaveRun ? NotRun::Unknown : NotRun::True,
-                "message " + Refused->m_Value + " of the prompt ends engines");
+                refusalText(*Refused));
   return false;
 }
 
-bool isSuspectPrompt(const Session &S) {
-  return isSuspect(S.m_Router.m_Prompts, partsOf(S.m_Order), monotonicNow());
+std::optional<PromptPartId> suspectOf(const Session &S) {
+  return suspectPart(S.m_Router.m_Prompts, partsOf(S.m_Order), monotonicNow());
 }
 
 void endPromptTrial(Session &S) {
@@ -92,9 +91,7 @@
             {"target", Work.m_Target.m_Id.m_Value},
             {"sent_ms", (monotonicNow() - Work.m_StartedAt).m_Value},
             {"event_ms", FirstEvent.value_or(Millis(-1)).m_Value},
-            {"parts", Work.m_Order.m_PromptParts},
-            {"content", digestOf({Work.m_Order.m_Account, Work.m_Order.m_Method,
-                                  Work.m_Order.m_Path, Work.m_Order.m_Body})}});
+            {"parts", Work.m_Order.m_PromptParts}});
   recordPromptCut(Work.m_Router.m_Prompts, promptOf(Work.m_Order),
                   Work.m_Target.m_Id, FirstEvent, monotonicNow());
 }
--- a/src/daemon/request/prompt_refusal.hpp
+++ b/src/daemon/request/prompt_refusal.hpp
@@ -3,6 +3,7 @@
 #include "vanillaferry/connection/message.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace vanillaferry {
@@ -17,9 +18,9 @@
 
 /// True when the session may ask an owner. Else it was refused.
 bool admitPrompt(const std::shared_ptr<Session> &S);
-/// True when the session must not go to another target after its first one has
-/// ended.
-bool isSuspectPrompt(const Session &S);
+/// For what the session must not go to another target after its last one has
+/// ended; absent when it may.
+std::optional<PromptPartId> suspectOf(const Session &S);
 /// Ends the trial that the session was, if it was one.
 void endPromptTrial(Session &S);
 
--- a/src/daemon/request/session_retry.cpp
+++ b/src/daemon/request/session_retry.cpp
@@ -117,10 +117,11 @@
 void retryBroken(const std::shared_ptr<Session> &S, RetryReason Why,
                  const std::string &Detail) {
   S->m_MayHaveRun = true;
-  // The next engine may end as well.
-  if (Why == RetryReason::StreamBroken && isSuspectPrompt(*S)) {
-    refuseSession(S, RefusalReason::PromptRefused, NotRun::Unknown,
-                  "engines ended under a message of the prompt");
+  // The next target may end as well.
+  std::optional<PromptPartId> Suspect = suspectOf(*S);
+  if (Why == RetryReason::StreamBroken && Suspect) {
+    refuseSession(S, refusalReason(*Suspect), NotRun::Unknown,
+                  refusalText(*Suspect));
     return;
   }
   if (!S->m_Caller->streaming()) {
--- a/tests/core/PromptGuard.tests.cpp
+++ b/tests/core/PromptGuard.tests.cpp
@@ -156,9 +156,10 @@
   PromptGuard Guard;
   recordPromptServed(Guard, prompt("q0", "first"), Now);
   applySuspects(Guard, {{{PromptPartId("first")}, {PromptPartId("bad")}}});
-  BOOST_TEST(isSuspect(Guard, ids("first,bad"), Now));
-  BOOST_TEST(!isSuspect(Guard, ids("first,good"), Now));
-  BOOST_TEST(isSuspect(Guard, ids("first,good"), Now + Millis(60000)));
+  BOOST_TEST(suspectPart(Guard, ids("first,bad"), Now).has_value());
+  BOOST_TEST(!suspectPart(Guard, ids("first,good"), Now).has_value());
+  BOOST_TEST(
+      suspectPart(Guard, ids("first,good"), Now + Millis(60000)).has_value());
 }
 
 // Guards against a caller that pushes the parts of others out of the memory.
@@ -179,4 +180,44 @@
   BOOST_TEST(!lastServed(Served, PromptPartId("precious")).has_value());
 }
 
+// Guards against a request that its gateway sends to a third target after two
+// have ended under it, before any keeper has counted.
+BOOST_AUTO_TEST_CASE(ARequestThatEndedTwoTargetsIsNotSentToAThird) {
+  std::vector<PromptPartId> Parts = ids("request:1,first");
+  PromptGuard Guard;
+  recordPromptCut(Guard, prompt("q1", "request:1,first"), TargetId("t1"),
+                  std::nullopt, Now);
+  BOOST_TEST(!suspectPart(Guard, Parts, Now).has_value());
+  // A second cut at the same end is no second end.
+  recordPromptCut(Guard, prompt("q2", "request:1,first"), TargetId("t1"),
+                  std::nullopt, Now);
+  BOOST_TEST(!suspectPart(Guard, Parts, Now).has_value());
+  recordPromptCut(Guard, prompt("q3", "request:1,first"), TargetId("t2"),
+                  std::nullopt, Now);
+  std::optional<PromptPartId> Part = suspectPart(Guard, Parts, Now);
+  BOOST_REQUIRE(Part.has_value());
+  BOOST_TEST(*Part == PromptPartId("request:1"));
+  BOOST_TEST(!suspectPart(Guard, ids("request:2,first"), Now).has_value());
+  recordPromptServed(Guard, prompt("q4", "request:1,first"), Now);
+  BOOST_TEST(!suspectPart(Guard, Parts, Now).has_value());
+}
+
+// Guards against answers to many requests that push the memory of answered
+// prompt parts out.
+BOOST_AUTO_TEST_CASE(AnsweredRequestsTakeNoRoomOfAnsweredParts) {
+  PromptGuard Guard;
+  recordPromptServed(Guard, prompt("q", "request:0,first"), Now);
+  for (std::size_t Number = 1; Number <= 2 * MaxServedPartsOfAccount; ++Number)
+    recordPromptServed(Guard, prompt("q", "request:" + std::to_string(Number)),
+                       Now);
+  PromptWatch Watch;
+  Watch.m_Suspects.push_back({PromptPartId("first")});
+  applySuspects(Guard, Watch);
+  std::optional<PromptReport> Report =
+      takePromptReport(Guard, Self, Now + Millis(100));
+  BOOST_REQUIRE(Report.has_value());
+  BOOST_REQUIRE_EQUAL(Report->m_Served.size(), 1U);
+  BOOST_TEST(Report->m_Served[0].m_Part == PromptPartId("first"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/PromptReplay.tests.cpp
+++ b/tests/core/PromptReplay.tests.cpp
@@ -140,6 +140,7 @@
     Request.m_Prompt.m_Account = AccountId("a");
     Request.m_Prompt.m_Chat = m_LastRequest;
     Request.m_Prompt.m_Parts = {
+        PromptPartId("request:" + std::to_string(m_LastRequest)),
         PromptPartId("first-" + std::to_string(Route)),
         Bad ? BadPart : PromptPartId("s" + std::to_string(Subject))};
     return Request;
@@ -220,7 +221,7 @@
     // caller.
     for (SimRequest &Each : Running)
       if (Each.m_Tries++ < 2 && draw(0.5) &&
-          !isSuspect(m_Guards[Each.m_Gateway], Each.m_Prompt.m_Parts, m_Now))
+          !suspectPart(m_Guards[Each.m_Gateway], Each.m_Prompt.m_Parts, m_Now))
         place(std::move(Each));
   }
 
--- a/tests/core/PromptSuspects.tests.cpp
+++ b/tests/core/PromptSuspects.tests.cpp
@@ -284,4 +284,61 @@
   BOOST_TEST(Held.m_Parts.count(PromptPartId("p0")) == 0U);
 }
 
+// Guards against a request that ends target after target under other ids, all
+// of one chat, and against refusing the sound requests that share its parts.
+BOOST_AUTO_TEST_CASE(ThreeEndsUnderOneRequestRefuseItAndNotItsParts) {
+  constexpr std::uint64_t Chat = 7;
+  Leader Lead;
+  for (int End = 0; End < 3; ++End) {
+    BOOST_TEST(!Lead.refuses("request:bad"));
+    Lead.endTarget({"request:bad,first,subject"}, Chat);
+    Lead.judge();
+  }
+  BOOST_TEST(Lead.refuses("request:bad"));
+  BOOST_TEST(Lead.m_Held.m_Parts.size() == 1U);
+}
+
+// Guards against refusing the requests that a deadly one cut each time.
+BOOST_AUTO_TEST_CASE(RequestsThatWereOnlyNearAreNotRefused) {
+  Leader Lead;
+  for (int End = 0; End < 4; ++End) {
+    std::string Near = "request:near";
+    Lead.endTarget({"request:bad,first", Near + (End < 3 ? "" : "-other")});
+    Lead.judge();
+  }
+  BOOST_TEST(Lead.refuses("request:bad"));
+  BOOST_TEST(!Lead.refuses("request:near"));
+}
+
+// Guards against refusing a request that many send alike, which is answered
+// between the ends that cut it.
+BOOST_AUTO_TEST_CASE(ARequestThatIsAnsweredBetweenEndsIsNotRefused) {
+  Leader Lead;
+  for (int End = 0; End < 12; ++End) {
+    Lead.endTarget({"request:poll"});
+    Lead.judge();
+    if (End % 2 == 1)
+      Lead.serve("request:poll");
+  }
+  BOOST_TEST(Lead.m_Held.m_Parts.empty());
+}
+
+// Guards against a prompt part that goes on ending engines because one of its
+// requests, repeated by its caller, was taken for the cause.
+BOOST_AUTO_TEST_CASE(APartIsRefusedSoonAfterOneOfItsRequests) {
+  Leader Lead;
+  int Ends = 0;
+  for (; Ends < 3; ++Ends) {
+    Lead.endTarget({"request:one,bad"}, 7);
+    Lead.judge();
+  }
+  BOOST_TEST(Lead.refuses("request:one"));
+  for (; Ends < 5; ++Ends) {
+    BOOST_TEST(!Lead.refuses("bad"));
+    Lead.endTarget({"request:" + std::to_string(Ends) + ",bad"});
+    Lead.judge();
+  }
+  BOOST_TEST(Lead.refuses("bad"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
