Count a cut once when repeated reports of it arrive apart

What callers would see: a sound request refused as crashing_request after two targets had ended under it.

Cause: cuts are reported again every two seconds, with their age. A report that was under way for longer dates the cut later; beyond a second it opens a second entry for the same end, and the request was added to both.

Change: a request's cut at a target is recorded once.

--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -78,13 +78,26 @@
   return Suspects.m_Ends.back();
 }
 
+/// True when the request's cut at the target is recorded. Reports are repeated,
+/// and one that was under way for longer dates its cuts later: it may open a
+/// second entry for the same end, which must not get the request again.
+bool isRecorded(const PromptSuspects &Suspects, const TargetId &Target,
+                std::uint64_t Request) {
+  return std::any_of(Suspects.m_Ends.begin(), Suspects.m_Ends.end(),
+                     [&Target, Request](const TargetEnd &End) {
+                       return End.m_Target == Target &&
+                              std::any_of(
+                                  End.m_Requests.begin(), End.m_Requests.end(),
+                                  [Request](const CrashedRequest &Each) {
+                                    return Each.m_Request == Request;
+                                  });
+                     });
+}
+
 void addRequest(PromptSuspects &Suspects, TargetEnd &End,
                 const CutRequest &Cut) {
-  bool Known = std::any_of(End.m_Requests.begin(), End.m_Requests.end(),
-                           [&Cut](const CrashedRequest &Each) {
-                             return Each.m_Request == Cut.m_Request;
-                           });
-  if (Known || End.m_Requests.size() >= MaxRequestsOfEnd)
+  if (isRecorded(Suspects, End.m_Target, Cut.m_Request) ||
+      End.m_Requests.size() >= MaxRequestsOfEnd)
     return;
   CrashedRequest Request{Cut.m_Request, Cut.m_Chat, splitPartIds(Cut.m_Parts)};
   if (Request.m_Parts.size() > MaxSharedParts)
--- a/tests/core/PromptReplay.tests.cpp
+++ b/tests/core/PromptReplay.tests.cpp
@@ -1,6 +1,7 @@
 #include "Property.hpp"
 #include "vanillaferry/process/prompt_suspects.hpp"
 #include "vanillaferry/request/prompt_guard.hpp"
+#include "vanillaferry/request/request_content.hpp"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -26,6 +27,10 @@
 /// The users' time for what one machine learns to reach the others.
 constexpr Millis ContactTime{3000};
 const PromptPartId BadPart("bad");
+const PromptPartId BadRequest("request:bad");
+/// The users' rules count from these ends on.
+constexpr std::size_t CountedEndOfPart = 5;
+constexpr std::size_t CountedEndOfRequest = 3;
 
 /// What a played day is made of.
 struct DayPlan {
@@ -34,6 +39,8 @@
   int m_Subjects = 60;
   /// Requests a second with the part that ends engines, from BadFrom on.
   double m_BadPerSecond = 0;
+  /// The bad requests are repeats of one, with the prompt of sound ones.
+  bool m_OneRequest = false;
   Millis m_BadFrom{15000};
   /// Engines that end a second for other reasons; each fourth time three of
   /// them end together.
@@ -44,7 +51,7 @@
 
 struct DayResult {
   std::vector<Millis> m_BadEnds;
-  /// Bad requests that began later than the users' time after the fifth end.
+  /// Bad requests that began later than the users' time after the counted end.
   int m_LateBadRuns = 0;
   std::size_t m_OtherEnds = 0;
   bool m_FirstPartRefused = false;
@@ -55,6 +62,10 @@
   int m_SoundRefused = 0;
 };
 
+bool isBad(const PromptPartId &Part) {
+  return Part == BadPart || Part == BadRequest;
+}
+
 struct SimRequest {
   PromptOfRequest m_Prompt;
   int m_Gateway = 0;
@@ -94,7 +105,7 @@
     }
     for (const std::pair<const PromptPartId, QuarantinedPart> &Row :
          m_Held.m_Parts)
-      m_Result.m_WrongAtEnd += Row.first == BadPart ? 0 : 1;
+      m_Result.m_WrongAtEnd += isBad(Row.first) ? 0 : 1;
     return m_Result;
   }
 
@@ -139,10 +150,13 @@
     Request.m_Prompt.m_Request = RequestId(std::to_string(m_LastRequest));
     Request.m_Prompt.m_Account = AccountId("a");
     Request.m_Prompt.m_Chat = m_LastRequest;
+    bool BadSubject = Bad && !m_Plan.m_OneRequest;
     Request.m_Prompt.m_Parts = {
-        PromptPartId("request:" + std::to_string(m_LastRequest)),
+        Bad && m_Plan.m_OneRequest
+            ? BadRequest
+            : PromptPartId("request:" + std::to_string(m_LastRequest)),
         PromptPartId("first-" + std::to_string(Route)),
-        Bad ? BadPart : PromptPartId("s" + std::to_string(Subject))};
+        BadSubject ? BadPart : PromptPartId("s" + std::to_string(Subject))};
     return Request;
   }
 
@@ -165,8 +179,10 @@
         Up.push_back(&Each);
     if (Up.empty())
       return;
-    bool Late = m_Result.m_BadEnds.size() >= 5 &&
-                m_Now > m_Result.m_BadEnds[4] + ContactTime;
+    std::size_t Counted =
+        m_Plan.m_OneRequest ? CountedEndOfRequest : CountedEndOfPart;
+    bool Late = m_Result.m_BadEnds.size() >= Counted &&
+                m_Now > m_Result.m_BadEnds[Counted - 1] + ContactTime;
     m_Result.m_LateBadRuns += Request.m_Bad && Late ? 1 : 0;
     Request.m_FirstEventAt = m_Now + drawMillis(20, 500);
     Request.m_EndsAt = Request.m_FirstEventAt + drawMillis(100, 3000);
@@ -253,7 +269,7 @@
       Each.m_At = UnixMillis(m_Now.m_Value);
       Changed = applyQuarantinePart(m_Held, Each) || Changed;
       forgetAnswers(m_Suspects, Each.m_Part);
-      if (Each.m_Part != BadPart)
+      if (!isBad(Each.m_Part))
         m_Result.m_WronglyRefused.insert(Each.m_Part);
       m_Result.m_FirstPartRefused = m_Result.m_FirstPartRefused ||
                                     Each.m_Part.m_Value.rfind("first", 0) == 0;
@@ -336,6 +352,8 @@
   for (const DayResult &Each : Results) {
     BOOST_TEST(Each.m_LateBadRuns <= 3);
     BOOST_TEST(!Each.m_FirstPartRefused);
+    for (const PromptPartId &Part : Each.m_WronglyRefused)
+      BOOST_TEST(!isWholeRequest(Part), Part.m_Value << " is refused");
     BOOST_TEST(Each.m_SoundRefused <= 5 + Each.m_SoundSent / 500);
   }
 }
@@ -357,8 +375,22 @@
   }
 }
 
-// Guards against sound parts that are refused because engines end for other
-// reasons, and against a bad part that hides among these.
+// Guards against a request that ends targets being sent on, and against parts
+// of its prompt, which sound requests share, that are refused in its place.
+BOOST_AUTO_TEST_CASE(ARepeatedRequestIsRefusedInTimeAtAnyRate) {
+  for (double PerSecond : {0.2, 1.5, 10.0}) {
+    DayPlan Plan;
+    Plan.m_BadPerSecond = PerSecond;
+    Plan.m_OneRequest = true;
+    std::vector<DayResult> Results = playDays("one request", Plan);
+    checkRules(Results);
+    for (const DayResult &Each : Results)
+      BOOST_TEST(Each.m_WronglyRefused.empty());
+  }
+}
+
+// Guards against sound requests and parts that are refused because engines end
+// for other reasons, and against a bad part that hides among these.
 BOOST_AUTO_TEST_CASE(EnginesThatEndForOtherReasonsHideNoPartAndAccuseNone) {
   DayPlan Plan;
   Plan.m_OtherEndsPerSecond = 0.7;
@@ -368,6 +400,10 @@
   Plan.m_BadPerSecond = 1.5;
   std::vector<DayResult> Both = playDays("both kinds of ends", Plan);
   checkRules(Both);
+  Plan.m_OneRequest = true;
+  std::vector<DayResult> OneRequest =
+      playDays("one request among other ends", Plan);
+  checkRules(OneRequest);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/PromptSuspects.tests.cpp
+++ b/tests/core/PromptSuspects.tests.cpp
@@ -323,6 +323,27 @@
   BOOST_TEST(Lead.m_Held.m_Parts.empty());
 }
 
+// Guards against a request that is refused after two ends because a repeated
+// report of one of them came late.
+BOOST_AUTO_TEST_CASE(ALateRepeatOfAReportIsNoFurtherEnd) {
+  Leader Lead;
+  PromptReport Report;
+  TargetCrash Crash;
+  Crash.m_Target = TargetId("same");
+  Crash.m_Requests.push_back({1, 7, "request:bad"});
+  Report.m_Crashes.push_back(Crash);
+  for (int Repeat = 0; Repeat < 3; ++Repeat) {
+    recordPromptReport(Lead.m_Suspects, Report, Lead.m_Now);
+    Lead.judge();
+  }
+  Lead.endTarget({"request:bad"}, 7);
+  Lead.judge();
+  BOOST_TEST(!Lead.refuses("request:bad"));
+  Lead.endTarget({"request:bad"}, 7);
+  Lead.judge();
+  BOOST_TEST(Lead.refuses("request:bad"));
+}
+
 // Guards against a prompt part that goes on ending engines because one of its
 // requests, repeated by its caller, was taken for the cause.
 BOOST_AUTO_TEST_CASE(APartIsRefusedSoonAfterOneOfItsRequests) {
