--- a/include/vanillaferry/process/ids.hpp
+++ b/include/vanillaferry/process/ids.hpp
@@ -39,6 +39,8 @@
 using AccountId = StringId<struct AccountIdTag>;
 using PoolId = StringId<struct PoolIdTag>;
 using PromptPartId = StringId<struct PromptPartIdTag>;
+/// Version of a target's software, not of its weights.
+using SoftwareVersion = StringId<struct SoftwareVersionTag>;
 using TargetId = StringId<struct TargetIdTag>;
 using ChatId = StringId<struct ChatIdTag>;
 using RequestId = StringId<struct RequestIdTag>;
--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -28,6 +28,8 @@
   /// IP:PORT.
   std::string m_Address;
   ZoneId m_Zone;
+  /// Empty when the list does not state it.
+  SoftwareVersion m_Software;
   /// Requests that it runs at once.
   std::uint32_t m_Slots = 0;
   bool m_Leaving = false;
--- a/src/core/version/target_listing.cpp
+++ b/src/core/version/target_listing.cpp
@@ -22,6 +22,7 @@
                    {"service", Each.m_Service.m_Value},
                    {"address", Each.m_Address},
                    {"zone", Each.m_Zone.m_Value},
+                   {"software", Each.m_Software.m_Value},
                    {"slots", Each.m_Slots},
                    {"leaving", Each.m_Leaving},
                    {"cold_ms", Each.m_ColdLeft.m_Value}});
@@ -37,6 +38,8 @@
       Target.m_Service = PoolId(Each.at("service").get<std::string>());
       Target.m_Address = Each.at("address").get<std::string>();
       Target.m_Zone = ZoneId(Each.at("zone").get<std::string>());
+      // Keepers of an older release do not send it.
+      Target.m_Software = SoftwareVersion(Each.value("software", ""));
       Target.m_Slots = Each.at("slots").get<std::uint32_t>();
       Target.m_Leaving = Each.at("leaving").get<bool>();
       Target.m_ColdLeft = Millis(Each.at("cold_ms").get<std::int64_t>());
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -26,6 +26,9 @@
   std::optional<Millis> m_TimeLeft;
   /// Id of the last event that the caller has; absent for a new stream.
   std::optional<std::uint64_t> m_LastEvent;
+  /// The request with which the stream began that this one takes up; empty when
+  /// the caller names none.
+  RequestId m_Resumes;
   /// Parts of the prompt in order.
   std::vector<PromptPart> m_PromptParts;
   /// Fields that go on to the target as they came.
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -229,19 +229,23 @@
   m_Try->m_StartedAt = Now;
   m_LastProgress = Now;
   m_Events.m_Rest.clear();
-  logEvent(Event::RequestSent,
-           {{"request", m_Request.m_Id.m_Value},
-            {"route", m_Route.m_Name},
-            {"target", m_Try->m_Target.m_Value},
-            {"try", m_Tries},
-            {"load", static_cast<std::int64_t>(Choice.m_Load)},
-            {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
-            {"prefix_from", Choice.m_PrefixSource.m_Value},
-            {"parts", joinPartIds(sharedParts(m_Request.m_PromptParts))},
-            {"content", m_JudgedParts.front().m_Value},
-            {"list_age_ms", (Now - m_Gateway.m_TargetList.m_ReadAt).m_Value},
-            {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
-            {"left_ms", timeLeft().m_Value}});
+  logEvent(
+      Event::RequestSent,
+      {{"request", m_Request.m_Id.m_Value},
+       {"route", m_Route.m_Name},
+       {"target", m_Try->m_Target.m_Value},
+       {"software", Target.m_Listed.m_Software.m_Value},
+       {"resumes", m_Request.m_Resumes.m_Value},
+       {"last_event", static_cast<std::int64_t>(m_Events.m_LastId.value_or(0))},
+       {"try", m_Tries},
+       {"load", static_cast<std::int64_t>(Choice.m_Load)},
+       {"mean", static_cast<std::int64_t>(Choice.m_Mean)},
+       {"prefix_from", Choice.m_PrefixSource.m_Value},
+       {"parts", joinPartIds(sharedParts(m_Request.m_PromptParts))},
+       {"content", m_JudgedParts.front().m_Value},
+       {"list_age_ms", (Now - m_Gateway.m_TargetList.m_ReadAt).m_Value},
+       {"manifest", m_Gateway.m_Control.m_Routes.m_Manifest.m_Version},
+       {"left_ms", timeLeft().m_Value}});
   CallHandlers Handlers;
   std::weak_ptr<Exchange> Weak = weak_from_this();
   Handlers.m_MayDispatch = [Weak] {
