--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -288,6 +288,11 @@
   m_Targets[Index]->m_Leaving = Leaving;
 }
 
+void PlatformFakes::setSoftware(std::size_t Index, const std::string &Version) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Targets[Index]->m_Software = Version;
+}
+
 std::vector<TargetRun> PlatformFakes::runs() const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return m_Runs;
@@ -331,7 +336,8 @@
   {
     std::lock_guard<std::mutex> Lock(m_Mutex);
     m_Runs.push_back({RequestId, Each.m_Zone, Request.m_Path,
-                      Request.field("Vanillaferry-Tenant"), historyNow()});
+                      Request.field("Vanillaferry-Tenant"), historyNow(),
+                      Each.m_Software});
     Faults = Each.m_Faults;
   }
   if (draw(Faults.m_AnswerLost))
@@ -414,6 +420,7 @@
                        {"service", Each->m_Service},
                        {"address", Each->m_Address.text()},
                        {"zone", Each->m_Zone},
+                       {"version", Each->m_Software},
                        {"slots", Slots},
                        {"state", Each->m_Leaving ? "draining" : "ready"},
                        {"cold_remaining_ms", 0}});
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -79,6 +79,8 @@
   std::string m_Path;
   std::string m_Account;
   double m_At = 0;
+  /// Software version of the target.
+  std::string m_Software = {};
 };
 
 /// A target that ended while it began to run a request.
@@ -111,6 +113,8 @@
   /// Starts a stopped target as a new instance.
   void restart(std::size_t Index);
   void setLeaving(std::size_t Index, bool Leaving);
+  /// Software version that the list states for the target.
+  void setSoftware(std::size_t Index, const std::string &Version);
   /// Each engine ends shortly after it begins to write an answer to a prompt
   /// with this part before its last one, and starts again after some time.
   void setCrashingPart(const std::string &Part);
@@ -126,6 +130,7 @@
     std::string m_Id;
     std::string m_Zone;
     std::string m_Service;
+    std::string m_Software = "v1";
     LoopbackAddress m_Address;
     TargetFaults m_Faults;
     bool m_Leaving = false;
--- /dev/null
+++ b/tests/process/StreamVersions.tests.cpp
@@ -0,0 +1,253 @@
+#include "EngineCrashes.hpp"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace vanillaferry;
+using namespace vanillaferry::tests;
+
+namespace {
+
+constexpr const char *OldVersion = "v1";
+constexpr const char *NewVersion = "v1.1";
+/// The routes' timeout in the fleet's manifest, after which no caller takes a
+/// stream up.
+constexpr double RouteTimeoutMs = 8000;
+
+/// What a caller has of a stream.
+struct PartialStream {
+  std::string m_Id;
+  int m_Status = 0;
+  std::string m_Text;
+};
+
+/// A request for a stream, or one that goes on with another request's stream.
+struct StreamRequest {
+  std::string m_Id;
+  /// The request that brought the first event, for a stream that goes on.
+  std::string m_Resumes;
+  int m_LastEvent = 0;
+};
+
+std::string textOf(const StreamRequest &Request) {
+  std::string Resumed;
+  if (!Request.m_Resumes.empty())
+    Resumed = "Resumes: " + Request.m_Resumes +
+              "\r\nLast-Event-Id: " + std::to_string(Request.m_LastEvent) +
+              "\r\n";
+  return std::string("POST ") + pathOf(CallKind::ResumableStream) +
+         "x HTTP/1.1\r\nHost: fleet.example\r\n"
+         "Vanillaferry-Attempt-Id: " +
+         Request.m_Id +
+         "\r\nVanillaferry-Deadline-Milliseconds: 8000\r\n"
+         "X-Api-Key: key-0-first\r\nVanillaferry-Model: m\r\n"
+         "Vanillaferry-Token-Counts: 100,60\r\n"
+         "Vanillaferry-Prompt-Prefix: aa:80,own:20\r\n" +
+         Resumed + "Content-Length: 2\r\n\r\nhi";
+}
+
+/// Sends the request and reads until the answer holds the text or ends.
+PartialStream readUntil(const LoopbackAddress &Front,
+                        const StreamRequest &Request, const std::string &Text) {
+  PartialStream Stream;
+  Stream.m_Id = Request.m_Id;
+  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  timeval Limit = {9, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
+  sockaddr_in Address = {};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = ::inet_addr(Front.m_Ip.c_str());
+  Address.sin_port = htons(Front.m_Port);
+  if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                sizeof Address) == 0 &&
+      sendAll(Socket, textOf(Request))) {
+    char Part[4096];
+    ssize_t Count = 0;
+    while (Stream.m_Text.find(Text) == std::string::npos &&
+           (Count = ::recv(Socket, Part, sizeof Part, 0)) > 0)
+      Stream.m_Text.append(Part, static_cast<std::size_t>(Count));
+  }
+  ::close(Socket);
+  if (Stream.m_Text.size() > sizeof("HTTP/1.1"))
+    Stream.m_Status = std::atoi(Stream.m_Text.c_str() + sizeof("HTTP/1.1"));
+  return Stream;
+}
+
+/// A fleet with engines of one or two software versions.
+struct VersionFleet {
+  GatewayFleet m_Fleet{3, 3, 12, 1};
+  FoundFaults m_Found;
+  GatewayOperator m_Operator{m_Fleet, m_Found, 1};
+
+  void begin() {
+    BOOST_REQUIRE(m_Operator.begin(StartLimitMs));
+    waitReady();
+  }
+  void waitReady() {
+    for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
+      BOOST_REQUIRE(m_Fleet.waitReady(Index, StartLimitMs));
+  }
+  /// Each engine begins anew with the version that the function gives for it.
+  template <typename Choose> void replaceEngines(const Choose &VersionOf) {
+    for (std::size_t Index = 0; Index < m_Fleet.targets().size(); ++Index) {
+      m_Fleet.targets().stop(Index);
+      m_Fleet.targets().setSoftware(Index, VersionOf(Index));
+      m_Fleet.targets().restart(Index);
+    }
+    // The list is read each 0.7 s.
+    pauseFor(2000);
+  }
+  void restartGateways() {
+    for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
+      m_Fleet.gateway(Index).kill();
+    for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
+      m_Fleet.startGateway(Index);
+    waitReady();
+  }
+  /// Begins streams at all gateways and leaves them after two events.
+  std::vector<StreamRequest> beginStreams(int Count) {
+    std::vector<StreamRequest> Streams;
+    for (int Number = 0; Number < Count; ++Number) {
+      StreamRequest Begun;
+      Begun.m_Id = "be" + std::to_string(1000 + Number);
+      readUntil(frontOf(Number), Begun, eventOf(Begun.m_Id, 2));
+      Streams.push_back({"ca" + std::to_string(1000 + Number), Begun.m_Id, 2});
+    }
+    return Streams;
+  }
+  LoopbackAddress frontOf(int Number) const {
+    return m_Fleet.front(static_cast<std::size_t>(Number) % m_Fleet.gateways());
+  }
+  std::map<std::string, std::set<std::string>> versionsByRequest() {
+    std::map<std::string, std::set<std::string>> Versions;
+    for (const TargetRun &Run : m_Fleet.targets().runs())
+      Versions[Run.m_Request].insert(Run.m_Software);
+    return Versions;
+  }
+};
+
+const char *mixedVersions(std::size_t Index) {
+  return Index / 3 % 2 == 0 ? OldVersion : NewVersion;
+}
+
+/// Streams that went on, and those of them that went on at another version.
+struct TakenUp {
+  int m_GoneOn = 0;
+  int m_Joined = 0;
+  /// Neither gone on nor refused as not run.
+  int m_Lost = 0;
+};
+
+TakenUp takeUp(VersionFleet &Fleet, const std::vector<StreamRequest> &Streams) {
+  std::map<std::string, PartialStream> Answers;
+  for (std::size_t Number = 0; Number < Streams.size(); ++Number) {
+    const StreamRequest &Each = Streams[Number];
+    // Another gateway than the one at which it began.
+    Answers[Each.m_Id] = readUntil(Fleet.frontOf(static_cast<int>(Number) + 1),
+                                   Each, eventOf(Each.m_Id, StreamEvents));
+  }
+  TakenUp Result;
+  std::map<std::string, std::set<std::string>> Versions =
+      Fleet.versionsByRequest();
+  for (const StreamRequest &Each : Streams) {
+    bool Ran = Versions.count(Each.m_Id) != 0;
+    Result.m_GoneOn += Ran ? 1 : 0;
+    Result.m_Joined +=
+        Ran && Versions[Each.m_Id] != Versions[Each.m_Resumes] ? 1 : 0;
+    Result.m_Lost += !Ran && Answers[Each.m_Id].m_Status != 503 ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("of " << Streams.size() << " streams " << Result.m_GoneOn
+                           << " went on, " << Result.m_Joined
+                           << " at another version");
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StreamVersions)
+
+// Guards against a stream whose text is joined from two software versions by
+// the gateway that continues it.
+BOOST_AUTO_TEST_CASE(ABrokenStreamGoesOnAtItsSoftwareVersionOnly) {
+  VersionFleet Fleet;
+  TargetFaults Faults;
+  Faults.m_Broken = 0.3;
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.targets().size(); ++Index) {
+    Fleet.m_Fleet.targets().setSoftware(Index, mixedVersions(Index));
+    Fleet.m_Fleet.targets().setFaults(Index, Faults);
+  }
+  Fleet.begin();
+  CallerOptions Options;
+  Options.m_Kind = CallKind::ResumableStream;
+  GatewayCallers Callers(Fleet.m_Fleet, Fleet.m_Found, 8, 5, Options);
+  pauseFor(6000);
+  Callers.stop();
+  std::map<std::string, int> Runs;
+  for (const TargetRun &Run : Fleet.m_Fleet.targets().runs())
+    ++Runs[Run.m_Request];
+  std::map<std::string, std::set<std::string>> Versions =
+      Fleet.versionsByRequest();
+  int Continued = 0;
+  int Joined = 0;
+  for (const std::pair<const std::string, int> &Row : Runs) {
+    Continued += Row.second > 1 ? 1 : 0;
+    Joined += Versions[Row.first].size() > 1 ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE(Continued << " streams were continued, " << Joined
+                               << " at another version");
+  BOOST_TEST(Continued >= 20);
+  BOOST_TEST(Joined == 0);
+  for (const std::string &Fault : Fleet.m_Found.all())
+    BOOST_ERROR(Fault);
+}
+
+// Guards against streams that callers take up at gateways that do not know
+// where they began, since all were killed meanwhile.
+BOOST_AUTO_TEST_CASE(StreamsTakenUpAtRestartedGatewaysGoOnAtTheirVersion) {
+  constexpr int Streams = 24;
+  VersionFleet Fleet;
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.targets().size(); ++Index)
+    Fleet.m_Fleet.targets().setSoftware(Index, mixedVersions(Index));
+  Fleet.begin();
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  pauseFor(500);
+  Fleet.restartGateways();
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_Joined == 0);
+  BOOST_TEST(Result.m_GoneOn >= Streams / 2);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
+// Guards against streams that go on at the version that has replaced theirs
+// while all gateways were down.
+BOOST_AUTO_TEST_CASE(AStreamOfAReplacedVersionIsRefusedAsNotRun) {
+  VersionFleet Fleet;
+  Fleet.begin();
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(12);
+  Fleet.replaceEngines([](std::size_t) { return NewVersion; });
+  Fleet.restartGateways();
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_Joined == 0);
+  BOOST_TEST(Result.m_GoneOn == 0);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
+// Guards against refusing to go on with streams of a service that has had one
+// version for longer than a stream lasts.
+BOOST_AUTO_TEST_CASE(StreamsOfAServiceWithOneVersionGoOnAnywhere) {
+  constexpr int Streams = 12;
+  VersionFleet Fleet;
+  Fleet.begin();
+  pauseFor(RouteTimeoutMs * 2);
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  Fleet.restartGateways();
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_GoneOn == Streams);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
