Let a stream go on at its software version only

Cause: state that a take-up needs stood nowhere, or only in the memory of the gateway that began the stream. The list's software version was not read, so a gateway continued a broken stream at any engine; the header that names the attempt which a caller takes up was not read, so any gateway, also one that had just started, sent it to any engine.

Ruled out: a stale list (the request names the target's id, another one answers 421).

Change: a continued stream goes to targets of the version that brought its first event. A stream that a caller takes up goes on at its version: known to this gateway, else told by a keeper, else the version that the service has had alone for longer than a stream lasts; else it is refused as not run. While a service has several versions, gateways tell their keeper where each stream begins, before its first event; the keeper passes it on to all others each 100 ms. With one version nothing is recorded outside the gateway.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -553,6 +553,33 @@
   std::vector<SuspectPart> m_Suspects;
 };
 
+/// A router tells the keepers at which software version its streams of one
+/// service began. Keepers relay it to each other.
+struct BegunStream {
+  RequestId m_Request;
+  SoftwareVersion m_Software;
+};
+struct StreamReport {
+  PoolId m_Service;
+  std::vector<BegunStream> m_Streams;
+};
+
+/// A router asks a keeper where a stream began that a caller takes up.
+struct StreamQuery {
+  RequestId m_Request;
+  PoolId m_Service;
+};
+
+struct StreamAnswer {
+  RequestId m_Request;
+  /// True when m_Software is the version of the stream.
+  bool m_Recorded = false;
+  SoftwareVersion m_Software;
+  /// The only version that the service has had for m_SoleFor; 0 for none.
+  SoftwareVersion m_Sole;
+  Millis m_SoleFor;
+};
+
 /// Every message between two of the system's processes.
 using PeerMessage =
     std::variant<Hello, Heartbeat, Renew, Grant, RedirectLeader, Replicate,
@@ -561,6 +588,7 @@
                  ForwardCancel, ForwardCredit, PlacementUpdate, IdentityClaim,
                  IdentityVerdict, LoadUpdate, LoadTotals, RenewRequest,
                  PrefixCopied, JoinKeepers, TargetListUpdate, TargetListRequest,
-                 ControlUpdate, PromptReport, PromptWatch>;
+                 ControlUpdate, PromptReport, PromptWatch, StreamReport,
+                 StreamQuery, StreamAnswer>;
 
 } // namespace vanillaferry
--- a/include/vanillaferry/process/reason.hpp
+++ b/include/vanillaferry/process/reason.hpp
@@ -41,6 +41,8 @@
   NoTargetInService = 303,
   NoOwner = 304,
   JournalUnavailable = 305,
+  /// It is not known at which software version the stream began.
+  StreamOriginUnknown = 306,
   // Outcome of attempts at targets.
   TargetFailed = 400,
   OutcomeUnknown = 401,
--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -116,6 +116,8 @@
   std::uint64_t m_PrefixHash = 0;
   std::set<TargetId> m_Excluded;
   std::set<ZoneId> m_ZonesOut;
+  /// The version at which the stream began; absent for a new one.
+  std::optional<SoftwareVersion> m_Software;
   /// Breaks ties between equal targets.
   std::uint64_t m_Random = 0;
 };
--- a/src/core/process/reason.cpp
+++ b/src/core/process/reason.cpp
@@ -39,6 +39,7 @@
     {RefusalReason::NoTargetInService, "no_target_in_service", 503, 5},
     {RefusalReason::NoOwner, "no_owner", 503, 1},
     {RefusalReason::JournalUnavailable, "journal_unavailable", 503, 1},
+    {RefusalReason::StreamOriginUnknown, "stream_origin_unknown", 503, 60},
     {RefusalReason::TargetFailed, "target_failed", 502, 1},
     {RefusalReason::OutcomeUnknown, "outcome_unknown", 409, 0},
     {RefusalReason::AlreadyRunning, "already_running", 409, 1},
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -61,7 +61,8 @@
 bool isEligible(const DispatchTarget &Target, const DispatchCriteria &Need) {
   return !Target.m_Listed.m_Leaving &&
          Need.m_Excluded.count(Target.m_Listed.m_Id) == 0 &&
-         Need.m_ZonesOut.count(Target.m_Listed.m_Zone) == 0;
+         Need.m_ZonesOut.count(Target.m_Listed.m_Zone) == 0 &&
+         (!Need.m_Software || Target.m_Listed.m_Software == *Need.m_Software);
 }
 
 bool withinColdLimit(DispatchTarget &Target, Millis Now) {
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -45,6 +45,9 @@
 KIND(ControlUpdate, 27)
 KIND(PromptReport, 28)
 KIND(PromptWatch, 29)
+KIND(StreamReport, 30)
+KIND(StreamQuery, 31)
+KIND(StreamAnswer, 32)
 #undef KIND
 
 /// Largest valid number of an enumeration on the wire.
@@ -282,6 +285,33 @@
   Visit("s", Data.m_Suspects);
 }
 
+template <typename V, typename M, IfMessage<M, BegunStream> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("r", Data.m_Request);
+  Visit("v", Data.m_Software);
+}
+
+template <typename V, typename M, IfMessage<M, StreamReport> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("p", Data.m_Service);
+  Visit("s", Data.m_Streams);
+}
+
+template <typename V, typename M, IfMessage<M, StreamQuery> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("r", Data.m_Request);
+  Visit("p", Data.m_Service);
+}
+
+template <typename V, typename M, IfMessage<M, StreamAnswer> * = nullptr>
+void fields(V &Visit, M &Data) {
+  Visit("r", Data.m_Request);
+  Visit("f", Data.m_Recorded);
+  Visit("v", Data.m_Software);
+  Visit("o", Data.m_Sole);
+  Visit("t", Data.m_SoleFor);
+}
+
 template <typename V, typename M, IfMessage<M, TargetListRequest> * = nullptr>
 void fields(V &Visit, M &Data) {
   Visit("h", Data.m_Held);
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -99,7 +99,8 @@
   if (!awaitControl() || !admit())
     return;
   startTimers();
-  dispatch();
+  if (resolveOrigin())
+    dispatch();
 }
 
 bool Exchange::awaitControl() {
@@ -225,6 +226,8 @@
   m_IsTrial = recordPromptSent(m_Gateway.m_Prompts, m_JudgedParts);
   m_Try.emplace();
   m_Try->m_Target = Target.m_Listed.m_Id;
+  m_Try->m_Software = Target.m_Listed.m_Software;
+  recordBeginning(m_Try->m_Software);
   m_LastTarget = m_Try->m_Target;
   m_Try->m_StartedAt = Now;
   m_LastProgress = Now;
@@ -431,6 +434,7 @@
   }
   m_DeadlineTimer.stop();
   m_ControlTimer.stop();
+  m_OriginTimer.stop();
   m_RoomTimer.stop();
   m_PauseTimer.stop();
   m_Gateway.m_BufferedAnswers -= m_Buffered;
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -16,6 +16,7 @@
 /// One attempt to have a request answered by a target.
 struct TargetTry {
   TargetId m_Target;
+  SoftwareVersion m_Software;
   std::shared_ptr<TargetCall> m_Call;
   Millis m_StartedAt;
   /// Absent until the first event of a stream has arrived.
@@ -49,6 +50,10 @@
   /// Begins anew after a grant for which the request waited.
   void resume();
 
+  // exchange_stream.cpp
+  /// Goes on with the stream that the caller takes up, or refuses.
+  void goOnWith(const std::optional<OriginEvidence> &Keepers);
+
   // exchange_prompt.cpp
   /// Cancels a try without an event whose prompt has a part that must not be
   /// sent any more.
@@ -115,6 +120,15 @@
   /// Ends the current try and updates the target's counts.
   void closeTry(TargetOutcome How);
 
+  // exchange_stream.cpp
+  /// True when the request goes on with a stream that began earlier.
+  bool takesUpStream() const;
+  /// False while the request waits for a keeper's answer.
+  bool resolveOrigin();
+  /// Binds the stream to the software version of the present try, and records
+  /// where it begins.
+  void recordBeginning(const SoftwareVersion &Software);
+
   // exchange_prompt.cpp
   /// True when no part of the prompt is refused at present.
   bool mayBePrompted() const;
@@ -159,6 +173,8 @@
   Timer m_ConnectTimer;
   /// Runs while the request waits for a grant.
   Timer m_ControlTimer;
+  /// Runs while the request waits for a keeper's answer on its stream.
+  Timer m_OriginTimer;
   /// Runs while the request waits for room at a target.
   Timer m_RoomTimer;
   std::optional<Millis> m_NoRoomSince;
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -119,6 +119,7 @@
   m_LastProgress = monotonicNow();
   if (!m_Try->m_FirstEventAt)
     m_Try->m_FirstEventAt = m_LastProgress;
+  m_Need.m_Software = m_Try->m_Software;
   if (!m_StreamStarted) {
     m_StreamStarted = true;
     if (repeatable())
--- a/src/daemon/gateway/gateway.cpp
+++ b/src/daemon/gateway/gateway.cpp
@@ -66,6 +66,7 @@
   renewWhenDue(G);
   pollTargetList(G);
   sendPromptReportWhenDue(G);
+  sendStreamReports(G);
   G.m_Connections->closeExpired(Now);
   logReadinessChange(G);
   finishDrain(G);
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "vanillaferry/process/keeper_choice.hpp"
 #include "vanillaferry/process/node_lease.hpp"
 #include "vanillaferry/request/prompt_guard.hpp"
+#include "vanillaferry/request/stream_origin.hpp"
 #include "vanillaferry/version/manifest_knowledge.hpp"
 
 #include <functional>
@@ -62,6 +63,16 @@
   RepeatBudget m_Repeats;
 };
 
+/// What this gateway knows of the software versions at which streams began.
+struct StreamVersions {
+  StreamOrigins m_Origins;
+  VersionHistory m_History;
+  /// Origins that the keepers have not been told yet, in order.
+  std::vector<StreamOrigin> m_News;
+  /// Requests that wait for a keeper's answer, by the stream that they take up.
+  std::multimap<RequestId, std::weak_ptr<Exchange>> m_Waiting;
+};
+
 /// State of a gateway's main task; accessed on the GLib main loop only.
 struct Gateway {
   GatewaySettings m_Settings;
@@ -75,6 +86,7 @@
   TargetListState m_TargetList;
   std::map<PoolId, GatewayPool> m_Pools;
   PromptGuard m_Prompts;
+  StreamVersions m_Streams;
   std::set<std::shared_ptr<Exchange>> m_Exchanges;
   /// Bytes of answers that are held until they are whole.
   std::size_t m_BufferedAnswers = 0;
@@ -118,6 +130,18 @@
 void handlePromptWatch(Gateway &G, const PromptWatch &Watch);
 void sendPromptReportWhenDue(Gateway &G);
 
+// gateway_streams.cpp
+/// Records where a stream begins; the keepers learn of it while the service has
+/// more than one software version.
+void recordStream(Gateway &G, const StreamOrigin &Origin);
+/// Records the versions of a new target list.
+void recordListedVersions(Gateway &G);
+/// Asks a keeper where the stream began.
+void askForOrigin(Gateway &G, const StreamQuery &Query,
+                  const std::weak_ptr<Exchange> &Waiting);
+void handleStreamAnswer(Gateway &G, const StreamAnswer &Answer);
+void sendStreamReports(Gateway &G);
+
 // target_list.cpp
 void pollTargetList(Gateway &G);
 /// Applies the keepers' target list.
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -296,6 +296,8 @@
     handleControlUpdate(G, *Change);
   else if (const PromptWatch *Watch = std::get_if<PromptWatch>(&Message))
     handlePromptWatch(G, *Watch);
+  else if (const StreamAnswer *Answer = std::get_if<StreamAnswer>(&Message))
+    handleStreamAnswer(G, *Answer);
   else if (std::get_if<RenewRequest>(&Message))
     sendRenewal(G, monotonicNow());
   else
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -61,6 +61,7 @@
               {"from", Source}});
   List.m_Targets = std::move(Targets);
   List.m_ReadAt = ReadAt;
+  recordListedVersions(G);
   rebuildPools(G);
   List.m_Received = true;
 }
@@ -134,6 +135,7 @@
     return;
   if (Update.m_Digest == List.m_Digest) {
     List.m_ReadAt = ReadAt;
+    confirmVersions(G.m_Streams.m_History, ReadAt);
     return;
   }
   if (Update.m_Delta.empty() ||
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -16,6 +16,7 @@
 #include "vanillaferry/process/replication.hpp"
 #include "vanillaferry/process/state_machine.hpp"
 #include "vanillaferry/request/load_board.hpp"
+#include "vanillaferry/request/stream_origin.hpp"
 #include "vanillaferry/version/text_history.hpp"
 
 #include <deque>
@@ -185,6 +186,15 @@
   Millis m_NextJudgement;
 };
 
+/// At which software versions the routers' streams began, in memory only.
+struct KeeperStreams {
+  StreamOrigins m_Origins;
+  VersionHistory m_Versions;
+  /// Reports of routers that the other keepers have not been sent yet.
+  std::map<PoolId, StreamReport> m_ToRelay;
+  Millis m_NextRelay;
+};
+
 /// State of the keeper's main task; accessed on the GLib main loop only.
 struct Keeper {
   KeeperSettings m_Settings;
@@ -262,6 +272,7 @@
   SharedTargetList m_SharedTargets;
   LoadTable m_LoadBoard;
   PromptJudge m_Prompts;
+  KeeperStreams m_Streams;
   /// Keepers that asked for a vote, with the time of their last request.
   std::map<KeeperId, JoiningKeeper> m_Joining;
   Millis m_NextJoin;
@@ -373,6 +384,16 @@
 /// Logs a change of the refused parts that was applied.
 void recordQuarantineChange(Keeper &Self, const Command &Change);
 
+// keeper_streams.cpp
+void onStreamReport(Keeper &Self, const NodeId &From,
+                    const StreamReport &Report);
+void onStreamQuery(Keeper &Self, const NodeId &From, const StreamQuery &Query);
+/// Records the software versions of a list, and that it is still the same.
+void recordKeeperVersions(Keeper &Self,
+                          const Result<std::vector<ListedTarget>> &Listed);
+void confirmKeeperVersions(Keeper &Self);
+void relayStreams(Keeper &Self, Millis Now);
+
 // keeper_repair.cpp
 /// Asks the other keepers for a vote while this keeper has none.
 void askToJoin(Keeper &Self, Millis Now);
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -42,6 +42,7 @@
   else
     relayWaitingRenewals(Self, Now);
   sendChanges(Self, Now);
+  relayStreams(Self, Now);
   announceChanges(Self, Now);
   return G_SOURCE_CONTINUE;
 }
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -124,6 +124,10 @@
     onPromptReport(Self, From, *Report);
   else if (const PromptWatch *Watch = std::get_if<PromptWatch>(&Message))
     onPromptWatch(Self, From, *Watch);
+  else if (const StreamReport *Streams = std::get_if<StreamReport>(&Message))
+    onStreamReport(Self, From, *Streams);
+  else if (const StreamQuery *Query = std::get_if<StreamQuery>(&Message))
+    onStreamQuery(Self, From, *Query);
   else if (const LoadUpdate *Update = std::get_if<LoadUpdate>(&Message))
     onLoadUpdate(Self, From, *Update);
   else if (const JournalBegin *Begin = std::get_if<JournalBegin>(&Message))
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -82,7 +82,10 @@
     logEvent(Event::TargetListRead,
              {{"targets", static_cast<std::uint64_t>(Shared.m_Last.size())},
               {"digest", Digest}});
+    recordKeeperVersions(Self, Shared.m_Last);
     replaceSharedList(Self, std::move(Text), Digest);
+  } else {
+    confirmKeeperVersions(Self);
   }
   sendToFollowers(Self, Before);
 }
@@ -139,7 +142,10 @@
     }
     Shared.m_Last.clear();
     Shared.m_LastRead = ReadAt;
+    recordKeeperVersions(Self, decodeTargets(Text.value()));
     replaceSharedList(Self, std::move(Text.value()), Update.m_Digest);
+  } else {
+    confirmKeeperVersions(Self);
   }
   Shared.m_LastRead = ReadAt;
 }
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -476,6 +476,30 @@
     SAME(m_Served.at(0).m_Part);
     SAME(m_Served.at(0).m_Age);
   }
+  {
+    StreamReport Sent{PoolId("p"), {{RequestId("r"), SoftwareVersion("v1")}}};
+    StreamReport Got = roundTrip(Sent);
+    SAME(m_Service);
+    BOOST_REQUIRE_EQUAL(Got.m_Streams.size(), 1U);
+    BOOST_TEST(Got.m_Streams[0].m_Request == RequestId("r"));
+    BOOST_TEST(Got.m_Streams[0].m_Software == SoftwareVersion("v1"));
+  }
+  {
+    StreamQuery Sent{RequestId("r"), PoolId("p")};
+    StreamQuery Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Service);
+  }
+  {
+    StreamAnswer Sent{RequestId("r"), true, SoftwareVersion("v1"),
+                      SoftwareVersion("v2"), Millis(70)};
+    StreamAnswer Got = roundTrip(Sent);
+    SAME(m_Request);
+    SAME(m_Recorded);
+    SAME(m_Software);
+    SAME(m_Sole);
+    SAME(m_SoleFor);
+  }
   {
     PromptWatch Sent{{{PromptPartId("a")}}};
     PromptWatch Got = roundTrip(Sent);
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -40,7 +40,7 @@
               "\r\nLast-Event-Id: " + std::to_string(Request.m_LastEvent) +
               "\r\n";
   return std::string("POST ") + pathOf(CallKind::ResumableStream) +
-         "x HTTP/1.1\r\nHost: fleet.example\r\n"
+         "x HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n"
          "Vanillaferry-Attempt-Id: " +
          Request.m_Id +
          "\r\nVanillaferry-Deadline-Milliseconds: 8000\r\n"
