Send nothing to targets that say they leave or want a pause

A target that leaves says so in all its answers, also while the list shows it as ready; one that turns a request away may ask this router for no request for some seconds. It concerns the router that got the answer only, takes effect without keepers, and stands in the one function that chooses targets for first tries, retries and continued streams.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -67,6 +67,11 @@
   std::uint32_t m_FailuresInRow = 0;
   /// Is not chosen before this time, unless every eligible target is paused.
   Millis m_PausedUntil;
+  /// The target has said that it leaves; it is not chosen any more.
+  bool m_SaysLeaving = false;
+  /// The target has asked for no request before this time; it gets none, even
+  /// when no other target is left.
+  Millis m_AskedPauseUntil;
 };
 
 /// Parameters of all dispatches to one service.
@@ -175,6 +180,11 @@
 /// Treats a target as cold for ColdTime, because it may have restarted without
 /// notice, for example after it failed or its zone was out of service.
 void suspectCold(DispatchTarget &Target, Millis ColdTime, Millis Now);
+/// Records that the target said in an answer that it leaves, whatever the list
+/// says. It counts until the list shows the target anew.
+void noteLeaving(DispatchTarget &Target);
+/// Records that the target asked for no requests for a time.
+void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
 
 /// Stores the leading keeper's sum of the other routers' running requests as of
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -58,13 +58,32 @@
                               Seed);
 }
 
-bool isEligible(const DispatchTarget &Target, const DispatchCriteria &Need) {
-  return !Target.m_Listed.m_Leaving &&
+/// True for a target that may be chosen now or once a pause is over that it
+/// asked for.
+bool isServing(const DispatchTarget &Target, const DispatchCriteria &Need) {
+  return !Target.m_Listed.m_Leaving && !Target.m_SaysLeaving &&
          Need.m_Excluded.count(Target.m_Listed.m_Id) == 0 &&
          Need.m_ZonesOut.count(Target.m_Listed.m_Zone) == 0 &&
          (!Need.m_Software || Target.m_Listed.m_Software == *Need.m_Software);
 }
 
+bool isEligible(const DispatchTarget &Target, const DispatchCriteria &Need,
+                Millis Now) {
+  return isServing(Target, Need) && Target.m_AskedPauseUntil <= Now;
+}
+
+/// Time until the first target takes requests again after a pause that it
+/// asked for; a default when there is none.
+Millis timeToFirstPauseEnd(const DispatchPool &Pool,
+                           const DispatchCriteria &Need, Millis Now) {
+  std::optional<Millis> First;
+  for (const std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
+    if (isServing(Row.second, Need) && Row.second.m_AskedPauseUntil > Now)
+      First = std::min(First.value_or(Row.second.m_AskedPauseUntil),
+                       Row.second.m_AskedPauseUntil);
+  return First ? *First - Now : RetryWhenNoneInService;
+}
+
 bool withinColdLimit(DispatchTarget &Target, Millis Now) {
   if (Target.m_ColdShare <= 0)
     return true;
@@ -81,7 +100,7 @@
   std::vector<Candidate> Paused;
   for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets) {
     DispatchTarget &Target = Row.second;
-    if (!isEligible(Target, Need))
+    if (!isEligible(Target, Need, Now))
       continue;
     Candidate Each{&Target,
                    estimatedLoad(Target, Now) +
@@ -257,7 +276,7 @@
   std::vector<Candidate> All = eligibleTargets(Pool, Need, Now);
   if (All.empty())
     return refuseDispatch(DispatchRefusal::NoneInService,
-                          RetryWhenNoneInService);
+                          timeToFirstPauseEnd(Pool, Need, Now));
   double Mean = meanLoad(All);
   keepIf(All,
          [Now](const Candidate &Each) { return !isFull(*Each.m_Target, Now); });
@@ -294,6 +313,9 @@
     Present.insert(Entry.m_Id);
     bool IsNew = Pool.m_Targets.count(Entry.m_Id) == 0;
     DispatchTarget &Target = Pool.m_Targets[Entry.m_Id];
+    bool Returns = !Target.m_Present || Target.m_Listed.m_Leaving;
+    if (Returns && !Entry.m_Leaving)
+      Target.m_SaysLeaving = false;
     bool ColdStated = IsNew || Target.m_Listed.m_ColdLeft != Entry.m_ColdLeft;
     Target.m_Listed = Entry;
     Target.m_Present = true;
@@ -318,6 +340,12 @@
   }
 }
 
+void noteLeaving(DispatchTarget &Target) { Target.m_SaysLeaving = true; }
+
+void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now) {
+  Target.m_AskedPauseUntil = std::max(Target.m_AskedPauseUntil, Now + For);
+}
+
 void noteStarted(DispatchTarget &Target, Millis Now) {
   ++Target.m_Running;
   ++Target.m_SinceReport;
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -58,6 +58,10 @@
   /// The answer carries the target's signature.
   bool m_Signed = false;
   std::optional<TargetReport> m_Report;
+  /// The target leaves and wants no further requests.
+  bool m_TargetLeaves = false;
+  /// The target wants no further request from this router for so long.
+  std::optional<Millis> m_Pause;
   /// Fields that go back to the caller unchanged.
   HttpFields m_Fields;
 };
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -98,6 +98,8 @@
   /// Decodes the head of an answer; false when it answers another request.
   bool isOwnAnswer(const TargetHead &Head);
   void onHead(const TargetHead &Head);
+  /// Records what the answer says of its target.
+  void noteTargetState(DispatchTarget &Target, const TargetAnswer &Answer);
   void onData(const char *Data, std::size_t Size);
   void onEnd(CallEnd How, const std::string &Detail);
   void relayEvents(const std::string &Events);
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -44,6 +44,26 @@
   return false;
 }
 
+void Exchange::noteTargetState(DispatchTarget &Target,
+                               const TargetAnswer &Answer) {
+  Millis Now = monotonicNow();
+  const std::string &Id = Target.m_Listed.m_Id.m_Value;
+  if (Answer.m_Report)
+    noteReport(Target, *Answer.m_Report, Now);
+  if (Answer.m_TargetLeaves && !Target.m_SaysLeaving)
+    logEvent(Event::TargetLeaves,
+             {{"target", Id}, {"request", m_Request.m_Id.m_Value}});
+  if (Answer.m_TargetLeaves)
+    noteLeaving(Target);
+  if (!Answer.m_Pause)
+    return;
+  noteAskedPause(Target, *Answer.m_Pause, Now);
+  addCounter(m_Gateway.m_Metrics, "vanillaferry_target_pauses_total");
+  logEvent(Event::TargetAsksPause, {{"target", Id},
+                                    {"request", m_Request.m_Id.m_Value},
+                                    {"pause_ms", Answer.m_Pause->m_Value}});
+}
+
 void Exchange::onHead(const TargetHead &Head) {
   if (m_Done || !m_Try || !m_Try->m_Answer)
     return;
@@ -51,8 +71,8 @@
   m_Try->m_ContentType = Head.m_ContentType;
   const TargetAnswer &Answer = *m_Try->m_Answer;
   DispatchTarget *Target = findTarget(m_Gateway, m_Service, m_Try->m_Target);
-  if (Target && Answer.m_Report)
-    noteReport(*Target, *Answer.m_Report, monotonicNow());
+  if (Target)
+    noteTargetState(*Target, Answer);
   if (Answer.m_NotRun || Head.m_Status == MisdirectedRequest) {
     --m_PossibleRuns;
     m_Try->m_Call->cancel();
--- a/tests/core/Dispatch.tests.cpp
+++ b/tests/core/Dispatch.tests.cpp
@@ -376,4 +376,40 @@
   BOOST_TEST(takeRepeat(Budget, Millis(20000)));
 }
 
+// Guards against requests to a target that says that it leaves before the list
+// shows it, and against one that is left out for good after it has returned.
+BOOST_AUTO_TEST_CASE(ATargetThatSaysItLeavesIsChosenOnlyWhenItReturns) {
+  DispatchPool Pool = poolOf(2);
+  noteLeaving(Pool.m_Targets[TargetId("t0")]);
+  for (std::uint64_t Random = 0; Random < 20; ++Random)
+    BOOST_TEST(chooseTarget(Pool, needOf(0, Random), Millis(100)).m_Target ==
+               TargetId("t1"));
+  // The list does not show it yet.
+  applyTargetList(Pool, listedTargets(2), false, Millis(200));
+  BOOST_TEST(Pool.m_Targets[TargetId("t0")].m_SaysLeaving);
+  std::vector<ListedTarget> Leaving = listedTargets(2);
+  Leaving[0].m_Leaving = true;
+  applyTargetList(Pool, Leaving, false, Millis(300));
+  applyTargetList(Pool, listedTargets(2), false, Millis(400));
+  BOOST_TEST(!Pool.m_Targets[TargetId("t0")].m_SaysLeaving);
+}
+
+// Guards against requests to a target that wants none, when no other is left,
+// and against a time for the caller's return that is not true.
+BOOST_AUTO_TEST_CASE(APauseThatATargetAskedForBindsEvenWhenNoOtherIsLeft) {
+  DispatchPool Pool = poolOf(2);
+  noteAskedPause(Pool.m_Targets[TargetId("t0")], Millis(3000), Millis(100));
+  noteAskedPause(Pool.m_Targets[TargetId("t0")], Millis(500), Millis(200));
+  BOOST_TEST(chooseTarget(Pool, needOf(0), Millis(200)).m_Target ==
+             TargetId("t1"));
+  noteAskedPause(Pool.m_Targets[TargetId("t1")], Millis(2000), Millis(200));
+  DispatchChoice Choice = chooseTarget(Pool, needOf(0), Millis(1200));
+  BOOST_TEST((Choice.m_Refusal == DispatchRefusal::NoneInService));
+  BOOST_TEST(Choice.m_RetryAfter == Millis(1000));
+  BOOST_TEST(chooseTarget(Pool, needOf(0), Millis(2200)).m_Target ==
+             TargetId("t1"));
+  BOOST_TEST((chooseTarget(Pool, needOf(0), Millis(3100)).m_Refusal ==
+              DispatchRefusal::None));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -298,6 +298,11 @@
   return m_Runs;
 }
 
+std::vector<double> PlatformFakes::pauseRefusals() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_PauseRefusals;
+}
+
 bool PlatformFakes::draw(double Share) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return std::bernoulli_distribution(Share)(m_Random);
@@ -306,9 +311,13 @@
 bool PlatformFakes::serve(Target &Each, int Socket,
                           const FakeRequest &Request) {
   std::string Id;
+  double PauseSeconds = 0;
   {
     std::lock_guard<std::mutex> Lock(m_Mutex);
     Id = Each.m_Id;
+    PauseSeconds = Each.m_Faults.m_PauseSeconds;
+    if (PauseSeconds > 0)
+      m_PauseRefusals.push_back(historyNow());
   }
   std::string RequestId = Request.field("Vanillaferry-Attempt-Id");
   std::string NotRun = "Vanillaferry-Not-Executed: 1\r\n"
@@ -319,6 +328,11 @@
     return sendAll(
         Socket,
         withLength("HTTP/1.1 421 Misdirected Request\r\n" + NotRun, ""));
+  if (PauseSeconds > 0)
+    return sendAll(Socket, withLength("HTTP/1.1 503 Service Unavailable\r\n" +
+                                          NotRun + "Retry-After: " +
+                                          std::to_string(PauseSeconds) + "\r\n",
+                                      ""));
   if (Each.m_Running >= Slots)
     return sendAll(
         Socket,
@@ -353,7 +367,8 @@
       "Vanillaferry-Attempt-Id: " + RequestId +
       "\r\nVanillaferry-Response-Signature: s-" + RequestId +
       "\r\nVanillaferry-Server-Load: " + std::to_string(Each.m_Running) +
-      ",0," + std::to_string(Slots) + "\r\n";
+      ",0," + std::to_string(Slots) + "\r\n" +
+      (Faults.m_SaysLeaving ? "Server-Leaving: 1\r\n" : "");
   bool Broken = draw(Faults.m_Broken);
   if (Request.m_Path.compare(0, 5, "/desk") != 0 && !IsError)
     return serveStream(Each, Head, Socket, Request,
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -70,6 +70,10 @@
   /// A stream has neither a length nor chunks and ends with its connection; a
   /// broken one ends inside an event.
   double m_Unframed = 0;
+  /// All answers say that the target leaves, which the list does not show.
+  bool m_SaysLeaving = false;
+  /// Requests are refused with 503; the target wants none for so many seconds.
+  double m_PauseSeconds = 0;
 };
 
 /// A request that a target started to run.
@@ -124,6 +128,8 @@
   std::vector<EngineCrash> crashes() const;
   void setListFails(bool Fails) { m_ListFails = Fails; }
   std::vector<TargetRun> runs() const;
+  /// Times at which requests were refused with a wish for a pause.
+  std::vector<double> pauseRefusals() const;
 
 private:
   struct Target {
@@ -161,6 +167,7 @@
   std::mt19937_64 m_Random;
   std::vector<std::unique_ptr<Target>> m_Targets;
   std::vector<TargetRun> m_Runs;
+  std::vector<double> m_PauseRefusals;
   int m_Instances = 0;
   std::atomic<bool> m_ListFails{false};
   std::string m_CrashingPart;
