Replicate which software versions a service has

Cause: since when a service has had one version alone was known to running processes only, so that nobody could vouch for streams from before.

Change: the leader puts the versions of each service into the replicated state when the list shows other ones (SetSoftwareVersions, a log entry for each change, two for a release); a keeper counts from there. An older keeper cannot apply the new entry: keepers are upgraded first, followers before the leader.

--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -98,10 +98,19 @@
   bool m_Out = false;
 };
 
-using Command = std::variant<EditSection, AddMember, RemoveMember, JournalBegin,
-                             JournalEnd, BeginOrder, EndOrder, AdvanceClock,
-                             StartOrder, ReplaceManifest, SetZoneOut,
-                             QuarantinePart, ReleasePart, BeginTrial>;
+/// States which software versions of a service the platform lists from now on.
+struct SetSoftwareVersions {
+  PoolId m_Service;
+  /// In order, each once.
+  std::vector<SoftwareVersion> m_Listed;
+  UnixMillis m_At;
+};
+
+using Command =
+    std::variant<EditSection, AddMember, RemoveMember, JournalBegin, JournalEnd,
+                 BeginOrder, EndOrder, AdvanceClock, StartOrder,
+                 ReplaceManifest, SetZoneOut, QuarantinePart, ReleasePart,
+                 BeginTrial, SetSoftwareVersions>;
 
 /// Answer of a command that returns no data.
 struct NoAnswer {};
@@ -152,6 +161,13 @@
   std::string m_Text;
 };
 
+/// The software versions of a service that the platform lists.
+struct ListedVersions {
+  std::vector<SoftwareVersion> m_Listed;
+  /// Since when these and no others are listed.
+  UnixMillis m_Since;
+};
+
 /// State that the replicated log determines. Equal logs give equal states.
 struct StateMachine {
   LogIndex m_Applied;
@@ -168,6 +184,7 @@
   StoredManifest m_Manifest;
   std::vector<ZoneId> m_ZonesOut;
   PromptQuarantine m_Quarantine;
+  std::map<PoolId, ListedVersions> m_Software;
 };
 
 /// True when an AddMember of this incarnation would be ignored because another
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -152,6 +152,19 @@
   A("parts", Q.m_Parts);
 }
 
+template <typename Archive>
+static void describe(Archive &A, SetSoftwareVersions &S) {
+  A("service", S.m_Service);
+  A("listed", S.m_Listed);
+  A("at", S.m_At);
+}
+
+template <typename Archive>
+static void describe(Archive &A, ListedVersions &L) {
+  A("listed", L.m_Listed);
+  A("since", L.m_Since);
+}
+
 template <typename Archive>
 static void describe(Archive &A, StoredManifest &M) {
   A("version", M.m_Version);
@@ -228,8 +241,9 @@
   A("clock", S.m_Clock);
   A("manifest", S.m_Manifest);
   A("zones_out", S.m_ZonesOut);
-  // Snapshots of earlier versions have no such field.
+  // Snapshots of earlier versions have no such fields.
   A.optional("quarantine", S.m_Quarantine);
+  A.optional("software", S.m_Software);
 }
 
 namespace {
--- a/src/core/process/state_machine.cpp
+++ b/src/core/process/state_machine.cpp
@@ -249,6 +249,14 @@
                               applyBeginTrial(State.m_Quarantine, Input));
 }
 
+CommandAnswer apply(StateMachine &State, LogIndex,
+                    const SetSoftwareVersions &Input) {
+  ListedVersions &Held = State.m_Software[Input.m_Service];
+  if (Held.m_Listed != Input.m_Listed)
+    Held = {Input.m_Listed, later(Input.m_At, State.m_Clock)};
+  return NoAnswer();
+}
+
 } // namespace
 
 bool isReplaced(const StateMachine &State, const NodeId &Node,
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -193,6 +193,9 @@
   /// Reports of routers that the other keepers have not been sent yet.
   std::map<PoolId, StreamReport> m_ToRelay;
   Millis m_NextRelay;
+  /// Services of which a change of the versions is proposed and not applied
+  /// yet.
+  std::set<PoolId> m_Proposed;
 };
 
 /// State of the keeper's main task; accessed on the GLib main loop only.
@@ -392,6 +395,8 @@
 void recordKeeperVersions(Keeper &Self,
                           const Result<std::vector<ListedTarget>> &Listed);
 void confirmKeeperVersions(Keeper &Self);
+/// Replicates the versions that the leader's list shows, where they changed.
+void proposeListedVersions(Keeper &Self);
 void relayStreams(Keeper &Self, Millis Now);
 
 // keeper_repair.cpp
--- a/src/daemon/process/keeper_streams.cpp
+++ b/src/daemon/process/keeper_streams.cpp
@@ -2,6 +2,8 @@
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry::internal {
 
 namespace {
@@ -11,6 +13,25 @@
 /// An older list may lack a version.
 constexpr Millis ListLifetime{10000};
 
+/// The version that the service has had alone, by the lists that this process
+/// has seen and by the replicated state, which outlives it.
+std::optional<SoleVersion> soleVersionOf(const Keeper &Self,
+                                         const PoolId &Service) {
+  Millis Now = monotonicNow();
+  if (Now - Self.m_SharedTargets.m_LastRead >= ListLifetime)
+    return std::nullopt;
+  std::optional<SoleVersion> Sole =
+      soleVersion(Self.m_Streams.m_Versions, Service, Now);
+  std::map<PoolId, ListedVersions>::const_iterator Held =
+      Self.m_State.m_Software.find(Service);
+  if (!Sole || Held == Self.m_State.m_Software.end() ||
+      Held->second.m_Listed != std::vector<SoftwareVersion>{Sole->m_Software})
+    return Sole;
+  Millis Replicated(wallNow().m_Value - Held->second.m_Since.m_Value);
+  Sole->m_For = std::max(Sole->m_For, Replicated);
+  return Sole;
+}
+
 } // namespace
 
 void onStreamReport(Keeper &Self, const NodeId &From,
@@ -37,12 +58,7 @@
     Answer.m_Recorded = true;
     Answer.m_Software = *Known;
   }
-  // An old list may lack a version.
-  bool IsRecent =
-      monotonicNow() - Self.m_SharedTargets.m_LastRead < ListLifetime;
-  std::optional<SoleVersion> Sole =
-      soleVersion(Streams.m_Versions, Query.m_Service, monotonicNow());
-  if (Sole && IsRecent) {
+  if (std::optional<SoleVersion> Sole = soleVersionOf(Self, Query.m_Service)) {
     Answer.m_Sole = Sole->m_Software;
     Answer.m_SoleFor = Sole->m_For;
   }
@@ -62,6 +78,27 @@
   confirmVersions(Self.m_Streams.m_Versions, monotonicNow());
 }
 
+void proposeListedVersions(Keeper &Self) {
+  KeeperStreams &Streams = Self.m_Streams;
+  for (const std::pair<const PoolId, std::set<SoftwareVersion>> &Row :
+       Streams.m_Versions.m_Listed) {
+    SetSoftwareVersions Change;
+    Change.m_Service = Row.first;
+    Change.m_Listed.assign(Row.second.begin(), Row.second.end());
+    Change.m_At = wallNow();
+    std::map<PoolId, ListedVersions>::const_iterator Held =
+        Self.m_State.m_Software.find(Row.first);
+    bool Known = Held != Self.m_State.m_Software.end() &&
+                 Held->second.m_Listed == Change.m_Listed;
+    if (Known || !Streams.m_Proposed.insert(Row.first).second)
+      continue;
+    proposeCommand(Self, std::move(Change),
+                   [&Self, Service = Row.first](const CommandAnswer *) {
+                     Self.m_Streams.m_Proposed.erase(Service);
+                   });
+  }
+}
+
 void relayStreams(Keeper &Self, Millis Now) {
   KeeperStreams &Streams = Self.m_Streams;
   if (Streams.m_ToRelay.empty() || Now < Streams.m_NextRelay)
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -87,6 +87,7 @@
   } else {
     confirmKeeperVersions(Self);
   }
+  proposeListedVersions(Self);
   sendToFollowers(Self, Before);
 }
 
--- a/tests/core/StateCodec.tests.cpp
+++ b/tests/core/StateCodec.tests.cpp
@@ -50,7 +50,10 @@
       QuarantinePart{PromptPartId("p"), UnixMillis(1LL << 40), "t1,t2", true},
       QuarantinePart{PromptPartId("q"), UnixMillis(-1), "", false},
       BeginTrial{PromptPartId("p"), 0},
-      ReleasePart{PromptPartId("q")}};
+      ReleasePart{PromptPartId("q")},
+      SetSoftwareVersions{PoolId("s"),
+                          {SoftwareVersion("v1"), SoftwareVersion("v2")},
+                          UnixMillis(1LL << 40)}};
 }
 
 StateMachine busyState() {
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -250,4 +250,25 @@
   BOOST_TEST(Result.m_Lost == 0);
 }
 
+// Guards against the same after keepers and gateways have lost power together.
+BOOST_AUTO_TEST_CASE(StreamsOfAServiceWithOneVersionGoOnAfterALossOfPower) {
+  constexpr int Streams = 12;
+  VersionFleet Fleet;
+  Fleet.begin();
+  pauseFor(RouteTimeoutMs * 2);
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
+    Fleet.m_Fleet.keeper(Index).kill();
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.gateways(); ++Index)
+    Fleet.m_Fleet.gateway(Index).kill();
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
+    Fleet.m_Fleet.startKeeper(Index);
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.gateways(); ++Index)
+    Fleet.m_Fleet.startGateway(Index);
+  Fleet.waitReady();
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_GoneOn == Streams);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
