--- a/include/vanillaferry/request/stream_origin.hpp
+++ b/include/vanillaferry/request/stream_origin.hpp
@@ -36,6 +36,10 @@
 /// An entry takes about 200 bytes.
 constexpr std::size_t MaxOrigins = 100000;
 
+/// Callers choose the ids; longer ones are not recorded, so that memory is
+/// bounded.
+constexpr std::size_t MaxOriginIdLength = 128;
+
 void recordOrigin(StreamOrigins &Origins, const StreamOrigin &Origin,
                   Millis Now);
 std::optional<SoftwareVersion> findOrigin(const StreamOrigins &Origins,
--- a/src/core/request/stream_origin.cpp
+++ b/src/core/request/stream_origin.cpp
@@ -35,6 +35,8 @@
 
 void recordOrigin(StreamOrigins &Origins, const StreamOrigin &Origin,
                   Millis Now) {
+  if (Origin.m_Request.m_Value.size() > MaxOriginIdLength)
+    return;
   if (Now >= Origins.m_CurrentSince + OriginLifetime ||
       Origins.m_Current.size() >= MaxOrigins) {
     Origins.m_Former = std::move(Origins.m_Current);
--- a/src/daemon/gateway/gateway_streams.cpp
+++ b/src/daemon/gateway/gateway_streams.cpp
@@ -7,11 +7,13 @@
 
 namespace {
 
-/// More news than this are those of a gateway without keepers; the oldest go.
+/// Bounds one report; streams beyond it are known to this gateway only.
 constexpr std::size_t MaxNews = 4096;
 
 void addNews(StreamVersions &Streams, const StreamOrigin &Origin) {
-  if (Streams.m_News.size() < MaxNews)
+  bool Fits = Streams.m_News.size() < MaxNews &&
+              Origin.m_Request.m_Value.size() <= MaxOriginIdLength;
+  if (Fits)
     Streams.m_News.push_back(Origin);
 }
 
--- a/src/daemon/process/bench_router.cpp
+++ b/src/daemon/process/bench_router.cpp
@@ -1,8 +1,8 @@
 #include "process/bench_router.hpp"
 
 #include "process/clock.hpp"
-#include "process/digest.hpp"
 #include "process/lease_client.hpp"
+#include "process/sha256.hpp"
 #include "request/run.hpp"
 #include "request/session.hpp"
 
--- a/src/daemon/process/digest.hpp
+++ b/src/daemon/process/digest.hpp
@@ -4,9 +4,6 @@
 
 namespace vanillaferry {
 
-/// Hex SHA-256 (lower case).
-std::string sha256Hex(const std::string &Data);
-
 /// Compares texts of equal length in constant time, so that the time does not
 /// reveal where two secrets differ.
 bool equalConstantTime(const std::string &A, const std::string &B);
--- a/src/daemon/request/entry.cpp
+++ b/src/daemon/request/entry.cpp
@@ -6,6 +6,7 @@
 #include "process/clock.hpp"
 #include "process/digest.hpp"
 #include "process/router.hpp"
+#include "process/sha256.hpp"
 #include "request/idempotency_key.hpp"
 #include "vanillaferry/request/request_content.hpp"
 
--- a/tests/core/StreamOrigin.tests.cpp
+++ b/tests/core/StreamOrigin.tests.cpp
@@ -115,6 +115,10 @@
   recordOrigin(Origins, {RequestId("c"), Service, Old},
                Start + OriginLifetime + OriginLifetime);
   BOOST_TEST(!findOrigin(Origins, RequestId("a")).has_value());
+  RequestId Long(std::string(MaxOriginIdLength + 1, 'x'));
+  recordOrigin(Origins, {Long, Service, Old},
+               Start + OriginLifetime + OriginLifetime);
+  BOOST_TEST(!findOrigin(Origins, Long).has_value());
 }
 
 // Guards against a continued stream that is sent to another version because
--- a/tests/process/EngineCrashes.cpp
+++ b/tests/process/EngineCrashes.cpp
@@ -1,6 +1,7 @@
 #include "EngineCrashes.hpp"
 
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <map>
 #include <set>
@@ -32,17 +33,16 @@
   return Request;
 }
 
-} // namespace
-
-void pauseFor(double Ms) {
-  std::this_thread::sleep_for(
-      std::chrono::milliseconds(static_cast<std::int64_t>(Ms)));
-}
+/// Bad requests that may run after the time of contact.
+constexpr std::size_t LateRunsAllowed = 3;
 
+/// Time of a crash by its number from 1, or of the last one when there are
+/// fewer.
 double crashTime(const std::vector<EngineCrash> &Crashes, std::size_t Number) {
   return Crashes[std::min(Crashes.size(), Number) - 1].m_At;
 }
 
+/// Share of the requests sent in a span of time that an engine began to run.
 double shareRun(const std::vector<CallRecord> &Calls,
                 const std::vector<TargetRun> &Runs, double From, double Until) {
   std::set<std::string> Ran;
@@ -58,6 +58,13 @@
   return Sent == 0 ? 0 : Begun / Sent;
 }
 
+} // namespace
+
+void pauseFor(double Ms) {
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(static_cast<std::int64_t>(Ms)));
+}
+
 std::size_t runsAfter(const std::vector<CallRecord> &Calls,
                       const std::vector<TargetRun> &Runs, double At) {
   std::set<std::string> Ids;
@@ -69,6 +76,25 @@
       }));
 }
 
+void checkCrashes(const CrashRecord &Record) {
+  BOOST_REQUIRE(!Record.m_Crashes.empty());
+  double Counted = crashTime(Record.m_Crashes, Record.m_CountedCrash);
+  double Before =
+      shareRun(Record.m_Sound, Record.m_Runs,
+               Record.m_BadFrom - Record.m_CalmMs, Record.m_BadFrom);
+  double After = shareRun(Record.m_Sound, Record.m_Runs,
+                          Counted + 2 * ContactMs, Record.m_BadUntil);
+  std::size_t Late =
+      runsAfter(Record.m_Bad, Record.m_Runs, Counted + ContactMs);
+  BOOST_TEST_MESSAGE("crashes " << Record.m_Crashes.size() << ", late runs "
+                                << Late << ", sound runs before " << Before
+                                << " and after " << After);
+  BOOST_TEST(Late <= LateRunsAllowed, Late << " bad requests ran late in "
+                                           << Record.m_Crashes.size()
+                                           << " crashes");
+  BOOST_TEST(After >= Before / 2);
+}
+
 std::vector<TargetRun> recordedRuns(const std::string &Lines) {
   std::vector<TargetRun> Runs;
   std::istringstream Stream(Lines);
--- a/tests/process/EngineCrashes.hpp
+++ b/tests/process/EngineCrashes.hpp
@@ -18,13 +18,25 @@
 
 void pauseFor(double Ms);
 
-/// Time of a crash by its number from 1, or of the last one when there are
-/// fewer.
-double crashTime(const std::vector<EngineCrash> &Crashes, std::size_t Number);
+/// Sound requests, beside others that end what runs them.
+struct CrashRecord {
+  std::vector<CallRecord> m_Sound;
+  std::vector<CallRecord> m_Bad;
+  std::vector<TargetRun> m_Runs;
+  std::vector<EngineCrash> m_Crashes;
+  /// When the bad requests began and stopped.
+  double m_BadFrom = 0;
+  double m_BadUntil = 0;
+  /// Time before m_BadFrom with which the sound requests are compared.
+  double m_CalmMs = ContactMs / 2;
+  /// Number of the crash from which on the users' rule counts.
+  std::size_t m_CountedCrash = 0;
+};
 
-/// Share of the requests sent in a span of time that an engine began to run.
-double shareRun(const std::vector<CallRecord> &Calls,
-                const std::vector<TargetRun> &Runs, double From, double Until);
+/// Checks the users' rules: at most three bad requests run later than the time
+/// of contact after the counted crash, and from twice that time on sound ones
+/// begin at least half as often as before.
+void checkCrashes(const CrashRecord &Record);
 
 /// Runs of these calls that began after a time, each repeat counted.
 std::size_t runsAfter(const std::vector<CallRecord> &Calls,
--- a/tests/process/PromptCrashes.tests.cpp
+++ b/tests/process/PromptCrashes.tests.cpp
@@ -12,8 +12,6 @@
 
 /// The users' rule counts from this crash on.
 constexpr std::size_t CountedCrash = 5;
-/// Requests with the part that may reach an engine after that.
-constexpr std::size_t LateRunsAllowed = 3;
 constexpr const char *CrashingPart = "dead";
 
 } // namespace
@@ -69,22 +67,18 @@
   Bad.stop();
   double BadUntil = historyNow();
   Sound.stop();
-  std::vector<EngineCrash> Crashes = Fleet.targets().crashes();
-  std::vector<TargetRun> Runs = Fleet.targets().runs();
-  double Counted = crashTime(Crashes, CountedCrash);
-  std::vector<CallRecord> Calls = Sound.calls();
-  double Before = shareRun(Calls, Runs, BadFrom - ContactMs / 2, BadFrom);
-  double After = shareRun(Calls, Runs, Counted + 2 * ContactMs, BadUntil);
-  std::size_t Late = runsAfter(Bad.calls(), Runs, Counted + ContactMs);
-  BOOST_TEST_MESSAGE("crashes " << Crashes.size() << ", late runs " << Late
-                                << ", sound runs before " << Before
-                                << " and after " << After);
-  BOOST_TEST(Late <= LateRunsAllowed, Late << " requests with the part ran in "
-                                           << Crashes.size() << " crashes");
-  BOOST_TEST(After >= Before / 2);
-  std::vector<CallRecord> All = Bad.calls();
-  All.insert(All.end(), Calls.begin(), Calls.end());
-  checkRuns(Fleet.targets().runs(), All, Operator, Found);
+  CrashRecord Record;
+  Record.m_Sound = Sound.calls();
+  Record.m_Bad = Bad.calls();
+  Record.m_Runs = Fleet.targets().runs();
+  Record.m_Crashes = Fleet.targets().crashes();
+  Record.m_BadFrom = BadFrom;
+  Record.m_BadUntil = BadUntil;
+  Record.m_CountedCrash = CountedCrash;
+  checkCrashes(Record);
+  std::vector<CallRecord> All = Record.m_Bad;
+  All.insert(All.end(), Record.m_Sound.begin(), Record.m_Sound.end());
+  checkRuns(Record.m_Runs, All, Operator, Found);
   for (const std::string &Fault : Found.all())
     BOOST_ERROR(Fault);
 }
@@ -169,21 +163,19 @@
   double BadUntil = historyNow();
   Sound.stop();
   Restarts.stop();
-  std::vector<TargetRun> Runs = recordedRuns(Fleet.recordedRuns());
-  double Counted = crashTime(Restarts.crashes(), CountedCrash);
-  double Before = shareRun(Sound.calls(), Runs, BadFrom - ContactMs, BadFrom);
-  double After =
-      shareRun(Sound.calls(), Runs, Counted + 2 * ContactMs, BadUntil);
-  std::size_t Late = runsAfter(Bad.calls(), Runs, Counted + ContactMs);
-  BOOST_TEST_MESSAGE("crashes " << Restarts.count() << ", late runs " << Late
-                                << ", sound runs before " << Before
-                                << " and after " << After);
-  BOOST_TEST(Late <= LateRunsAllowed, Late << " requests with the text ran in "
-                                           << Restarts.count() << " crashes");
-  BOOST_TEST(After >= Before / 2);
+  CrashRecord Record;
+  Record.m_Sound = Sound.calls();
+  Record.m_Bad = Bad.calls();
+  Record.m_Runs = recordedRuns(Fleet.recordedRuns());
+  Record.m_Crashes = Restarts.crashes();
+  Record.m_BadFrom = BadFrom;
+  Record.m_BadUntil = BadUntil;
+  Record.m_CalmMs = ContactMs;
+  Record.m_CountedCrash = CountedCrash;
+  checkCrashes(Record);
   for (const CallRecord &Call : Bad.calls())
     if (Call.m_Ending == CallEnding::Refused)
-      BOOST_TEST(runsAfter({Call}, Runs, 0) == 0U,
+      BOOST_TEST(runsAfter({Call}, Record.m_Runs, 0) == 0U,
                  Call.m_Id << " was refused as not run and ran");
 }
 
--- a/tests/process/RequestCrashes.tests.cpp
+++ b/tests/process/RequestCrashes.tests.cpp
@@ -13,8 +13,6 @@
 
 /// The users' rule counts from this crash on.
 constexpr std::size_t CountedCrash = 3;
-/// Repeats of the request that may reach a target after that.
-constexpr std::size_t LateRunsAllowed = 3;
 constexpr const char *CrashingBody = "a request that ends its target";
 constexpr std::chrono::milliseconds RepeatPause{250};
 
@@ -55,22 +53,18 @@
   Bad.stop();
   double BadUntil = historyNow();
   Sound.stop();
-  std::vector<EngineCrash> Crashes = Fleet.targets().crashes();
-  std::vector<TargetRun> Runs = Fleet.targets().runs();
-  double Counted = crashTime(Crashes, CountedCrash);
-  std::vector<CallRecord> Calls = Sound.calls();
-  double Before = shareRun(Calls, Runs, BadFrom - ContactMs / 2, BadFrom);
-  double After = shareRun(Calls, Runs, Counted + 2 * ContactMs, BadUntil);
-  std::size_t Late = runsAfter(Bad.calls(), Runs, Counted + ContactMs);
-  BOOST_TEST_MESSAGE("crashes " << Crashes.size() << ", late runs " << Late
-                                << ", sound runs before " << Before
-                                << " and after " << After);
-  BOOST_TEST(Late <= LateRunsAllowed, Late << " repeats of the request ran in "
-                                           << Crashes.size() << " crashes");
-  BOOST_TEST(After >= Before / 2);
-  std::vector<CallRecord> All = Bad.calls();
-  All.insert(All.end(), Calls.begin(), Calls.end());
-  checkRuns(Runs, All, Operator, Found);
+  CrashRecord Record;
+  Record.m_Sound = Sound.calls();
+  Record.m_Bad = Bad.calls();
+  Record.m_Runs = Fleet.targets().runs();
+  Record.m_Crashes = Fleet.targets().crashes();
+  Record.m_BadFrom = BadFrom;
+  Record.m_BadUntil = BadUntil;
+  Record.m_CountedCrash = CountedCrash;
+  checkCrashes(Record);
+  std::vector<CallRecord> All = Record.m_Bad;
+  All.insert(All.end(), Record.m_Sound.begin(), Record.m_Sound.end());
+  checkRuns(Record.m_Runs, All, Operator, Found);
   for (const std::string &Fault : Found.all())
     BOOST_ERROR(Fault);
 }
@@ -135,20 +129,18 @@
   double BadUntil = historyNow();
   Sound.stop();
   Restarts.stop();
-  std::vector<TargetRun> Runs = recordedRuns(Fleet.recordedRuns());
-  double Counted = crashTime(Restarts.crashes(), CountedCrash);
-  double Before = shareRun(Sound.calls(), Runs, BadFrom - ContactMs, BadFrom);
-  double After =
-      shareRun(Sound.calls(), Runs, Counted + 2 * ContactMs, BadUntil);
   CallRecord Repeated;
   Repeated.m_Id = CrashingChat;
-  std::size_t Late = runsAfter({Repeated}, Runs, Counted + ContactMs);
-  BOOST_TEST_MESSAGE("crashes " << Restarts.count() << ", late runs " << Late
-                                << ", sound runs before " << Before
-                                << " and after " << After);
-  BOOST_TEST(Late <= LateRunsAllowed, Late << " repeats of the chat ran in "
-                                           << Restarts.count() << " crashes");
-  BOOST_TEST(After >= Before / 2);
+  CrashRecord Record;
+  Record.m_Sound = Sound.calls();
+  Record.m_Bad = {Repeated};
+  Record.m_Runs = recordedRuns(Fleet.recordedRuns());
+  Record.m_Crashes = Restarts.crashes();
+  Record.m_BadFrom = BadFrom;
+  Record.m_BadUntil = BadUntil;
+  Record.m_CalmMs = ContactMs;
+  Record.m_CountedCrash = CountedCrash;
+  checkCrashes(Record);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/RouterFleet.cpp
+++ b/tests/process/RouterFleet.cpp
@@ -1,7 +1,7 @@
 #include "RouterFleet.hpp"
 
 #include "process/clock.hpp"
-#include "process/digest.hpp"
+#include "process/sha256.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <ctime>
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -101,9 +101,11 @@
     // The list is read each 0.7 s.
     pauseFor(2000);
   }
-  void restartGateways() {
+  void killGateways() {
     for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
       m_Fleet.gateway(Index).kill();
+  }
+  void startGateways() {
     for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
       m_Fleet.startGateway(Index);
     waitReady();
@@ -215,7 +217,8 @@
   Fleet.begin();
   std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
   pauseFor(500);
-  Fleet.restartGateways();
+  Fleet.killGateways();
+  Fleet.startGateways();
   TakenUp Result = takeUp(Fleet, Begun);
   BOOST_TEST(Result.m_Joined == 0);
   BOOST_TEST(Result.m_GoneOn >= Streams / 2);
@@ -229,7 +232,8 @@
   Fleet.begin();
   std::vector<StreamRequest> Begun = Fleet.beginStreams(12);
   Fleet.replaceEngines([](std::size_t) { return NewVersion; });
-  Fleet.restartGateways();
+  Fleet.killGateways();
+  Fleet.startGateways();
   TakenUp Result = takeUp(Fleet, Begun);
   BOOST_TEST(Result.m_Joined == 0);
   BOOST_TEST(Result.m_GoneOn == 0);
@@ -244,7 +248,8 @@
   Fleet.begin();
   pauseFor(RouteTimeoutMs * 2);
   std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
-  Fleet.restartGateways();
+  Fleet.killGateways();
+  Fleet.startGateways();
   TakenUp Result = takeUp(Fleet, Begun);
   BOOST_TEST(Result.m_GoneOn == Streams);
   BOOST_TEST(Result.m_Lost == 0);
@@ -257,15 +262,12 @@
   Fleet.begin();
   pauseFor(RouteTimeoutMs * 2);
   std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  Fleet.killGateways();
   for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
     Fleet.m_Fleet.keeper(Index).kill();
-  for (std::size_t Index = 0; Index < Fleet.m_Fleet.gateways(); ++Index)
-    Fleet.m_Fleet.gateway(Index).kill();
   for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
     Fleet.m_Fleet.startKeeper(Index);
-  for (std::size_t Index = 0; Index < Fleet.m_Fleet.gateways(); ++Index)
-    Fleet.m_Fleet.startGateway(Index);
-  Fleet.waitReady();
+  Fleet.startGateways();
   TakenUp Result = takeUp(Fleet, Begun);
   BOOST_TEST(Result.m_GoneOn == Streams);
   BOOST_TEST(Result.m_Lost == 0);
