Let ends of a refused request speak against no other request

A request that was cut beside a refused one three times, and then twice by chance, would have been refused: ends that a refused request explains were added to every part's evidence, also to that of other whole requests. They are added to prompt parts only. Found by reading; EndsOfARefusedRequestSpeakAgainstNoOtherRequest.

Requests that wait for a keeper's answer on their stream are found among the running ones: the table of them kept entries for which no answer came.

--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -162,12 +162,14 @@
 
 /// The weight of the evidence against a part, in ends.
 std::size_t weigh(const PromptPartId &Part, PartEvidence &Evidence) {
-  if (Evidence.m_Ends.size() >= EndsBeyondRequest)
+  bool IsRequest = isWholeRequest(Part);
+  // A request that was only near a refused one has nothing to do with its ends.
+  if (!IsRequest && Evidence.m_Ends.size() >= EndsBeyondRequest)
     Evidence.m_Ends.insert(Evidence.m_Ends.end(),
                            Evidence.m_EndsOfRequests.begin(),
                            Evidence.m_EndsOfRequests.end());
   std::size_t Count = countEnds(Evidence.m_Ends);
-  if (isWholeRequest(Part) || Evidence.m_Chats.size() > 1)
+  if (IsRequest || Evidence.m_Chats.size() > 1)
     return Count;
   return Count - std::min(Count, ExtraEndsOfOneChat);
 }
@@ -277,8 +279,9 @@
                                            : ThresholdAmongOthers;
 }
 
-bool wasAnswered(const PromptSuspects &Suspects, const PromptPartId &Part,
-                 Millis Now) {
+/// True when the routers were asked about the part and had time to answer.
+bool hadTimeToAnswer(const PromptSuspects &Suspects, const PromptPartId &Part,
+                     Millis Now) {
   std::map<PromptPartId, Millis>::const_iterator Asked =
       Suspects.m_Asked.find(Part);
   return Asked != Suspects.m_Asked.end() && Asked->second + AnswerTime <= Now;
@@ -296,11 +299,11 @@
   std::size_t Needed = endsNeeded(Suspects, Held, Parts.front(), Evidence, Now);
   if (Parts.size() > 1)
     Needed = std::max(Needed, TieThreshold);
-  bool Answered =
+  bool HadTime =
       std::all_of(Parts.begin(), Parts.end(), [&](const PromptPartId &Part) {
-        return wasAnswered(Suspects, Part, Now);
+        return hadTimeToAnswer(Suspects, Part, Now);
       });
-  if (Evidence.m_Count < Needed || !Answered)
+  if (Evidence.m_Count < Needed || !HadTime)
     Parts.clear();
   return Parts;
 }
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -51,6 +51,8 @@
   void resume();
 
   // exchange_stream.cpp
+  /// True while the request waits for a keeper's answer on this stream.
+  bool awaitsOrigin(const RequestId &Stream) const;
   /// Goes on with the stream that the caller takes up, or refuses.
   void goOnWith(const std::optional<OriginEvidence> &Keepers);
 
@@ -175,8 +177,9 @@
   Timer m_ConnectTimer;
   /// Runs while the request waits for a grant.
   Timer m_ControlTimer;
-  /// Runs while the request waits for a keeper's answer on its stream.
+  /// Runs while m_AwaitsOrigin.
   Timer m_OriginTimer;
+  bool m_AwaitsOrigin = false;
   /// Runs while the request waits for room at a target.
   Timer m_RoomTimer;
   std::optional<Millis> m_NoRoomSince;
--- a/src/daemon/gateway/exchange_stream.cpp
+++ b/src/daemon/gateway/exchange_stream.cpp
@@ -32,13 +32,19 @@
       Self->goOnWith(std::nullopt);
     return false;
   });
-  askForOrigin(m_Gateway, {m_Request.m_Resumes, m_Service}, Weak);
+  m_AwaitsOrigin = true;
+  askForOrigin(m_Gateway, {m_Request.m_Resumes, m_Service});
   return false;
 }
 
+bool Exchange::awaitsOrigin(const RequestId &Stream) const {
+  return m_AwaitsOrigin && m_Request.m_Resumes == Stream;
+}
+
 void Exchange::goOnWith(const std::optional<OriginEvidence> &Keepers) {
-  if (m_Done || m_Try || m_Need.m_Software)
+  if (m_Done || !m_AwaitsOrigin)
     return;
+  m_AwaitsOrigin = false;
   m_OriginTimer.stop();
   OriginEvidence Own;
   Own.m_Sole =
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -69,8 +69,6 @@
   VersionHistory m_History;
   /// Origins that the keepers have not been told yet, in order.
   std::vector<StreamOrigin> m_News;
-  /// Requests that wait for a keeper's answer, by the stream that they take up.
-  std::multimap<RequestId, std::weak_ptr<Exchange>> m_Waiting;
 };
 
 /// State of a gateway's main task; accessed on the GLib main loop only.
@@ -137,8 +135,7 @@
 /// Records the versions of a new target list.
 void recordListedVersions(Gateway &G);
 /// Asks a keeper where the stream began.
-void askForOrigin(Gateway &G, const StreamQuery &Query,
-                  const std::weak_ptr<Exchange> &Waiting);
+void askForOrigin(Gateway &G, const StreamQuery &Query);
 void handleStreamAnswer(Gateway &G, const StreamAnswer &Answer);
 void sendStreamReports(Gateway &G);
 
--- a/src/daemon/gateway/gateway_streams.cpp
+++ b/src/daemon/gateway/gateway_streams.cpp
@@ -39,10 +39,8 @@
   }
 }
 
-void askForOrigin(Gateway &G, const StreamQuery &Query,
-                  const std::weak_ptr<Exchange> &Waiting) {
+void askForOrigin(Gateway &G, const StreamQuery &Query) {
   addCounter(G.m_Metrics, "vanillaferry_stream_queries_total");
-  G.m_Streams.m_Waiting.emplace(Query.m_Request, Waiting);
   G.m_Peers->sendToUrl(G.m_Keeper.m_Current, Query);
 }
 
@@ -52,16 +50,12 @@
     Evidence.m_Recorded = Answer.m_Software;
   if (Answer.m_SoleFor > Millis(0))
     Evidence.m_Sole = SoleVersion{Answer.m_Sole, Answer.m_SoleFor};
-  std::vector<std::weak_ptr<Exchange>> Waiting;
-  std::multimap<RequestId, std::weak_ptr<Exchange>> &All =
-      G.m_Streams.m_Waiting;
-  for (auto Row = All.lower_bound(Answer.m_Request);
-       Row != All.upper_bound(Answer.m_Request); ++Row)
-    Waiting.push_back(Row->second);
-  All.erase(Answer.m_Request);
-  for (const std::weak_ptr<Exchange> &Each : Waiting)
-    if (std::shared_ptr<Exchange> Request = Each.lock())
-      Request->goOnWith(Evidence);
+  std::vector<std::shared_ptr<Exchange>> Waiting;
+  for (const std::shared_ptr<Exchange> &Each : G.m_Exchanges)
+    if (Each->awaitsOrigin(Answer.m_Request))
+      Waiting.push_back(Each);
+  for (const std::shared_ptr<Exchange> &Each : Waiting)
+    Each->goOnWith(Evidence);
 }
 
 void sendStreamReports(Gateway &G) {
--- a/tests/core/PromptSuspects.tests.cpp
+++ b/tests/core/PromptSuspects.tests.cpp
@@ -310,6 +310,22 @@
   BOOST_TEST(!Lead.refuses("request:near"));
 }
 
+// Guards against refusing a request that was cut beside a refused one and then
+// twice by chance.
+BOOST_AUTO_TEST_CASE(EndsOfARefusedRequestSpeakAgainstNoOtherRequest) {
+  Leader Lead;
+  for (int End = 0; End < 4; ++End) {
+    Lead.endTarget({"request:bad", End < 3 ? "request:near" : "request:other"});
+    Lead.judge();
+  }
+  BOOST_TEST(Lead.refuses("request:bad"));
+  for (int End = 0; End < 2; ++End) {
+    Lead.endTarget({"request:near"});
+    Lead.judge();
+  }
+  BOOST_TEST(!Lead.refuses("request:near"));
+}
+
 // Guards against refusing a request that many send alike, which is answered
 // between the ends that cut it.
 BOOST_AUTO_TEST_CASE(ARequestThatIsAnsweredBetweenEndsIsNotRefused) {
