--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -129,8 +129,8 @@
   bool takesUpStream() const;
   /// False while the request waits for a keeper's answer.
   bool resolveOrigin();
-  /// Binds the stream to the software version of the present try, and records
-  /// where it begins.
+  /// Records that a new stream begins at this software version, while none of
+  /// its events has arrived.
   void recordBeginning(const SoftwareVersion &Software);
 
   // exchange_prompt.cpp
