--- a/tests/process/GatewayFleet.cpp
+++ b/tests/process/GatewayFleet.cpp
@@ -48,7 +48,9 @@
 }
 
 GatewayFleet::GatewayFleet(std::size_t Keepers, std::size_t Gateways,
-                           std::size_t Targets, std::uint64_t Seed) {
+                           std::size_t Targets, std::uint64_t Seed,
+                           TargetLinks Links)
+    : m_Links(Links) {
   // Test programs that run in parallel use different networks.
   constexpr int Networks = 200;
   m_Network = "127." + std::to_string(::getpid() % Networks + 1);
@@ -73,6 +75,9 @@
     Each.m_Name = "gateway-" + std::to_string(Index + 1);
     Each.m_Real = {m_Network + ".2." + std::to_string(Index + 1), m_HttpPort};
     Each.m_Link = std::make_unique<LinkProxy>(front(Index), Each.m_Real);
+    Each.m_List = m_Targets->listAddress();
+    if (Links == TargetLinks::Own)
+      linkToTargets(Index);
   }
   for (std::size_t Index = 0; Index < Keepers; ++Index)
     startKeeper(Index, true);
@@ -84,6 +89,34 @@
   return {m_Network + ".6." + std::to_string(Index + 1), m_HttpPort};
 }
 
+void GatewayFleet::linkToTargets(std::size_t Gateway) {
+  Part &Each = m_Gateways[Gateway];
+  Each.m_List = {m_Network + ".5." + std::to_string(Gateway + 2), m_HttpPort};
+  std::vector<LoopbackAddress> Addresses;
+  for (std::size_t Target = 0; Target < m_Targets->size(); ++Target) {
+    // Third bytes up to 6 are in use.
+    std::string Ip = m_Network + "." + std::to_string(Gateway + 10) + "." +
+                     std::to_string(Target + 1);
+    Addresses.push_back({Ip, m_HttpPort});
+    Each.m_TargetLinks.push_back(std::make_unique<LinkProxy>(
+        Addresses.back(), m_Targets->address(Target)));
+  }
+  Each.m_OwnList = std::make_unique<FakeListener>(
+      Each.m_List, [this, Addresses](int Socket, const FakeRequest &) {
+        return m_Targets->serveList(Socket, Addresses);
+      });
+}
+
+void GatewayFleet::closeTargetLinks(std::size_t Gateway, NewConnections How) {
+  for (std::unique_ptr<LinkProxy> &Each : m_Gateways[Gateway].m_TargetLinks)
+    Each->close(How);
+}
+
+void GatewayFleet::healTargetLinks(std::size_t Gateway) {
+  for (std::unique_ptr<LinkProxy> &Each : m_Gateways[Gateway].m_TargetLinks)
+    Each->heal();
+}
+
 std::string GatewayFleet::keeperUrl(std::size_t Index) const {
   return "ws://" + m_Network + ".3." + std::to_string(Index + 1) + ":" +
          std::to_string(m_PeerPort);
@@ -129,8 +162,10 @@
                    {"open_manifest", true},
                    {"lease_ms", 4000},
                    {"heartbeat_ms", 160},
-                   {"target_list", m_Targets->listAddress().text()},
                    {"log", {{"format", "json"}, {"file", "-"}}}};
+  // Without the keepers' list each gateway reads its own.
+  if (m_Links == TargetLinks::Shared)
+    Settings["target_list"] = m_Targets->listAddress().text();
   start(Each, "keeper", Settings, FileSizeLimit);
 }
 
@@ -149,7 +184,7 @@
       {"ready", Each.m_Real.m_Ip + ":" + std::to_string(m_ReadyPort)},
       {"peer", {{"address", Each.m_Real.m_Ip}, {"port", m_PeerPort}}},
       {"keeper_addresses", seeds()},
-      {"target_list", m_Targets->listAddress().text()},
+      {"target_list", Each.m_List.text()},
       {"target_list_rate", 42.0},
       {"bounds",
        {{"retry_ratio", 0.2},
--- a/tests/process/GatewayFleet.hpp
+++ b/tests/process/GatewayFleet.hpp
@@ -19,13 +19,20 @@
 /// Path of a kind's route.
 const char *pathOf(CallKind Kind);
 
+/// How gateways reach targets.
+enum class TargetLinks {
+  Shared,
+  /// Each gateway reads a list of its own and has a proxy to each target.
+  Own,
+};
+
 /// Gateways, keepers and emulated targets with the settings of the users'
 /// deployment, on addresses of 127.0.0.0/8. Connections to keepers and from
 /// callers to gateways pass through proxies.
 class GatewayFleet {
 public:
   GatewayFleet(std::size_t Keepers, std::size_t Gateways, std::size_t Targets,
-               std::uint64_t Seed);
+               std::uint64_t Seed, TargetLinks Links = TargetLinks::Shared);
 
   PlatformFakes &targets() { return *m_Targets; }
   std::size_t keepers() const { return m_Keepers.size(); }
@@ -36,6 +43,9 @@
   }
   LinkProxy &keeperLink(std::size_t Index) { return *m_Keepers[Index].m_Link; }
   LinkProxy &frontLink(std::size_t Index) { return *m_Gateways[Index].m_Link; }
+  /// Cuts a gateway off from all targets; only with TargetLinks::Own.
+  void closeTargetLinks(std::size_t Gateway, NewConnections How);
+  void healTargetLinks(std::size_t Gateway);
   /// Address to which callers connect.
   LoopbackAddress front(std::size_t Index) const;
   const std::string &folder() const { return m_Folder.path(); }
@@ -65,13 +75,19 @@
     std::string m_Name;
     std::unique_ptr<LinkProxy> m_Link;
     ChildProcess m_Process;
+    /// Empty with TargetLinks::Shared.
+    std::vector<std::unique_ptr<LinkProxy>> m_TargetLinks;
+    LoopbackAddress m_List;
+    std::unique_ptr<FakeListener> m_OwnList;
   };
 
+  void linkToTargets(std::size_t Gateway);
   std::string keeperUrl(std::size_t Index) const;
   nlohmann::json seeds() const;
   void start(Part &Started, const char *Program, const nlohmann::json &Settings,
              std::int64_t FileSizeLimit);
 
+  TargetLinks m_Links;
   TemporaryFolder m_Folder;
   std::string m_Network;
   std::uint16_t m_HttpPort;
--- a/tests/process/LinkProxy.cpp
+++ b/tests/process/LinkProxy.cpp
@@ -43,16 +43,20 @@
                 LoopbackAddress{"127.0.0.1", Target}) {}
 
 LinkProxy::LinkProxy(const LoopbackAddress &Listen, LoopbackAddress Target)
-    : m_Target(std::move(Target)) {
+    : m_Listen(Listen), m_Target(std::move(Target)) {
+  listen();
+  m_Thread = std::thread([this] { run(); });
+}
+
+void LinkProxy::listen() {
   m_Listener = makeSocket();
   int On = 1;
   ::setsockopt(m_Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
-  sockaddr_in Address = socketAddress(Listen);
+  sockaddr_in Address = socketAddress(m_Listen);
   if (::bind(m_Listener, reinterpret_cast<sockaddr *>(&Address),
              sizeof Address) != 0 ||
       ::listen(m_Listener, SOMAXCONN) != 0)
     throw std::runtime_error("the proxy cannot listen");
-  m_Thread = std::thread([this] { run(); });
 }
 
 LinkProxy::~LinkProxy() {
@@ -60,6 +64,8 @@
   m_Thread.join();
   for (std::unique_ptr<Link> &One : m_Links)
     endLink(*One);
+  for (int Filler : m_Fillers)
+    ::close(Filler);
   ::close(m_Listener);
 }
 
@@ -73,8 +79,40 @@
     One->m_Cut = IsCut(m_Random);
 }
 
+/// The kernel drops the opening packets of connections beyond the backlog.
+void LinkProxy::fillBacklog() {
+  constexpr int Connections = 2;
+  ::listen(m_Listener, 0);
+  sockaddr_in Address = socketAddress(m_Listen);
+  for (int Number = 0; Number < Connections; ++Number) {
+    m_Fillers.push_back(makeSocket());
+    ::connect(m_Fillers.back(), reinterpret_cast<sockaddr *>(&Address),
+              sizeof Address);
+  }
+}
+
+void LinkProxy::close(NewConnections How) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Closed = true;
+  m_Direction = CutDirection::Both;
+  for (std::unique_ptr<Link> &One : m_Links)
+    One->m_Cut = true;
+  if (How == NewConnections::Hang)
+    return fillBacklog();
+  ::close(m_Listener);
+  m_Listener = -1;
+}
+
 void LinkProxy::heal() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (m_Listener < 0)
+    listen();
+  else if (m_Closed)
+    ::listen(m_Listener, SOMAXCONN);
+  for (int Filler : m_Fillers)
+    ::close(Filler);
+  m_Fillers.clear();
+  m_Closed = false;
   m_Share = 0;
   m_Delay = std::chrono::milliseconds(0);
   for (std::unique_ptr<Link> &One : m_Links)
@@ -164,9 +202,11 @@
 
 void LinkProxy::run() {
   while (!m_Stop) {
-    std::vector<pollfd> Watched = {{m_Listener, POLLIN, 0}};
+    std::vector<pollfd> Watched;
     {
       std::lock_guard<std::mutex> Lock(m_Mutex);
+      if (!m_Closed)
+        Watched.push_back({m_Listener, POLLIN, 0});
       for (const std::unique_ptr<Link> &One : m_Links) {
         if (One->m_Cut && m_Direction == CutDirection::Both)
           continue;
@@ -183,7 +223,8 @@
     // no pause the mutex was taken again before cut() or heal() got it.
     std::this_thread::sleep_for(std::chrono::microseconds(200));
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    accept();
+    if (!m_Closed)
+      accept();
     for (std::unique_ptr<Link> &One : m_Links)
       if (!One->m_Broken)
         One->m_Broken = (!isHeld(*One, CutDirection::ToTarget) &&
--- a/tests/process/LinkProxy.hpp
+++ b/tests/process/LinkProxy.hpp
@@ -24,6 +24,9 @@
 /// Which bytes a cut connection holds back.
 enum class CutDirection { Both, ToTarget, ToCaller };
 
+/// What becomes of new connections of a closed link.
+enum class NewConnections { Hang, Refused };
+
 /// Forwards TCP connections of one loopback port to another. A cut stops
 /// forwarding without closing anything, as a silent network does: what is
 /// under way arrives after the cut, late. New connections of a cut link are
@@ -39,7 +42,10 @@
   /// Cuts each present connection with this probability, and new ones too.
   void cut(double Share, std::uint64_t Seed,
            CutDirection Direction = CutDirection::Both);
-  /// Ends cuts and delays.
+  /// Holds back the bytes of all present connections and establishes no new
+  /// one.
+  void close(NewConnections How);
+  /// Ends cuts, delays and the closure.
   void heal();
   /// Resets each present connection with this probability.
   void reset(double Share, std::uint64_t Seed);
@@ -63,18 +69,25 @@
   };
 
   void run();
+  void listen();
+  void fillBacklog();
   void accept();
   bool forward(Side &From, Side &To) const;
   bool isHeld(const Link &One, CutDirection Held) const;
   static void endLink(Link &Broken);
 
+  LoopbackAddress m_Listen;
   LoopbackAddress m_Target;
+  /// -1 while new connections are refused.
   int m_Listener = -1;
+  /// Fill the listener's backlog while new connections hang.
+  std::vector<int> m_Fillers;
   std::mutex m_Mutex;
   std::vector<std::unique_ptr<Link>> m_Links;
   std::mt19937_64 m_Random;
   double m_Share = 0;
   CutDirection m_Direction = CutDirection::Both;
+  bool m_Closed = false;
   std::chrono::milliseconds m_Delay{0};
   std::atomic<bool> m_Stop{false};
   std::thread m_Thread;
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -183,9 +183,13 @@
     listen(*Each);
     m_Targets.push_back(std::move(Each));
   }
+  std::vector<LoopbackAddress> Addresses;
+  for (std::size_t Index = 0; Index < Targets; ++Index)
+    Addresses.push_back(address(Index));
   m_List = std::make_unique<FakeListener>(
-      listAddress(),
-      [this](int Socket, const FakeRequest &) { return serveList(Socket); });
+      listAddress(), [this, Addresses](int Socket, const FakeRequest &) {
+        return serveList(Socket, Addresses);
+      });
   m_Restarts = std::thread([this] { restartCrashed(); });
 }
 
@@ -201,6 +205,10 @@
   return {m_Network + ".5.1", m_Port};
 }
 
+LoopbackAddress PlatformFakes::address(std::size_t Index) const {
+  return m_Targets[Index]->m_Address;
+}
+
 void PlatformFakes::listen(Target &Each) {
   Target *Raw = &Each;
   std::unique_ptr<FakeListener> Started = std::make_unique<FakeListener>(
@@ -422,7 +430,8 @@
   return !Faults.m_Unframed && sendAll(Socket, "0\r\n\r\n");
 }
 
-bool PlatformFakes::serveList(int Socket) {
+bool PlatformFakes::serveList(int Socket,
+                              const std::vector<LoopbackAddress> &Addresses) {
   if (m_ListFails)
     return sendAll(Socket,
                    withLength("HTTP/1.1 429 Too Many Requests\r\n", ""));
@@ -430,15 +439,17 @@
   // An entry that does not describe a target; readers have to skip it.
   Entries.push_back({{"id", 7}, {"state", "elsewhere"}});
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  for (const std::unique_ptr<Target> &Each : m_Targets)
-    Entries.push_back({{"id", Each->m_Id},
-                       {"service", Each->m_Service},
-                       {"address", Each->m_Address.text()},
-                       {"zone", Each->m_Zone},
-                       {"version", Each->m_Software},
+  for (std::size_t Index = 0; Index < m_Targets.size(); ++Index) {
+    const Target &Each = *m_Targets[Index];
+    Entries.push_back({{"id", Each.m_Id},
+                       {"service", Each.m_Service},
+                       {"address", Addresses[Index].text()},
+                       {"zone", Each.m_Zone},
+                       {"version", Each.m_Software},
                        {"slots", Slots},
-                       {"state", Each->m_Leaving ? "draining" : "ready"},
+                       {"state", Each.m_Leaving ? "draining" : "ready"},
                        {"cold_remaining_ms", 0}});
+  }
   json Page = {{"instances", Entries}, {"next", nullptr}};
   return sendAll(Socket, withLength("HTTP/1.1 200 OK\r\n"
                                     "Content-Type: application/json\r\n",
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -112,6 +112,10 @@
 
   LoopbackAddress listAddress() const;
   std::size_t size() const { return m_Targets.size(); }
+  LoopbackAddress address(std::size_t Index) const;
+  /// Answers a request for the list, with these addresses in place of the
+  /// targets' own.
+  bool serveList(int Socket, const std::vector<LoopbackAddress> &Addresses);
   void setFaults(std::size_t Index, const TargetFaults &Faults);
   void stop(std::size_t Index);
   /// Starts a stopped target as a new instance.
@@ -155,7 +159,6 @@
   };
   bool serveStream(Target &Each, const std::string &Head, int Socket,
                    const FakeRequest &Request, const StreamFaults &Faults);
-  bool serveList(int Socket);
   bool draw(double Share);
   bool crashes(const FakeRequest &Request) const;
   void crash(Target &Each);
