Reset the connection of a request that is given up without an answer

A request whose bytes a cut holds up was given up with an orderly close; the kernel goes on to send, so it could reach its target when the cut ends, after the caller had left or another target had run it. The new test failed before (the target read an orderly end). Answers that have begun are closed as before: their request has arrived.

--- a/src/daemon/connection/target_client.cpp
+++ b/src/daemon/connection/target_client.cpp
@@ -411,9 +411,18 @@
   std::shared_ptr<TargetCall> Last = std::move(m_Self);
   m_Done = true;
   m_Handlers.reset();
+  if (m_MayBeSent && !m_Answer->m_HeadReported)
+    dropUnsent();
   release();
 }
 
+/// The kernel goes on to send after an orderly close, so that a request which a
+/// cut holds up would arrive after it was given up.
+void TargetCall::dropUnsent() const {
+  linger AtOnce = {1, 0};
+  setsockopt(m_Fd, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+}
+
 void TargetCall::end(CallEnd How, const std::string &Detail) {
   if (m_Done)
     return;
--- a/src/daemon/connection/target_client.hpp
+++ b/src/daemon/connection/target_client.hpp
@@ -110,6 +110,8 @@
   bool skipAnswer();
   void reportHead();
   void end(CallEnd How, const std::string &Detail);
+  /// Lets the close reset the connection.
+  void dropUnsent() const;
   void release();
   /// Sets TCP_USER_TIMEOUT to the time that is left; false when none is.
   bool limitSending() const;
--- a/tests/daemon/TargetClient.tests.cpp
+++ b/tests/daemon/TargetClient.tests.cpp
@@ -1,6 +1,8 @@
 #include "RouterFixture.hpp"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <sys/socket.h>
 
 using namespace vanillaferry;
@@ -82,6 +84,29 @@
   BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
 }
 
+// Guards against a request that was given up while its bytes were held up on the
+// way, and which the kernel delivers after an orderly close.
+BOOST_AUTO_TEST_CASE(ARequestThatIsGivenUpWithoutAnAnswerIsReset) {
+  std::atomic<bool> Ended{false};
+  std::atomic<bool> Reset{false};
+  FakeServer Server([&](Connection &Open) {
+    char Byte = 0;
+    ssize_t Count = recv(Open.m_Fd, &Byte, 1, 0);
+    Reset = Count < 0 && errno == ECONNRESET;
+    Ended = true;
+  });
+  std::shared_ptr<FdWatcher> Watcher = std::make_shared<FdWatcher>();
+  TargetRequest Request;
+  Request.m_Method = "GET";
+  Request.m_Url = Server.url() + "/x";
+  std::shared_ptr<TargetCall> Call =
+      TargetCall::start(nullptr, *Watcher, Request, CallHandlers());
+  RouterFixture::runUntil([&Server] { return Server.arrivals() == 1; });
+  Call->cancel();
+  RouterFixture::runUntil([&Ended] { return Ended.load(); });
+  BOOST_TEST(Reset);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutALengthEndsWithItsConnection) {
   FakeServer Server(
       [](Connection &Open) { Open.send("HTTP/1.1 200 OK\r\n\r\nwhole"); });
