--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -71,6 +71,9 @@
   Millis m_PausedUntil;
   /// The target has said that it leaves; it is not chosen any more.
   bool m_SaysLeaving = false;
+  /// Refusals a second, of all routers' requests, that the target says it
+  /// bears; more end it. Absent while it bears any number.
+  std::optional<std::uint64_t> m_BearableRefusals;
   /// The target has asked for no request before this time; it gets none, even
   /// when no other target is left.
   Millis m_AskedPauseUntil;
@@ -192,6 +195,9 @@
 /// Records that the target said in an answer that it leaves, whatever the list
 /// says. It counts until the list shows the target anew.
 void noteLeaving(DispatchTarget &Target);
+/// Records what the target's last answer says of the refusals that it bears.
+void noteBearableRefusals(DispatchTarget &Target,
+                          std::optional<std::uint64_t> PerSecond);
 /// Records that the target asked for no requests for a time.
 void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -340,6 +340,11 @@
 
 void noteLeaving(DispatchTarget &Target) { Target.m_SaysLeaving = true; }
 
+void noteBearableRefusals(DispatchTarget &Target,
+                          std::optional<std::uint64_t> PerSecond) {
+  Target.m_BearableRefusals = PerSecond;
+}
+
 void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now) {
   Target.m_AskedPauseUntil = std::max(Target.m_AskedPauseUntil, Now + For);
 }
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -60,6 +60,9 @@
   std::optional<TargetReport> m_Report;
   /// The target leaves and wants no further requests.
   bool m_TargetLeaves = false;
+  /// Refusals a second that the target bears; more end it. Absent while it
+  /// bears any number.
+  std::optional<std::uint64_t> m_BearableRefusals;
   /// The target wants no further request from this router for so long.
   std::optional<Millis> m_Pause;
   /// Fields that go back to the caller unchanged.
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -55,6 +55,14 @@
              {{"target", Id}, {"request", m_Request.m_Id.m_Value}});
   if (Answer.m_TargetLeaves)
     noteLeaving(Target);
+  if (Answer.m_BearableRefusals != Target.m_BearableRefusals)
+    logEvent(Event::TargetBrittle,
+             {{"target", Id},
+              {"request", m_Request.m_Id.m_Value},
+              {"bears", Answer.m_BearableRefusals
+                            ? std::to_string(*Answer.m_BearableRefusals)
+                            : "any"}});
+  noteBearableRefusals(Target, Answer.m_BearableRefusals);
   if (!Answer.m_Pause)
     return;
   noteAskedPause(Target, *Answer.m_Pause, Now);
--- a/tests/daemon/TargetClient.tests.cpp
+++ b/tests/daemon/TargetClient.tests.cpp
@@ -84,8 +84,8 @@
   BOOST_TEST((callOnce(Server.url(), true) == CallEnd::Broken));
 }
 
-// Guards against a request that was given up while its bytes were held up on the
-// way, and which the kernel delivers after an orderly close.
+// Guards against a request that was given up while its bytes were held up on
+// the way, and which the kernel delivers after an orderly close.
 BOOST_AUTO_TEST_CASE(ARequestThatIsGivenUpWithoutAnAnswerIsReset) {
   std::atomic<bool> Ended{false};
   std::atomic<bool> Reset{false};
