Share out the slots of targets that end under refusals

A target that may end when it refuses too many requests in a second was filled by all routers at once, each from sums of half a second to two seconds ago; refusals were the only brake, and each sent the request on to the next target.

While a target of the service states what it bears, a router may have no more requests running at each of the targets than its share of the slots. The shares sum up to the slots, so that old sums do no harm. A target that turned a request away gets none from that router for a second.

--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -74,6 +74,10 @@
   /// Refusals a second, of all routers' requests, that the target says it
   /// bears; more end it. Absent while it bears any number.
   std::optional<std::uint64_t> m_BearableRefusals;
+  Millis m_BearableStatedAt;
+  /// Requests that this router may have running there while targets of the
+  /// service end under refusals; the routers' shares sum up to the slots.
+  double m_SlotShare = 0;
   /// The target has asked for no request before this time; it gets none, even
   /// when no other target is left.
   Millis m_AskedPauseUntil;
@@ -197,7 +201,17 @@
 void noteLeaving(DispatchTarget &Target);
 /// Records what the target's last answer says of the refusals that it bears.
 void noteBearableRefusals(DispatchTarget &Target,
-                          std::optional<std::uint64_t> PerSecond);
+                          std::optional<std::uint64_t> PerSecond, Millis Now);
+/// The target had no room for a request. One that bears few refusals gets none
+/// for some time.
+void noteTurnedAway(DispatchTarget &Target, Millis Now);
+/// True while a target of the service says that it bears few refusals: all of
+/// them then get no more than their slots from all routers together, whatever
+/// the routers know of each other's requests.
+bool isBrittle(const DispatchPool &Pool, Millis Now);
+/// Computes this router's shares of the slots.
+void applySlotShares(DispatchPool &Pool, const NodeId &Self,
+                     const std::vector<NodeId> &Routers);
 /// Records that the target asked for no requests for a time.
 void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -45,6 +45,10 @@
 /// it now ranks first; another target ranked first for them before.
 constexpr Millis NewTargetAge{60000};
 constexpr Millis RetryWhenFull{400};
+/// What a target says of the refusals that it bears is valid for this long.
+constexpr Millis BrittleLifetime{5000};
+/// The users count a target's refusals in each second.
+constexpr Millis BrittlePause{1000};
 constexpr Millis RetryWhenNoneInService{700};
 
 struct Candidate {
@@ -103,9 +107,15 @@
   return Open.empty() ? Paused : Open;
 }
 
-bool isFull(const DispatchTarget &Target, Millis Now) {
-  std::uint32_t Slots = std::max(Target.m_Listed.m_Slots, std::uint32_t(1));
-  return estimatedLoad(Target, Now) >= static_cast<double>(Slots);
+double slotsOf(const DispatchTarget &Target) {
+  return std::max(static_cast<double>(Target.m_Listed.m_Slots), 1.0);
+}
+
+bool isFull(const DispatchTarget &Target, bool Brittle, Millis Now) {
+  if (estimatedLoad(Target, Now) >= slotsOf(Target))
+    return true;
+  return Brittle &&
+         static_cast<double>(Target.m_Running) + 1 > Target.m_SlotShare;
 }
 
 void keepIf(std::vector<Candidate> &All,
@@ -276,8 +286,10 @@
     return refuseDispatch(DispatchRefusal::NoneInService,
                           timeToFirstPauseEnd(Pool, Need, Now));
   double Mean = meanLoad(All);
-  keepIf(All,
-         [Now](const Candidate &Each) { return !isFull(*Each.m_Target, Now); });
+  bool Brittle = isBrittle(Pool, Now);
+  keepIf(All, [Brittle, Now](const Candidate &Each) {
+    return !isFull(*Each.m_Target, Brittle, Now);
+  });
   if (All.empty())
     return refuseDispatch(DispatchRefusal::AllFull, RetryWhenFull);
   keepIf(All, [Now](const Candidate &Each) {
@@ -341,8 +353,31 @@
 void noteLeaving(DispatchTarget &Target) { Target.m_SaysLeaving = true; }
 
 void noteBearableRefusals(DispatchTarget &Target,
-                          std::optional<std::uint64_t> PerSecond) {
+                          std::optional<std::uint64_t> PerSecond, Millis Now) {
   Target.m_BearableRefusals = PerSecond;
+  Target.m_BearableStatedAt = Now;
+}
+
+void noteTurnedAway(DispatchTarget &Target, Millis Now) {
+  if (Target.m_BearableRefusals)
+    noteAskedPause(Target, BrittlePause, Now);
+}
+
+bool isBrittle(const DispatchPool &Pool, Millis Now) {
+  return std::any_of(
+      Pool.m_Targets.begin(), Pool.m_Targets.end(),
+      [Now](const std::pair<const TargetId, DispatchTarget> &Row) {
+        const DispatchTarget &Target = Row.second;
+        return Target.m_BearableRefusals && Target.m_Present &&
+               Now <= Target.m_BearableStatedAt + BrittleLifetime;
+      });
+}
+
+void applySlotShares(DispatchPool &Pool, const NodeId &Self,
+                     const std::vector<NodeId> &Routers) {
+  for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
+    Row.second.m_SlotShare =
+        coldShareOf(slotsOf(Row.second), Row.first, Self, Routers);
 }
 
 void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now) {
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -12,6 +12,7 @@
 constexpr int FirstRedirection = 300;
 constexpr int FirstServerError = 500;
 constexpr int MisdirectedRequest = 421;
+constexpr int Unavailable = 503;
 constexpr double MillisPerSecond = 1000;
 /// Answers that are not streams are held until they are whole, so that one that
 /// breaks off is never delivered. A gateway has 160 MB for everything.
@@ -62,7 +63,7 @@
               {"bears", Answer.m_BearableRefusals
                             ? std::to_string(*Answer.m_BearableRefusals)
                             : "any"}});
-  noteBearableRefusals(Target, Answer.m_BearableRefusals);
+  noteTargetBrittle(m_Gateway, m_Service, Target, Answer.m_BearableRefusals);
   if (!Answer.m_Pause)
     return;
   noteAskedPause(Target, *Answer.m_Pause, Now);
@@ -86,6 +87,8 @@
   if (!m_Try->m_Relay.empty())
     return;
   if (Answer.m_NotRun || Head.m_Status == MisdirectedRequest) {
+    if (Target && Head.m_Status == Unavailable)
+      noteTurnedAway(*Target, monotonicNow());
     --m_PossibleRuns;
     m_Try->m_Call->cancel();
     closeTry(TargetOutcome::Refused);
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -117,6 +117,9 @@
     Row.second.m_ColdShare =
         coldShareOf(coldLimit(G, Service), Row.first, G.m_Settings.m_Node,
                     G.m_Control.m_Routers);
+  if (isBrittle(Pool.m_Dispatch, Now))
+    applySlotShares(Pool.m_Dispatch, G.m_Settings.m_Node,
+                    G.m_Control.m_Routers);
 }
 
 } // namespace
@@ -184,6 +187,18 @@
   List.m_Reader->read();
 }
 
+void noteTargetBrittle(Gateway &G, const PoolId &Service,
+                       DispatchTarget &Target,
+                       std::optional<std::uint64_t> BearableRefusals) {
+  GatewayPool *Pool = findPool(G, Service);
+  Millis Now = monotonicNow();
+  bool WasBrittle = Pool && isBrittle(Pool->m_Dispatch, Now);
+  noteBearableRefusals(Target, BearableRefusals, Now);
+  if (Pool && !WasBrittle && isBrittle(Pool->m_Dispatch, Now))
+    applySlotShares(Pool->m_Dispatch, G.m_Settings.m_Node,
+                    G.m_Control.m_Routers);
+}
+
 GatewayPool *findPool(Gateway &G, const PoolId &Service) {
   std::map<PoolId, GatewayPool>::iterator Found = G.m_Pools.find(Service);
   return Found == G.m_Pools.end() ? nullptr : &Found->second;
--- a/tests/core/BrittleTargets.tests.cpp
+++ b/tests/core/BrittleTargets.tests.cpp
@@ -59,11 +59,15 @@
       m_Targets[Each.m_Id];
     }
     m_Pools.resize(Service.m_Routers);
-    for (DispatchPool &Pool : m_Pools) {
+    std::vector<NodeId> Routers;
+    for (std::size_t Number = 0; Number < Service.m_Routers; ++Number)
+      Routers.push_back(NodeId("r" + std::to_string(Number)));
+    for (std::size_t Router = 0; Router < Routers.size(); ++Router) {
+      DispatchPool &Pool = m_Pools[Router];
       Pool.m_Limits.m_Routers = Service.m_Routers;
       applyTargetList(Pool, Listed, true, Millis(0));
-      for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
-        noteBearableRefusals(Row.second, Service.m_Bears);
+      applySlotShares(Pool, Routers[Router], Routers);
+      stateBears(Pool, Millis(0));
     }
   }
 
@@ -91,6 +95,12 @@
   std::size_t m_Sent = 0;
 
 private:
+  /// All answers state it.
+  void stateBears(DispatchPool &Pool, Millis Now) {
+    for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
+      noteBearableRefusals(Row.second, m_Service.m_Bears, Now);
+  }
+
   void shareLoads(Millis Now) {
     Millis Interval(std::max<std::int64_t>(
         500, 8 * static_cast<std::int64_t>(m_Pools.size())));
@@ -113,6 +123,8 @@
       for (const std::pair<const std::uint32_t, std::uint32_t> &Row : Rest)
         Others.back().push_back({Row.first, Row.second});
     }
+    for (DispatchPool &Pool : m_Pools)
+      stateBears(Pool, Now);
     for (std::size_t Router = 0; Router < m_LastSums.size(); ++Router)
       noteOtherLoads(m_Pools[Router], m_LastSums[Router],
                      Now - Millis(Interval.m_Value / 2));
@@ -184,6 +196,8 @@
       noteEnded(Known, TargetOutcome::Failed, Now);
     } else {
       bool Refused = Call.m_Step == BrittleCall::Step::Refused;
+      if (Refused)
+        noteTurnedAway(Known, Now);
       noteEnded(Known,
                 Refused ? TargetOutcome::Refused : TargetOutcome::Unreachable,
                 Now);
--- a/tests/daemon/Platform.tests.cpp
+++ b/tests/daemon/Platform.tests.cpp
@@ -225,4 +225,15 @@
   BOOST_TEST(!Answer.m_Report.has_value());
 }
 
+// Guards against a target's statement that it ends under refusals going unread,
+// or a malformed one limiting it.
+BOOST_AUTO_TEST_CASE(ATargetStatesHowManyRefusalsItBears) {
+  TargetHead Head;
+  Head.m_Fields = {{"Server-Brittle", "4"}};
+  BOOST_TEST(
+      platformProtocol()->m_ReadAnswer(Head).m_BearableRefusals.value() == 4U);
+  Head.m_Fields = {{"Server-Brittle", "few"}};
+  BOOST_TEST(!platformProtocol()->m_ReadAnswer(Head).m_BearableRefusals);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
