Keep to the limits that targets name, shared out among the gateways

Each gateway may send such a target in 4 s its share of the limit; the shares sum up to it. The limit ends with an answer that does not name it, or some time after the last one. What does not fit goes to other targets, waits briefly or is refused as target_rate_limit. Shares of the sum were chosen over each gateway's own count, which is too high by the number of gateways.

The windows of dispatches are trimmed with each dispatch: those of services without a cold limit grew without end.

--- a/include/vanillaferry/process/reason.hpp
+++ b/include/vanillaferry/process/reason.hpp
@@ -34,6 +34,8 @@
   PromptRefused = 206,
   /// The request as a whole ends targets.
   CrashingRequest = 207,
+  /// Every target names a limit and gets as many requests.
+  TargetRateLimit = 208,
   // State of the routers, keepers and targets.
   NoLease = 300,
   NotReady = 301,
--- a/include/vanillaferry/request/dispatch.hpp
+++ b/include/vanillaferry/request/dispatch.hpp
@@ -71,6 +71,13 @@
   Millis m_PausedUntil;
   /// The target has said that it leaves; it is not chosen any more.
   bool m_SaysLeaving = false;
+  /// Requests a second, of all routers together, that the target says it
+  /// takes. Absent while it names no limit.
+  std::optional<double> m_RateLimit;
+  Millis m_RateStatedAt;
+  /// This router's dispatches within RateLimitWindow, and its share of them.
+  RateWindow m_RateStarts;
+  double m_RateShare = 0;
   /// Refusals a second, of all routers' requests, that the target says it
   /// bears; more end it. Absent while it bears any number.
   std::optional<std::uint64_t> m_BearableRefusals;
@@ -121,6 +128,8 @@
   AllFull,
   /// Each target that is not full has reached its cold limit.
   ColdLimit,
+  /// Each target that is not full gets as many requests as it says it takes.
+  RateLimit,
 };
 
 /// What a request requires of its target.
@@ -199,6 +208,9 @@
 /// Records that the target said in an answer that it leaves, whatever the list
 /// says. It counts until the list shows the target anew.
 void noteLeaving(DispatchTarget &Target);
+/// Records which limit the target's last answer names.
+void noteRateLimit(DispatchTarget &Target, std::optional<double> PerSecond,
+                   Millis Now);
 /// Records what the target's last answer says of the refusals that it bears.
 void noteBearableRefusals(DispatchTarget &Target,
                           std::optional<std::uint64_t> PerSecond, Millis Now);
@@ -212,6 +224,10 @@
 /// Computes this router's shares of the slots.
 void applySlotShares(DispatchPool &Pool, const NodeId &Self,
                      const std::vector<NodeId> &Routers);
+/// Computes this router's share of the limit that the target names; the shares
+/// of all routers sum up to the limit.
+void applyRateShare(DispatchTarget &Target, const NodeId &Self,
+                    const std::vector<NodeId> &Routers);
 /// Records that the target asked for no requests for a time.
 void noteAskedPause(DispatchTarget &Target, Millis For, Millis Now);
 void noteReport(DispatchTarget &Target, const TargetReport &Report, Millis Now);
--- a/src/core/process/reason.cpp
+++ b/src/core/process/reason.cpp
@@ -33,6 +33,7 @@
     {RefusalReason::ColdTargets, "cold_targets", 503, 1},
     {RefusalReason::PromptRefused, "prompt_refused", 503, 3600},
     {RefusalReason::CrashingRequest, "crashing_request", 503, 3600},
+    {RefusalReason::TargetRateLimit, "target_rate_limit", 503, 1},
     {RefusalReason::NoLease, "no_lease", 503, 1},
     {RefusalReason::NotReady, "not_ready", 503, 1},
     {RefusalReason::Draining, "draining", 503, 1},
--- a/src/core/request/dispatch.cpp
+++ b/src/core/request/dispatch.cpp
@@ -45,6 +45,13 @@
 /// it now ranks first; another target ranked first for them before.
 constexpr Millis NewTargetAge{60000};
 constexpr Millis RetryWhenFull{400};
+/// The users count the requests at a target with a limit over this time.
+constexpr Millis RateLimitWindow{4000};
+/// A limit is forgotten when no answer has named it for this long; in large
+/// fleets later, so that the routers which get no answers since they have no
+/// share add at most half of the limit when they try again.
+constexpr Millis MinRateLifetime{10000};
+constexpr double ForgottenPart = 0.5;
 /// What a target says of the refusals that it bears is valid for this long.
 constexpr Millis BrittleLifetime{5000};
 /// The users count a target's refusals in each second.
@@ -87,6 +94,24 @@
   return static_cast<double>(eventsWithin(Target.m_Starts, Now)) + 1 <= Limit;
 }
 
+Millis rateLifetime(double PerSecond, std::size_t Routers) {
+  constexpr double MillisPerSecond = 1000;
+  double Seconds = static_cast<double>(Routers) /
+                   (std::max(PerSecond, 0.01) * ForgottenPart);
+  return std::max(MinRateLifetime,
+                  Millis(static_cast<std::int64_t>(Seconds * MillisPerSecond)));
+}
+
+bool withinRateLimit(DispatchTarget &Target, const DispatchLimits &Limits,
+                     Millis Now) {
+  bool Limited = Target.m_RateLimit &&
+                 Now <= Target.m_RateStatedAt +
+                            rateLifetime(*Target.m_RateLimit, Limits.m_Routers);
+  return !Limited ||
+         static_cast<double>(eventsWithin(Target.m_RateStarts, Now)) + 1 <=
+             Target.m_RateShare;
+}
+
 /// Listed targets that may get a request: those that are not paused or, when
 /// all are, the paused ones.
 std::vector<Candidate>
@@ -292,6 +317,11 @@
   });
   if (All.empty())
     return refuseDispatch(DispatchRefusal::AllFull, RetryWhenFull);
+  keepIf(All, [&Pool, Now](const Candidate &Each) {
+    return withinRateLimit(*Each.m_Target, Pool.m_Limits, Now);
+  });
+  if (All.empty())
+    return refuseDispatch(DispatchRefusal::RateLimit, RetryWhenFull);
   keepIf(All, [Now](const Candidate &Each) {
     return withinColdLimit(*Each.m_Target, Now);
   });
@@ -332,6 +362,7 @@
     if (IsNew && !FirstList)
       Target.m_FirstListed = Now;
     Target.m_Starts.m_Length = ColdWindow;
+    Target.m_RateStarts.m_Length = RateLimitWindow;
     if (ColdStated && Entry.m_ColdLeft > Millis(0))
       Target.m_ColdUntil = std::max(Target.m_ColdUntil, Now + Entry.m_ColdLeft);
     if (IsNew && !FirstList)
@@ -352,6 +383,12 @@
 
 void noteLeaving(DispatchTarget &Target) { Target.m_SaysLeaving = true; }
 
+void noteRateLimit(DispatchTarget &Target, std::optional<double> PerSecond,
+                   Millis Now) {
+  Target.m_RateLimit = PerSecond;
+  Target.m_RateStatedAt = Now;
+}
+
 void noteBearableRefusals(DispatchTarget &Target,
                           std::optional<std::uint64_t> PerSecond, Millis Now) {
   Target.m_BearableRefusals = PerSecond;
@@ -373,6 +410,18 @@
       });
 }
 
+void applyRateShare(DispatchTarget &Target, const NodeId &Self,
+                    const std::vector<NodeId> &Routers) {
+  constexpr double MillisPerSecond = 1000;
+  if (!Target.m_RateLimit)
+    return;
+  double InWindow = *Target.m_RateLimit *
+                    static_cast<double>(RateLimitWindow.m_Value) /
+                    MillisPerSecond;
+  Target.m_RateShare =
+      coldShareOf(std::max(InWindow, 1.0), Target.m_Listed.m_Id, Self, Routers);
+}
+
 void applySlotShares(DispatchPool &Pool, const NodeId &Self,
                      const std::vector<NodeId> &Routers) {
   for (std::pair<const TargetId, DispatchTarget> &Row : Pool.m_Targets)
@@ -387,7 +436,11 @@
 void noteStarted(DispatchTarget &Target, Millis Now) {
   ++Target.m_Running;
   ++Target.m_SinceReport;
-  noteEvent(Target.m_Starts, Now);
+  // Asking for the number drops what is older than the window.
+  for (RateWindow *Window : {&Target.m_Starts, &Target.m_RateStarts}) {
+    noteEvent(*Window, Now);
+    eventsWithin(*Window, Now);
+  }
 }
 
 void noteEnded(DispatchTarget &Target, TargetOutcome How, Millis Now) {
--- a/src/daemon/connection/platform_protocol.hpp
+++ b/src/daemon/connection/platform_protocol.hpp
@@ -60,6 +60,9 @@
   std::optional<TargetReport> m_Report;
   /// The target leaves and wants no further requests.
   bool m_TargetLeaves = false;
+  /// Requests a second that the target takes from all routers together; absent
+  /// while it names no limit.
+  std::optional<double> m_RateLimit;
   /// Refusals a second that the target bears; more end it. Absent while it
   /// bears any number.
   std::optional<std::uint64_t> m_BearableRefusals;
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -352,7 +352,8 @@
 }
 
 bool Exchange::awaitRoom(DispatchRefusal Why) {
-  if (Why != DispatchRefusal::AllFull && Why != DispatchRefusal::ColdLimit)
+  if (Why != DispatchRefusal::AllFull && Why != DispatchRefusal::ColdLimit &&
+      Why != DispatchRefusal::RateLimit)
     return false;
   Millis Now = monotonicNow();
   if (!m_NoRoomSince)
@@ -375,6 +376,9 @@
     return fail(RefusalReason::TargetFailed,
                 "no other target accepted the request");
   switch (Choice.m_Refusal) {
+  case DispatchRefusal::RateLimit:
+    return refuse(RefusalReason::TargetRateLimit, Choice.m_RetryAfter,
+                  "all targets get as many requests as they say they take");
   case DispatchRefusal::ColdLimit:
     return refuse(RefusalReason::ColdTargets, Choice.m_RetryAfter,
                   "all targets are at the request limit for cold targets");
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -56,14 +56,7 @@
              {{"target", Id}, {"request", m_Request.m_Id.m_Value}});
   if (Answer.m_TargetLeaves)
     noteLeaving(Target);
-  if (Answer.m_BearableRefusals != Target.m_BearableRefusals)
-    logEvent(Event::TargetBrittle,
-             {{"target", Id},
-              {"request", m_Request.m_Id.m_Value},
-              {"bears", Answer.m_BearableRefusals
-                            ? std::to_string(*Answer.m_BearableRefusals)
-                            : "any"}});
-  noteTargetBrittle(m_Gateway, m_Service, Target, Answer.m_BearableRefusals);
+  noteTargetLimits(m_Gateway, m_Service, Target, Answer);
   if (!Answer.m_Pause)
     return;
   noteAskedPause(Target, *Answer.m_Pause, Now);
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -165,10 +165,10 @@
 /// Rebuilds the pools from the current target list, after a change of the
 /// manifest, the list or the routers.
 void rebuildPools(Gateway &G);
-/// Records what a target's answer says of the refusals that it bears.
-void noteTargetBrittle(Gateway &G, const PoolId &Service,
-                       DispatchTarget &Target,
-                       std::optional<std::uint64_t> BearableRefusals);
+/// Records what a target's answer says of the requests that it takes and of the
+/// refusals that it bears.
+void noteTargetLimits(Gateway &G, const PoolId &Service, DispatchTarget &Target,
+                      const TargetAnswer &Answer);
 GatewayPool *findPool(Gateway &G, const PoolId &Service);
 DispatchTarget *findTarget(Gateway &G, const PoolId &Service,
                            const TargetId &Target);
--- a/src/daemon/gateway/relay_fields.cpp
+++ b/src/daemon/gateway/relay_fields.cpp
@@ -109,6 +109,7 @@
   switch (Reason) {
   case RefusalReason::QueueFull:
   case RefusalReason::ColdTargets:
+  case RefusalReason::TargetRateLimit:
   case RefusalReason::NoLease:
   case RefusalReason::Draining:
   case RefusalReason::NoTargetInService:
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -113,15 +113,35 @@
   applyTargetList(Pool.m_Dispatch, Own, !G.m_TargetList.m_Received || IsNew,
                   Now);
   for (std::pair<const TargetId, DispatchTarget> &Row :
-       Pool.m_Dispatch.m_Targets)
+       Pool.m_Dispatch.m_Targets) {
     Row.second.m_ColdShare =
         coldShareOf(coldLimit(G, Service), Row.first, G.m_Settings.m_Node,
                     G.m_Control.m_Routers);
+    applyRateShare(Row.second, G.m_Settings.m_Node, G.m_Control.m_Routers);
+  }
   if (isBrittle(Pool.m_Dispatch, Now))
     applySlotShares(Pool.m_Dispatch, G.m_Settings.m_Node,
                     G.m_Control.m_Routers);
 }
 
+std::string limitText(std::optional<double> Limit) {
+  return Limit ? std::to_string(*Limit) : "none";
+}
+
+void logChangedLimits(const DispatchTarget &Target,
+                      const TargetAnswer &Answer) {
+  const std::string &Id = Target.m_Listed.m_Id.m_Value;
+  if (Answer.m_RateLimit != Target.m_RateLimit)
+    logEvent(Event::TargetLimit,
+             {{"target", Id}, {"per_second", limitText(Answer.m_RateLimit)}});
+  if (Answer.m_BearableRefusals != Target.m_BearableRefusals)
+    logEvent(Event::TargetBrittle,
+             {{"target", Id},
+              {"bears", Answer.m_BearableRefusals
+                            ? std::to_string(*Answer.m_BearableRefusals)
+                            : "any"}});
+}
+
 } // namespace
 
 void rebuildPools(Gateway &G) {
@@ -187,16 +207,20 @@
   List.m_Reader->read();
 }
 
-void noteTargetBrittle(Gateway &G, const PoolId &Service,
-                       DispatchTarget &Target,
-                       std::optional<std::uint64_t> BearableRefusals) {
-  GatewayPool *Pool = findPool(G, Service);
+void noteTargetLimits(Gateway &G, const PoolId &Service, DispatchTarget &Target,
+                      const TargetAnswer &Answer) {
   Millis Now = monotonicNow();
+  const std::vector<NodeId> &Routers = G.m_Control.m_Routers;
+  logChangedLimits(Target, Answer);
+  bool LimitChanged = Target.m_RateLimit != Answer.m_RateLimit;
+  noteRateLimit(Target, Answer.m_RateLimit, Now);
+  if (LimitChanged)
+    applyRateShare(Target, G.m_Settings.m_Node, Routers);
+  GatewayPool *Pool = findPool(G, Service);
   bool WasBrittle = Pool && isBrittle(Pool->m_Dispatch, Now);
-  noteBearableRefusals(Target, BearableRefusals, Now);
+  noteBearableRefusals(Target, Answer.m_BearableRefusals, Now);
   if (Pool && !WasBrittle && isBrittle(Pool->m_Dispatch, Now))
-    applySlotShares(Pool->m_Dispatch, G.m_Settings.m_Node,
-                    G.m_Control.m_Routers);
+    applySlotShares(Pool->m_Dispatch, G.m_Settings.m_Node, Routers);
 }
 
 GatewayPool *findPool(Gateway &G, const PoolId &Service) {
--- a/tests/daemon/Platform.tests.cpp
+++ b/tests/daemon/Platform.tests.cpp
@@ -236,4 +236,16 @@
   BOOST_TEST(!platformProtocol()->m_ReadAnswer(Head).m_BearableRefusals);
 }
 
+// Guards against a target's limit going unread, or a malformed one stopping all
+// requests to it.
+BOOST_AUTO_TEST_CASE(ATargetStatesHowManyRequestsItTakes) {
+  TargetHead Head;
+  Head.m_Fields = {{"Server-Limit", "7.5"}};
+  BOOST_TEST(platformProtocol()->m_ReadAnswer(Head).m_RateLimit.value() == 7.5);
+  for (const char *Text : {"", "-1", "many", "nan", "3 a second"}) {
+    Head.m_Fields = {{"Server-Limit", Text}};
+    BOOST_TEST(!platformProtocol()->m_ReadAnswer(Head).m_RateLimit, Text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
