--- a/include/vanillaferry/process/keeper_repair.hpp
+++ b/include/vanillaferry/process/keeper_repair.hpp
@@ -22,8 +22,20 @@
 /// One change of the keeper set.
 struct RepairStep {
   enum class Kind : std::uint8_t { None, AddLearner, Promote, Remove };
+  enum class Reason : std::uint8_t {
+    None,
+    AskedToJoin,
+    CaughtUp,
+    /// Its address has a keeper with a newer identity.
+    Replaced,
+    /// It left the leader's messages unanswered.
+    Silent,
+  };
   Kind m_Kind = Kind::None;
   KeeperAddress m_Keeper;
+  Reason m_Reason = Reason::None;
+  /// For Silent: time without an answer.
+  Millis m_Silence;
 };
 
 /// The leader's next change towards a keeper set in which every keeper that
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -29,8 +29,9 @@
          Set.m_Removed.end();
 }
 
-RepairStep step(RepairStep::Kind What, const KeeperAddress &Keeper) {
-  return {What, Keeper};
+RepairStep step(RepairStep::Kind What, const KeeperAddress &Keeper,
+                RepairStep::Reason Why, Millis Silence = Millis(0)) {
+  return {What, Keeper, Why, Silence};
 }
 
 /// Promotes a caught-up learner, or removes the voter whose address it has.
@@ -40,8 +41,10 @@
       if (Learner.m_Keeper != Ready)
         continue;
       const KeeperAddress *Former = findByUrl(State.m_Set.m_Voters, Learner);
-      return Former ? step(RepairStep::Kind::Remove, *Former)
-                    : step(RepairStep::Kind::Promote, Learner);
+      return Former ? step(RepairStep::Kind::Remove, *Former,
+                           RepairStep::Reason::Replaced)
+                    : step(RepairStep::Kind::Promote, Learner,
+                           RepairStep::Reason::CaughtUp);
     }
   return {};
 }
@@ -57,19 +60,21 @@
         contains(Set.m_Learners, Row.first) || isRemoved(Set, Row.first))
       continue;
     const KeeperAddress *Former = findByUrl(Set.m_Learners, Address);
-    return Former ? step(RepairStep::Kind::Remove, *Former)
-                  : step(RepairStep::Kind::AddLearner, Address);
+    return Former ? step(RepairStep::Kind::Remove, *Former,
+                         RepairStep::Reason::Replaced)
+                  : step(RepairStep::Kind::AddLearner, Address,
+                         RepairStep::Reason::AskedToJoin);
   }
   return {};
 }
 
-bool isUnresponsive(const Replica &State, const KeeperId &Keeper, Millis Now) {
+Millis silenceOf(const Replica &State, const KeeperId &Keeper, Millis Now) {
   std::map<KeeperId, PeerProgress>::const_iterator Peer =
       State.m_Peers.find(Keeper);
   Millis Last = State.m_LedSince;
   if (Peer != State.m_Peers.end())
     Last = std::max(Last, Peer->second.m_LastAnswer);
-  return Last + LostVoterTimeout < Now;
+  return Now - Last;
 }
 
 RepairStep removalStep(const Replica &State, std::size_t MinVoters,
@@ -77,10 +82,12 @@
   if (State.m_Set.m_Voters.size() <= MinVoters)
     return {};
   for (const Addresses *All : {&State.m_Set.m_Learners, &State.m_Set.m_Voters})
-    for (const KeeperAddress &Each : *All)
-      if (Each.m_Keeper != State.m_Self &&
-          isUnresponsive(State, Each.m_Keeper, Now))
-        return step(RepairStep::Kind::Remove, Each);
+    for (const KeeperAddress &Each : *All) {
+      Millis Silence = silenceOf(State, Each.m_Keeper, Now);
+      if (Each.m_Keeper != State.m_Self && Silence > LostVoterTimeout)
+        return step(RepairStep::Kind::Remove, Each, RepairStep::Reason::Silent,
+                    Silence);
+    }
   return {};
 }
 
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -291,6 +291,13 @@
            static_cast<double>(Self.m_Replica.m_Hard.m_Term.m_Value));
   setGauge(M, "vanillaferry_keeper_commit_index",
            static_cast<double>(Self.m_Replica.m_Commit.m_Value));
+  const KeeperSet &Set = Self.m_Replica.m_Set;
+  setGauge(M, "vanillaferry_keeper_voters",
+           static_cast<double>(Set.m_Voters.size()));
+  setGauge(M, "vanillaferry_keeper_learners",
+           static_cast<double>(Set.m_Learners.size()));
+  setGauge(M, "vanillaferry_keepers_without_vote",
+           static_cast<double>(nonMembersJson(Self).size()));
   setGauge(M, "vanillaferry_document_version",
            static_cast<double>(Self.m_State.m_Document.m_Version.m_Value));
   setGauge(M, "vanillaferry_members",
--- a/src/daemon/process/keeper_repair.cpp
+++ b/src/daemon/process/keeper_repair.cpp
@@ -33,6 +33,22 @@
   return "none";
 }
 
+const char *nameOf(RepairStep::Reason Why) {
+  switch (Why) {
+  case RepairStep::Reason::AskedToJoin:
+    return "asked_to_join";
+  case RepairStep::Reason::CaughtUp:
+    return "caught_up";
+  case RepairStep::Reason::Replaced:
+    return "replaced";
+  case RepairStep::Reason::Silent:
+    return "silent";
+  case RepairStep::Reason::None:
+    break;
+  }
+  return "none";
+}
+
 ProposeError proposeStep(Keeper &Self, const RepairStep &Step,
                          ReplicaActions &Actions, Millis Now) {
   switch (Step.m_Kind) {
@@ -87,11 +103,16 @@
     return;
   ReplicaActions Actions;
   ProposeError Refused = proposeStep(Self, Step, Actions, Now);
+  const KeeperSet &Set = Self.m_Replica.m_Set;
   if (Refused == ProposeError::None)
     logEvent(Event::KeeperSetRepaired,
              {{"step", nameOf(Step.m_Kind)},
+              {"why", nameOf(Step.m_Reason)},
               {"keeper", Step.m_Keeper.m_Keeper.m_Value},
-              {"url", Step.m_Keeper.m_PeerUrl}});
+              {"url", Step.m_Keeper.m_PeerUrl},
+              {"silent_ms", Step.m_Silence.m_Value},
+              {"voters", static_cast<std::uint64_t>(Set.m_Voters.size())},
+              {"learners", static_cast<std::uint64_t>(Set.m_Learners.size())}});
   perform(Self, std::move(Actions));
 }
 
