--- a/tests/core/KeeperRepair.tests.cpp
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -110,4 +110,27 @@
       (nextRepair(Four, {}, FirstSet, Later).m_Kind == RepairStep::Kind::None));
 }
 
+// Guards against a leader in office for long that removes whatever joins: the
+// silence of a new learner counted from the leader's election.
+BOOST_AUTO_TEST_CASE(ANewLearnerHasTimeForItsFirstAnswer) {
+  const Millis Joined = LostVoterTimeout + Millis(60000);
+  const KeeperAddress Fresh = keeper("e-1", "e");
+  Replica State = leaderOf(
+      {keeper("a", "a"), keeper("b", "b"), keeper("c", "c"), keeper("d", "d")});
+  ReplicaActions Actions;
+  BOOST_REQUIRE(
+      (addLearner(State, Fresh, Actions, Joined) == ProposeError::None));
+  for (Millis Since : {Millis(10), Millis(500), Millis(5000), LostVoterTimeout,
+                       LostVoterTimeout + Millis(1)}) {
+    for (const char *Other : {"b", "c", "d"})
+      State.m_Peers[KeeperId(Other)].m_LastAnswer = Joined + Since;
+    RepairStep Step = nextRepair(State, {}, FirstSet, Joined + Since);
+    BOOST_TEST_CONTEXT("learner without an answer for " << Since.m_Value
+                                                        << " ms")
+    BOOST_TEST(
+        (Step.m_Kind == (Since > LostVoterTimeout ? RepairStep::Kind::Remove
+                                                  : RepairStep::Kind::None)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/ReplicationHarness.cpp
+++ b/tests/core/ReplicationHarness.cpp
@@ -57,9 +57,20 @@
   m_Options.m_LearnerLag = static_cast<std::uint64_t>(pick(0, 4));
   m_Options.m_SnapshotResend = Millis(200);
   m_Options.m_SnapshotPart = Bytes(pick(2, 24));
+  startVoters(Voters);
+}
+
+Cluster::Cluster(std::uint64_t Seed, std::size_t Voters, ReplicaOptions Options)
+    : m_Random(Seed), m_Options(Options) {
+  startVoters(Voters);
+}
+
+void Cluster::startVoters(std::size_t Voters) {
   KeeperSet Initial;
-  for (std::size_t I = 0; I < Voters; ++I)
-    Initial.m_Voters.push_back({KeeperId("k" + std::to_string(I + 1)), ""});
+  for (std::size_t I = 0; I < Voters; ++I) {
+    std::string Id = "k" + std::to_string(I + 1);
+    Initial.m_Voters.push_back({KeeperId(Id), Id});
+  }
   m_CommittedSet = Initial;
   for (const KeeperAddress &Address : Initial.m_Voters) {
     Keeper &Added = addKeeper(Address.m_Keeper.m_Value);
--- a/tests/core/ReplicationHarness.hpp
+++ b/tests/core/ReplicationHarness.hpp
@@ -101,6 +101,7 @@
 class Cluster {
 public:
   Cluster(std::uint64_t Seed, std::size_t Voters);
+  Cluster(std::uint64_t Seed, std::size_t Voters, ReplicaOptions Options);
 
   void step(const Faults &Rates);
   void run(const Faults &Rates, std::int64_t Duration);
@@ -122,6 +123,9 @@
   void freeze(Keeper &At, std::int64_t Duration);
   void isolate(const KeeperId &Id);
   void heal() { m_Cuts.clear(); }
+  bool isCut(const KeeperId &A, const KeeperId &B) const {
+    return m_Cuts.count({A, B}) != 0 || m_Cuts.count({B, A}) != 0;
+  }
   Keeper &addKeeper(const std::string &Id);
   void handle(Keeper &At, ReplicaActions Actions);
   Millis localNow(const Keeper &At) const;
@@ -133,6 +137,7 @@
   const std::set<KeeperId> &regressed() const { return m_RegressedSeen; }
 
 private:
+  void startVoters(std::size_t Voters);
   bool chance(int PerThousand);
   std::int64_t pick(std::int64_t Low, std::int64_t High);
   void fail(const std::string &What);
