Count a keeper's silence from when the leader began to send to it

The leader removes a member that was silent for 15 s; for one without an answer yet the time counted from the leader's election, so a leader in office for longer removed what it had added 100 ms before. A removed identity never returns: the keeper ran on without a vote, the disk that it replaced kept one, and one more lost disk left no quorum.

PeerProgress now begins with the time at which the leader starts to send to the keeper.

KeeperRepair/ANewLearnerHasTimeForItsFirstAnswer failed before at 10 ms, 500 ms, 5 s and 15 s. The 10,000 schedules of Replication hold.

--- a/include/vanillaferry/process/replication.hpp
+++ b/include/vanillaferry/process/replication.hpp
@@ -127,6 +127,7 @@
 struct PeerProgress {
   LogIndex m_Next;
   LogIndex m_Match;
+  /// Before the first answer: when this leader began to send to it.
   Millis m_LastAnswer;
   std::uint64_t m_ConfirmedSequence = 0;
   /// When the newest message that it answered was sent; empty before the first
--- a/src/core/process/internal/replica.hpp
+++ b/src/core/process/internal/replica.hpp
@@ -11,10 +11,12 @@
 std::optional<Term> termAt(const Replica &State, LogIndex Index);
 Term lastTerm(const Replica &State);
 const LogEntry *entryAt(const Replica &State, LogIndex Index);
-void appendEntry(Replica &State, ReplicaActions &Actions, LogEntry Entry);
+void appendEntry(Replica &State, ReplicaActions &Actions, LogEntry Entry,
+                 Millis Now);
 /// Records that the entries of this result are not synced yet.
 void expectSync(Replica &State, const ReplicaActions &Actions);
-void truncateFrom(Replica &State, ReplicaActions &Actions, LogIndex From);
+void truncateFrom(Replica &State, ReplicaActions &Actions, LogIndex From,
+                  Millis Now);
 void advanceCommitTo(Replica &State, ReplicaActions &Actions, LogIndex Index);
 
 // Keeper set.
@@ -24,7 +26,7 @@
 std::size_t quorumSize(const KeeperSet &Set);
 KeeperSet setAt(const Replica &State, LogIndex Index);
 /// Adopts the newest set in the log and updates role and peer records.
-void useNewestSet(Replica &State);
+void useNewestSet(Replica &State, Millis Now);
 /// Largest value that a quorum of voters has reached. Regressed keepers count
 /// as Lowest.
 std::int64_t
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -71,10 +71,8 @@
 Millis silenceOf(const Replica &State, const KeeperId &Keeper, Millis Now) {
   std::map<KeeperId, PeerProgress>::const_iterator Peer =
       State.m_Peers.find(Keeper);
-  Millis Last = State.m_LedSince;
-  if (Peer != State.m_Peers.end())
-    Last = std::max(Last, Peer->second.m_LastAnswer);
-  return Now - Last;
+  return Peer == State.m_Peers.end() ? Millis(0)
+                                     : Now - Peer->second.m_LastAnswer;
 }
 
 RepairStep removalStep(const Replica &State, std::size_t MinVoters,
--- a/src/core/process/replication.cpp
+++ b/src/core/process/replication.cpp
@@ -44,7 +44,7 @@
     State.m_Hard.m_Term = lastTerm(State);
     State.m_Hard.m_VotedFor = KeeperId();
   }
-  useNewestSet(State);
+  useNewestSet(State, Now);
   // The keeper may have answered a leader just before it restarted, and that
   // answer is part of the leader's lease.
   State.m_LastLeaderContact = Now;
@@ -114,7 +114,7 @@
     Entry.m_Kind = EntryKind::Command;
     Entry.m_Data = std::move(Command);
     Indexes.push_back(Entry.m_Index);
-    appendEntry(State, Actions, std::move(Entry));
+    appendEntry(State, Actions, std::move(Entry), Now);
   }
   expectSync(State, Actions);
   sendEntries(State, Actions, Now);
--- a/src/core/process/replication_follower.cpp
+++ b/src/core/process/replication_follower.cpp
@@ -55,7 +55,7 @@
 }
 
 void storeEntries(Replica &State, ReplicaActions &Actions,
-                  ReplicaMessage &Message) {
+                  ReplicaMessage &Message, Millis Now) {
   for (LogEntry &Entry : Message.m_Entries) {
     // Entries up to the base are committed and therefore equal to the leader's.
     if (Entry.m_Index <= State.m_BaseIndex)
@@ -70,14 +70,14 @@
             std::to_string(Entry.m_Index.m_Value);
         return;
       }
-      truncateFrom(State, Actions, Entry.m_Index);
+      truncateFrom(State, Actions, Entry.m_Index, Now);
     }
-    appendEntry(State, Actions, std::move(Entry));
+    appendEntry(State, Actions, std::move(Entry), Now);
   }
 }
 
 void receiveAppend(Replica &State, ReplicaActions &Actions,
-                   ReplicaMessage &Message) {
+                   ReplicaMessage &Message, Millis Now) {
   if (!isWellFormed(Message))
     return;
   LogIndex Previous = Message.m_PreviousIndex;
@@ -92,7 +92,7 @@
     return;
   }
   std::uint64_t Matched = Previous.m_Value + Message.m_Entries.size();
-  storeEntries(State, Actions, Message);
+  storeEntries(State, Actions, Message, Now);
   if (Actions.m_BrokenInvariant)
     return;
   State.m_LeaderMatch = std::max(State.m_LeaderMatch, LogIndex(Matched));
@@ -103,7 +103,8 @@
     sendAnswer(Actions, appendAnswer(State));
 }
 
-void installSnapshot(Replica &State, ReplicaActions &Actions, Snapshot Taken) {
+void installSnapshot(Replica &State, ReplicaActions &Actions, Snapshot Taken,
+                     Millis Now) {
   LogIndex Kept = std::min(State.m_Synced, State.m_Commit);
   State.m_Synced = Kept;
   for (PendingSync &Pending : State.m_PendingSyncs)
@@ -114,7 +115,7 @@
   State.m_Commit = State.m_Applied = Taken.m_LastIndex;
   State.m_SetHistory.clear();
   State.m_SetHistory[Taken.m_LastIndex] = Taken.m_Set;
-  useNewestSet(State);
+  useNewestSet(State, Now);
   State.m_LeaderMatch = std::max(State.m_LeaderMatch, Taken.m_LastIndex);
   State.m_Receiving.reset();
   Actions.m_InstallSnapshot = Taken;
@@ -150,7 +151,7 @@
 }
 
 void receiveSnapshot(Replica &State, ReplicaActions &Actions,
-                     ReplicaMessage &Message) {
+                     ReplicaMessage &Message, Millis Now) {
   if (!Message.m_Snapshot ||
       Message.m_Offset + Message.m_Snapshot->m_Data.size() >
           Message.m_SnapshotSize)
@@ -160,7 +161,7 @@
   if (Last > State.m_Commit &&
       termAt(State, Last) != std::optional<Term>(LastTerm)) {
     if (collectChunk(State, Actions, Message))
-      installSnapshot(State, Actions, std::move(*State.m_Receiving));
+      installSnapshot(State, Actions, std::move(*State.m_Receiving), Now);
     return;
   }
   // This log already contains the snapshot; entries after it may have been
@@ -212,9 +213,9 @@
     return;
   }
   if (Message.m_Kind == ReplicaMessage::Kind::Append)
-    receiveAppend(State, Actions, Message);
+    receiveAppend(State, Actions, Message, Now);
   else if (Message.m_Kind == ReplicaMessage::Kind::InstallSnapshot)
-    receiveSnapshot(State, Actions, Message);
+    receiveSnapshot(State, Actions, Message, Now);
   else
     sendConfirmAnswer(State, Actions, Message);
 }
--- a/src/core/process/replication_leader.cpp
+++ b/src/core/process/replication_leader.cpp
@@ -153,11 +153,11 @@
   State.m_TermStart = LogIndex(lastIndex(State).m_Value + 1);
   State.m_Peers.clear();
   State.m_SequenceSentAt.clear();
-  useNewestSet(State);
+  useNewestSet(State, Now);
   LogEntry Noop;
   Noop.m_Index = State.m_TermStart;
   Noop.m_Term = State.m_Hard.m_Term;
-  appendEntry(State, Actions, std::move(Noop));
+  appendEntry(State, Actions, std::move(Noop), Now);
   Actions.m_BecameLeader = !awaitsOwnVote(State);
   sendHeartbeats(State, Actions, Now);
   commitByQuorum(State, Actions, Now);
--- a/src/core/process/replication_log.cpp
+++ b/src/core/process/replication_log.cpp
@@ -30,7 +30,8 @@
   return State.m_Log.empty() ? State.m_BaseTerm : State.m_Log.back().m_Term;
 }
 
-void appendEntry(Replica &State, ReplicaActions &Actions, LogEntry Entry) {
+void appendEntry(Replica &State, ReplicaActions &Actions, LogEntry Entry,
+                 Millis Now) {
   bool SetChanged = false;
   if (Entry.m_Kind == EntryKind::KeeperSet)
     if (std::optional<KeeperSet> Set = decodeKeeperSet(Entry.m_Data)) {
@@ -40,7 +41,7 @@
   Actions.m_Append.push_back(Entry);
   State.m_Log.push_back(std::move(Entry));
   if (SetChanged)
-    useNewestSet(State);
+    useNewestSet(State, Now);
 }
 
 void expectSync(Replica &State, const ReplicaActions &Actions) {
@@ -64,7 +65,8 @@
   State.m_PendingSyncs.push_back(Pending);
 }
 
-void truncateFrom(Replica &State, ReplicaActions &Actions, LogIndex From) {
+void truncateFrom(Replica &State, ReplicaActions &Actions, LogIndex From,
+                  Millis Now) {
   LogIndex Kept(From.m_Value - 1);
   State.m_Log.resize(Kept.m_Value - State.m_BaseIndex.m_Value);
   State.m_Synced = std::min(State.m_Synced, Kept);
@@ -72,7 +74,7 @@
     Pending.m_Valid = std::min(Pending.m_Valid, Kept);
   State.m_SetHistory.erase(State.m_SetHistory.lower_bound(From),
                            State.m_SetHistory.end());
-  useNewestSet(State);
+  useNewestSet(State, Now);
   Actions.m_TruncateFrom = From;
 }
 
--- a/src/core/process/replication_set.cpp
+++ b/src/core/process/replication_set.cpp
@@ -27,7 +27,7 @@
 }
 
 void addPeers(Replica &State, const std::vector<KeeperAddress> &Keepers,
-              std::map<KeeperId, PeerProgress> &Peers) {
+              std::map<KeeperId, PeerProgress> &Peers, Millis Now) {
   for (const KeeperAddress &Address : Keepers) {
     if (Address.m_Keeper == State.m_Self)
       continue;
@@ -35,6 +35,7 @@
         State.m_Peers.find(Address.m_Keeper);
     PeerProgress Progress;
     Progress.m_Next = LogIndex(lastIndex(State).m_Value + 1);
+    Progress.m_LastAnswer = Now;
     Peers[Address.m_Keeper] =
         Known == State.m_Peers.end() ? Progress : Known->second;
   }
@@ -76,7 +77,7 @@
   Entry.m_Term = State.m_Hard.m_Term;
   Entry.m_Kind = EntryKind::KeeperSet;
   Entry.m_Data = encodeKeeperSet(Set);
-  appendEntry(State, Actions, std::move(Entry));
+  appendEntry(State, Actions, std::move(Entry), Now);
   expectSync(State, Actions);
   sendEntries(State, Actions, Now);
   commitByQuorum(State, Actions, Now);
@@ -120,13 +121,13 @@
   return std::prev(After)->second;
 }
 
-void useNewestSet(Replica &State) {
+void useNewestSet(Replica &State, Millis Now) {
   State.m_SetIndex = State.m_SetHistory.rbegin()->first;
   State.m_Set = State.m_SetHistory.rbegin()->second;
   if (State.m_Role == ReplicaRole::Leader) {
     std::map<KeeperId, PeerProgress> Peers;
-    addPeers(State, State.m_Set.m_Voters, Peers);
-    addPeers(State, State.m_Set.m_Learners, Peers);
+    addPeers(State, State.m_Set.m_Voters, Peers, Now);
+    addPeers(State, State.m_Set.m_Learners, Peers, Now);
     State.m_Peers = std::move(Peers);
   } else if (State.m_Role != ReplicaRole::Candidate) {
     State.m_Role = isVoter(State.m_Set, State.m_Self) ? ReplicaRole::Follower
