Remove silent voters early where the set bears too few losses

A VM that is replaced kept its vote for 15 s after it was gone. Three replacements within that time leave eight voters of which five run: the quorum is five, and one lost disk more stops the service for good although only one keeper is lost at any moment.

Where the set bears fewer and would bear more without its silent voters, these are removed after 5 s; elsewhere after 15 s as before, so that a voter that is briefly away keeps its vote. The set shrinks to twice the tolerated losses and one, not below: for two losses the first set of three was too small a bound.

KeeperRepair has a test for each.

--- a/include/vanillaferry/process/keeper_repair.hpp
+++ b/include/vanillaferry/process/keeper_repair.hpp
@@ -19,6 +19,20 @@
 /// anew.
 constexpr Millis LostVoterTimeout{15000};
 
+/// A silent voter is removed after this time already if the set bears fewer
+/// losses than it has to and would bear more without its silent voters. A VM
+/// that was replaced would count until LostVoterTimeout otherwise, and several
+/// of them leave no quorum after one more loss.
+constexpr Millis BurdenTimeout{5000};
+
+/// What the repair keeps to.
+struct RepairLimits {
+  /// Size of the first keeper set.
+  std::size_t m_FirstVoters = 3;
+  /// Keepers that may be lost at the same time.
+  std::size_t m_ToleratedLosses = 1;
+};
+
 /// One change of the keeper set.
 struct RepairStep {
   enum class Kind : std::uint8_t { None, AddLearner, Promote, Remove };
@@ -42,10 +56,13 @@
 /// runs has a vote, without an operator. A keeper that joins from the address
 /// of a voter has lost that voter's disk, so the old identity is removed before
 /// the new one is promoted and the quorum never grows while a disk is missing.
-/// A voter that has not answered for LostVoterTimeout is removed while more
-/// than MinVoters remain, which is the size of the first keeper set.
+/// Silent voters are removed while more remain than the first set had and the
+/// tolerated losses need.
 RepairStep nextRepair(const Replica &State,
                       const std::map<KeeperId, JoiningKeeper> &Joining,
-                      std::size_t MinVoters, Millis Now);
+                      const RepairLimits &Limits, Millis Now);
+
+/// How many of the live voters may be lost before no quorum is left.
+std::size_t bearableLosses(std::size_t Voters, std::size_t Live);
 
 } // namespace vanillaferry
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -75,33 +75,69 @@
                                      : Now - Peer->second.m_LastAnswer;
 }
 
-RepairStep removalStep(const Replica &State, std::size_t MinVoters,
+/// The member that has been silent for longest, if that is over the limit.
+RepairStep longestSilent(const Replica &State, const Addresses &All,
+                         Millis Limit, Millis Now) {
+  RepairStep Longest;
+  for (const KeeperAddress &Each : All) {
+    Millis Silence = silenceOf(State, Each.m_Keeper, Now);
+    if (Each.m_Keeper != State.m_Self && Silence > Limit &&
+        Silence > Longest.m_Silence)
+      Longest = step(RepairStep::Kind::Remove, Each, RepairStep::Reason::Silent,
+                     Silence);
+  }
+  return Longest;
+}
+
+/// True when the silent voters leave the set with fewer bearable losses than
+/// are tolerated, and it would bear more without them.
+bool silentVotersAreABurden(const Replica &State, const RepairLimits &Limits,
+                            Millis Now) {
+  const Addresses &Voters = State.m_Set.m_Voters;
+  std::size_t Silent = static_cast<std::size_t>(std::count_if(
+      Voters.begin(), Voters.end(), [&State, Now](const KeeperAddress &Each) {
+        return Each.m_Keeper != State.m_Self &&
+               silenceOf(State, Each.m_Keeper, Now) > BurdenTimeout;
+      }));
+  std::size_t Live = Voters.size() - Silent;
+  std::size_t Bears = bearableLosses(Voters.size(), Live);
+  return Bears < Limits.m_ToleratedLosses && Bears < bearableLosses(Live, Live);
+}
+
+RepairStep removalStep(const Replica &State, const RepairLimits &Limits,
                        Millis Now) {
+  RepairStep Learner =
+      longestSilent(State, State.m_Set.m_Learners, LostVoterTimeout, Now);
+  if (Learner.m_Kind != RepairStep::Kind::None)
+    return Learner;
+  // A majority of the voters that remain survives the tolerated losses.
+  std::size_t MinVoters =
+      std::max(Limits.m_FirstVoters, 2 * Limits.m_ToleratedLosses + 1);
   if (State.m_Set.m_Voters.size() <= MinVoters)
     return {};
-  for (const Addresses *All : {&State.m_Set.m_Learners, &State.m_Set.m_Voters})
-    for (const KeeperAddress &Each : *All) {
-      Millis Silence = silenceOf(State, Each.m_Keeper, Now);
-      if (Each.m_Keeper != State.m_Self && Silence > LostVoterTimeout)
-        return step(RepairStep::Kind::Remove, Each, RepairStep::Reason::Silent,
-                    Silence);
-    }
-  return {};
+  Millis Limit = silentVotersAreABurden(State, Limits, Now) ? BurdenTimeout
+                                                            : LostVoterTimeout;
+  return longestSilent(State, State.m_Set.m_Voters, Limit, Now);
 }
 
 } // namespace
 
 RepairStep nextRepair(const Replica &State,
                       const std::map<KeeperId, JoiningKeeper> &Joining,
-                      std::size_t MinVoters, Millis Now) {
+                      const RepairLimits &Limits, Millis Now) {
   if (State.m_Role != ReplicaRole::Leader)
     return {};
   RepairStep Next = promotionStep(State);
   if (Next.m_Kind == RepairStep::Kind::None)
     Next = additionStep(State, Joining, Now);
   if (Next.m_Kind == RepairStep::Kind::None)
-    Next = removalStep(State, MinVoters, Now);
+    Next = removalStep(State, Limits, Now);
   return Next;
 }
 
+std::size_t bearableLosses(std::size_t Voters, std::size_t Live) {
+  std::size_t Quorum = Voters / 2 + 1;
+  return Live > Quorum ? Live - Quorum : 0;
+}
+
 } // namespace vanillaferry
--- a/src/daemon/process/keeper_repair.cpp
+++ b/src/daemon/process/keeper_repair.cpp
@@ -97,8 +97,9 @@
   if (!Self.m_Settings.m_SelfRepair || Now < Self.m_NextRepair)
     return;
   Self.m_NextRepair = Now + RepairInterval;
-  RepairStep Step = nextRepair(Self.m_Replica, Self.m_Joining,
-                               Self.m_Settings.m_InitialKeepers.size(), Now);
+  RepairLimits Limits{Self.m_Settings.m_InitialKeepers.size(),
+                      Self.m_Settings.m_ToleratedLosses};
+  RepairStep Step = nextRepair(Self.m_Replica, Self.m_Joining, Limits, Now);
   if (Step.m_Kind == RepairStep::Kind::None)
     return;
   ReplicaActions Actions;
--- a/src/daemon/process/settings.cpp
+++ b/src/daemon/process/settings.cpp
@@ -179,6 +179,8 @@
   }
   Settings.m_Initialize = Value.value("initialize", false);
   Settings.m_SelfRepair = Value.value("self_repair", false);
+  Settings.m_ToleratedLosses =
+      Value.value("tolerated_losses", Settings.m_ToleratedLosses);
   Settings.m_OpenManifest = Value.value("open_manifest", false);
   Settings.m_LeaseTime = Millis(Value.value("lease_ms", std::int64_t(0)));
   Settings.m_TargetList = Value.value("target_list", std::string());
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -71,6 +71,8 @@
   bool m_Initialize = false;
   /// Keepers join, regain and lose their votes without an operator.
   bool m_SelfRepair = false;
+  /// Keepers that may be lost at the same time; the repair keeps votes for it.
+  std::size_t m_ToleratedLosses = 1;
   /// Manifests and changes of zones are accepted without an operator's token.
   bool m_OpenManifest = false;
   /// IP:PORT of the platform's list of targets, which the leader reads for all
--- a/src/daemon/process/settings_schema.cpp
+++ b/src/daemon/process/settings_schema.cpp
@@ -92,6 +92,7 @@
     },
     "initialize": {"type": "boolean"},
     "self_repair": {"type": "boolean"},
+    "tolerated_losses": {"type": "integer", "minimum": 0, "maximum": 100},
     "open_manifest": {"type": "boolean"},
     "heartbeat_ms": {"type": "integer", "minimum": 20, "maximum": 2000},
     "target_list": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"},
--- a/tests/core/KeeperRepair.tests.cpp
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t FirstSet = 3;
+const RepairLimits OneLoss = {3, 1};
 
 KeeperAddress keeper(const std::string &Id, const std::string &Host) {
   return {KeeperId(Id), "ws://" + Host + ":1"};
@@ -50,11 +50,11 @@
   Replica State = threeVoters();
   KeeperAddress Fresh = keeper("d-1", "d");
   RepairStep Step =
-      nextRepair(State, asking(Fresh, Millis(0)), FirstSet, Millis(10));
+      nextRepair(State, asking(Fresh, Millis(0)), OneLoss, Millis(10));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::AddLearner));
   BOOST_TEST(Step.m_Keeper.m_Keeper == Fresh.m_Keeper);
   addCaughtUp(State, Fresh);
-  Step = nextRepair(State, asking(Fresh, Millis(0)), FirstSet, Millis(10));
+  Step = nextRepair(State, asking(Fresh, Millis(0)), OneLoss, Millis(10));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::Promote));
 }
 
@@ -63,7 +63,7 @@
 BOOST_AUTO_TEST_CASE(TheLostIdentityOfAnAddressGoesBeforeTheNewOneVotes) {
   Replica State = threeVoters();
   addCaughtUp(State, keeper("c-2", "c"));
-  RepairStep Step = nextRepair(State, {}, FirstSet, Millis(10));
+  RepairStep Step = nextRepair(State, {}, OneLoss, Millis(10));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
   BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("c"));
 }
@@ -73,7 +73,7 @@
   Replica State = threeVoters();
   State.m_Set.m_Learners.push_back(keeper("d-1", "d"));
   RepairStep Step = nextRepair(State, asking(keeper("d-2", "d"), Millis(0)),
-                               FirstSet, Millis(10));
+                               OneLoss, Millis(10));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
   BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("d-1"));
 }
@@ -84,9 +84,9 @@
   Replica State = threeVoters();
   State.m_Set.m_Removed.push_back(KeeperId("d-1"));
   RepairStep Step = nextRepair(State, asking(keeper("d-1", "d"), Millis(0)),
-                               FirstSet, Millis(10));
+                               OneLoss, Millis(10));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::None));
-  Step = nextRepair(State, asking(keeper("e-1", "e"), Millis(0)), FirstSet,
+  Step = nextRepair(State, asking(keeper("e-1", "e"), Millis(0)), OneLoss,
                     JoinRequestLifetime + Millis(1));
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::None));
 }
@@ -96,18 +96,18 @@
 BOOST_AUTO_TEST_CASE(ASilentVoterIsRemovedOnlyFromALargerSet) {
   Millis Later = LostVoterTimeout + Millis(1);
   Replica Three = threeVoters();
-  BOOST_TEST((nextRepair(Three, {}, FirstSet, Later).m_Kind ==
-              RepairStep::Kind::None));
+  BOOST_TEST(
+      (nextRepair(Three, {}, OneLoss, Later).m_Kind == RepairStep::Kind::None));
   Replica Four = leaderOf(
       {keeper("a", "a"), keeper("b", "b"), keeper("c", "c"), keeper("d", "d")});
   Four.m_Peers[KeeperId("b")].m_LastAnswer = Later;
   Four.m_Peers[KeeperId("d")].m_LastAnswer = Later;
-  RepairStep Step = nextRepair(Four, {}, FirstSet, Later);
+  RepairStep Step = nextRepair(Four, {}, OneLoss, Later);
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
   BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("c"));
   Four.m_Role = ReplicaRole::Follower;
   BOOST_TEST(
-      (nextRepair(Four, {}, FirstSet, Later).m_Kind == RepairStep::Kind::None));
+      (nextRepair(Four, {}, OneLoss, Later).m_Kind == RepairStep::Kind::None));
 }
 
 // Guards against a leader in office for long that removes whatever joins: the
@@ -124,7 +124,7 @@
                        LostVoterTimeout + Millis(1)}) {
     for (const char *Other : {"b", "c", "d"})
       State.m_Peers[KeeperId(Other)].m_LastAnswer = Joined + Since;
-    RepairStep Step = nextRepair(State, {}, FirstSet, Joined + Since);
+    RepairStep Step = nextRepair(State, {}, OneLoss, Joined + Since);
     BOOST_TEST_CONTEXT("learner without an answer for " << Since.m_Value
                                                         << " ms")
     BOOST_TEST(
@@ -133,4 +133,41 @@
   }
 }
 
+// Guards against VMs that were replaced one after the other and still count:
+// with three of them among eight voters, one more loss would leave no quorum.
+// Also against removing a voter that is briefly away from a set that bears it.
+BOOST_AUTO_TEST_CASE(SilentVotersAreRemovedEarlyOnlyWhereTheyAreABurden) {
+  const Millis Now = BurdenTimeout + Millis(1);
+  std::vector<KeeperAddress> Voters;
+  for (const char *Id : {"a", "b", "c", "d", "e", "f", "g", "h"})
+    Voters.push_back(keeper(Id, Id));
+  Replica Eight = leaderOf(Voters);
+  for (const char *Live : {"b", "c", "d", "e"})
+    Eight.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+  RepairStep Step = nextRepair(Eight, {}, OneLoss, Now);
+  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
+  BOOST_TEST((Step.m_Reason == RepairStep::Reason::Silent));
+  Voters.resize(5);
+  Replica Five = leaderOf(Voters);
+  for (const char *Live : {"b", "c", "d"})
+    Five.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+  BOOST_TEST(
+      (nextRepair(Five, {}, OneLoss, Now).m_Kind == RepairStep::Kind::None));
+}
+
+// Guards against a set that shrinks until the tolerated losses leave no
+// majority: two need five voters, whatever the first set had.
+BOOST_AUTO_TEST_CASE(ToleratedLossesKeepTheSetFromShrinking) {
+  const Millis Later = LostVoterTimeout + Millis(1);
+  Replica State =
+      leaderOf({keeper("a", "a"), keeper("b", "b"), keeper("c", "c"),
+                keeper("d", "d"), keeper("e", "e")});
+  for (const char *Live : {"b", "c", "d"})
+    State.m_Peers[KeeperId(Live)].m_LastAnswer = Later;
+  BOOST_TEST(
+      (nextRepair(State, {}, {3, 2}, Later).m_Kind == RepairStep::Kind::None));
+  BOOST_TEST((nextRepair(State, {}, {3, 1}, Later).m_Kind ==
+              RepairStep::Kind::Remove));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/RepairWorld.cpp
+++ b/tests/core/RepairWorld.cpp
@@ -210,7 +210,8 @@
   Replica &State = Leader->m_Replica;
   if (!holdsQuorumLease(State, Now))
     return;
-  RepairStep Step = nextRepair(State, m_Joining[Leader->m_Id], FirstSet, Now);
+  RepairStep Step =
+      nextRepair(State, m_Joining[Leader->m_Id], {FirstSet, m_Tolerated}, Now);
   ReplicaActions Actions;
   if (Step.m_Kind == RepairStep::Kind::AddLearner)
     addLearner(State, Step.m_Keeper, Actions, Now);
