Let a removed keeper that still runs join under a new identity

A keeper that is cut off or frozen for long is removed, rightly; when it returns nobody tells it.

A keeper that has no vote or has heard no leader for 3 s asks to join. The leader answers an identity whose removal is committed that it was removed; the keeper moves its log to log.removed and starts over with an empty one and a new identity, in the same process. Removed identities stay out as before: what a lost or outdated disk acknowledged must not count again. Weighed: adding the old identity again (its disk may be the one that was lost), and a keeper that ends and is started again (an operator would have to clear its folder).

An older build ignores the added field and goes on as before.

Keepers/ARemovedKeeperThatReturnsVotesUnderANewIdentity covers the processes.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -276,6 +276,9 @@
 struct RedirectLeader {
   KeeperId m_Leader;
   std::string m_PeerUrl;
+  /// The leader's answer to a keeper whose identity was removed from the set:
+  /// it may join under a new one only.
+  bool m_IdentityRemoved = false;
 };
 
 /// A keeper that forms the initial keeper set asks another member of the set to
--- a/include/vanillaferry/process/keeper_repair.hpp
+++ b/include/vanillaferry/process/keeper_repair.hpp
@@ -19,6 +19,9 @@
 /// anew.
 constexpr Millis LostVoterTimeout{15000};
 
+/// A keeper without a message of a leader for this long may have been removed.
+/// An election takes less.
+constexpr Millis UnheardTimeout{3000};
 /// A silent voter is removed after this time already if the set bears fewer
 /// losses than it has to and would bear more without its silent voters. A VM
 /// that was replaced would count until LostVoterTimeout otherwise, and several
@@ -62,6 +65,14 @@
                       const std::map<KeeperId, JoiningKeeper> &Joining,
                       const RepairLimits &Limits, Millis Now);
 
+/// True when a keeper has to ask for a vote: it has none, or no leader has sent
+/// to it for UnheardTimeout, so that it may have been removed.
+bool mustAskToJoin(const Replica &State, Millis Now);
+
+/// True at the leader when the removal of this identity is committed. A keeper
+/// that still runs under it has to join under a new one.
+bool removalIsCommitted(const Replica &State, const KeeperId &Keeper);
+
 /// How many of the live voters may be lost before no quorum is left.
 std::size_t bearableLosses(std::size_t Voters, std::size_t Live);
 
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -135,6 +135,18 @@
   return Next;
 }
 
+bool mustAskToJoin(const Replica &State, Millis Now) {
+  if (State.m_Role == ReplicaRole::Leader)
+    return false;
+  return !contains(State.m_Set.m_Voters, State.m_Self) ||
+         Now - State.m_LastLeaderContact > UnheardTimeout;
+}
+
+bool removalIsCommitted(const Replica &State, const KeeperId &Keeper) {
+  return State.m_Role == ReplicaRole::Leader &&
+         State.m_SetIndex <= State.m_Commit && isRemoved(State.m_Set, Keeper);
+}
+
 std::size_t bearableLosses(std::size_t Voters, std::size_t Live) {
   std::size_t Quorum = Voters / 2 + 1;
   return Live > Quorum ? Live - Quorum : 0;
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -335,6 +335,7 @@
 void fields(V &Visit, M &Data) {
   Visit("l", Data.m_Leader);
   Visit("u", Data.m_PeerUrl);
+  Visit("r", Data.m_IdentityRemoved);
 }
 
 template <typename V, typename M, IfMessage<M, LoadUpdate> * = nullptr>
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -209,6 +209,8 @@
   Incarnation m_Incarnation;
   /// False while the first keeper set is being formed.
   bool m_Running = false;
+  /// The process goes on with a new identity once this task has ended.
+  bool m_JoinsAnew = false;
   Replica m_Replica;
   StateMachine m_State;
   /// Present while this keeper leads, from the first time that it held a
@@ -404,7 +406,7 @@
 // keeper_repair.cpp
 /// Asks the other keepers for a vote while this keeper has none.
 void askToJoin(Keeper &Self, Millis Now);
-void onRedirect(Keeper &Self, const RedirectLeader &Leader);
+void onRedirect(Keeper &Self, const NodeId &From, const RedirectLeader &Leader);
 void onJoin(Keeper &Self, const NodeId &From, const JoinKeepers &Request);
 /// Proposes the leader's next change towards a full keeper set, when one is
 /// due.
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -155,13 +155,10 @@
   return Self.m_ExitCode;
 }
 
-} // namespace
-
-} // namespace internal
-
-int runKeeper(const KeeperSettings &Settings, bool Initialize,
-              const PlatformProtocol *Protocol) {
-  using internal::Keeper;
+/// Runs under one identity; returns the exit code. JoinsAnew is set when the
+/// identity was removed from the keeper set.
+int runIdentity(const KeeperSettings &Settings, bool Initialize,
+                const PlatformProtocol *Protocol, bool &JoinsAnew) {
   std::unique_ptr<Keeper> Self = std::make_unique<Keeper>();
   Keeper *Raw = Self.get();
   Self->m_Settings = Settings;
@@ -170,44 +167,62 @@
                     std::to_string(Settings.m_Http.m_Port);
   Self->m_Incarnation = Incarnation(randomSeed());
   Self->m_StartedAt = monotonicNow();
-  internal::startOrderCounters(Self->m_Metrics);
+  startOrderCounters(Self->m_Metrics);
   Self->m_Loop = g_main_loop_new(nullptr, FALSE);
   Mailbox<PeerEvent>::Handler OnPeerEvent = [Raw](PeerEvent Event) {
-    internal::onPeerEvent(*Raw, std::move(Event));
+    onPeerEvent(*Raw, std::move(Event));
   };
   Self->m_ReplicaMail = std::make_unique<Mailbox<PeerEvent>>(
       nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_HIGH});
   Self->m_PeerMail = std::make_unique<Mailbox<PeerEvent>>(
-      nullptr, OnPeerEvent,
-      MailboxOptions{G_PRIORITY_DEFAULT, internal::EventsPerTurn});
-  Self->m_DiskMail =
-      std::make_unique<Mailbox<DiskReport>>(nullptr, [Raw](DiskReport Report) {
-        internal::onDiskReport(*Raw, Report);
-      });
-  int Code = internal::startKeeper(*Self, Initialize);
+      nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_DEFAULT, EventsPerTurn});
+  Self->m_DiskMail = std::make_unique<Mailbox<DiskReport>>(
+      nullptr, [Raw](DiskReport Report) { onDiskReport(*Raw, Report); });
+  int Code = startKeeper(*Self, Initialize);
   if (Code == ExitOk) {
     logEvent(Event::ProcessStarted,
              {{"role", "keeper"},
               {"keeper", Self->m_Formation.m_Keeper.m_Value},
               {"version", VANILLAFERRY_VERSION}});
-    guint Tick = g_timeout_add(internal::TickMillis, &internal::onTick, Raw);
-    guint Term = g_unix_signal_add(SIGTERM, &internal::onSignal, Raw);
-    guint Interrupt = g_unix_signal_add(SIGINT, &internal::onSignal, Raw);
-    guint HangUp = g_unix_signal_add(SIGHUP, &internal::onHangUp, Raw);
+    guint Tick = g_timeout_add(TickMillis, &onTick, Raw);
+    guint Term = g_unix_signal_add(SIGTERM, &onSignal, Raw);
+    guint Interrupt = g_unix_signal_add(SIGINT, &onSignal, Raw);
+    guint HangUp = g_unix_signal_add(SIGHUP, &onHangUp, Raw);
     g_main_loop_run(Self->m_Loop);
     for (guint Source : {Tick, Term, Interrupt, HangUp})
       g_source_remove(Source);
     Code = Self->m_ExitCode;
     logEvent(Event::ProcessStopped, {{"exit_code", Code}});
   }
-  internal::stopOrderTask(*Self);
-  internal::stopApi(*Self);
+  JoinsAnew = Self->m_JoinsAnew && Code == ExitOk;
+  stopOrderTask(*Self);
+  stopApi(*Self);
   Self->m_Peers.reset();
   Self->m_Disk.reset();
   g_main_loop_unref(Self->m_Loop);
   return Code;
 }
 
+} // namespace
+
+} // namespace internal
+
+int runKeeper(const KeeperSettings &Settings, bool Initialize,
+              const PlatformProtocol *Protocol) {
+  for (;;) {
+    bool JoinsAnew = false;
+    int Code = internal::runIdentity(Settings, Initialize, Protocol, JoinsAnew);
+    if (!JoinsAnew)
+      return Code;
+    Initialize = false;
+    Status Aside = setIdentityAside(Settings.m_DataFolder);
+    if (!Aside) {
+      logEvent(Event::KeeperCannotStart, {{"why", Aside.error().m_Text}});
+      return ExitFatal;
+    }
+  }
+}
+
 namespace {
 
 /// When the settings list keeper_addresses in place of initial_keepers, every
--- a/src/daemon/process/keeper_formation.cpp
+++ b/src/daemon/process/keeper_formation.cpp
@@ -3,6 +3,7 @@
 #include "process/file.hpp"
 
 #include <algorithm>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 #include <xxhash.h>
@@ -98,6 +99,32 @@
                      [](int Descriptor) { return ::fdatasync(Descriptor); });
 }
 
+Status setIdentityAside(const std::string &Folder) {
+  Result<std::optional<Formation>> Loaded = loadFormation(Folder);
+  if (!Loaded)
+    return Loaded.error();
+  if (Loaded.value()) {
+    // A fresh identity without a log is replaced by a new one at the start.
+    Formation Record;
+    Record.m_Keeper = Loaded.value()->m_Keeper;
+    Record.m_Disk = Loaded.value()->m_Disk;
+    Status Saved = saveFormation(Folder, Record);
+    if (!Saved)
+      return Saved;
+  }
+  std::string Log = Folder + "/log";
+  std::string Removed = Folder + "/log.removed";
+  std::error_code Failed;
+  std::filesystem::remove_all(Removed, Failed);
+  if (!Failed)
+    std::filesystem::rename(Log, Removed, Failed);
+  if (Failed)
+    return makeError(ErrorCode::Io, "cannot move " + Log + " to " + Removed +
+                                        ": " + Failed.message());
+  return syncFolder(Folder,
+                    [](int Descriptor) { return ::fdatasync(Descriptor); });
+}
+
 Result<Formation> createFormation(const KeeperSettings &Settings,
                                   bool Initialize, std::uint64_t Random) {
   Formation Record;
--- a/src/daemon/process/keeper_formation.hpp
+++ b/src/daemon/process/keeper_formation.hpp
@@ -45,6 +45,11 @@
 /// Replaces the identity file and syncs it and its folder.
 Status saveFormation(const std::string &Folder, const Formation &Record);
 
+/// Moves the log of a removed identity to log.removed, in place of an earlier
+/// one, so that the next start creates a new identity. A crash in between
+/// leaves the old identity, which is told of its removal again.
+Status setIdentityAside(const std::string &Folder);
+
 /// The identity of an empty data folder: with Initialize the one named in the
 /// settings, else a fresh one whose suffix and disk come from Random.
 Result<Formation> createFormation(const KeeperSettings &Settings,
--- a/src/daemon/process/keeper_repair.cpp
+++ b/src/daemon/process/keeper_repair.cpp
@@ -49,6 +49,25 @@
   return "none";
 }
 
+void dialKeeper(Keeper &Self, const std::string &Url) {
+  if (Url.empty() || Url == peerUrlOf(Self.m_Settings.m_Peer) ||
+      !Self.m_Dialled.insert(Url).second)
+    return;
+  Self.m_Peers->connect(Url);
+}
+
+/// Ends this task; the process starts another one with a new identity.
+void joinAnew(Keeper &Self, const NodeId &From, const RedirectLeader &Leader) {
+  if (!Self.m_Running || leads(Self) || !isKeeper(Self, From) ||
+      From.m_Value != Leader.m_Leader.m_Value)
+    return;
+  logEvent(Event::KeeperJoinsAnew,
+           {{"keeper", Self.m_Formation.m_Keeper.m_Value},
+            {"leader", From.m_Value}});
+  Self.m_JoinsAnew = true;
+  g_main_loop_quit(Self.m_Loop);
+}
+
 ProposeError proposeStep(Keeper &Self, const RepairStep &Step,
                          ReplicaActions &Actions, Millis Now) {
   switch (Step.m_Kind) {
@@ -68,20 +87,25 @@
 
 void askToJoin(Keeper &Self, Millis Now) {
   if (!Self.m_Settings.m_SelfRepair || !Self.m_Running ||
-      Now < Self.m_NextJoin || hasVote(Self))
+      Now < Self.m_NextJoin || !mustAskToJoin(Self.m_Replica, Now))
     return;
   Self.m_NextJoin = Now + JoinInterval;
+  // The keepers of an outdated set may all have been replaced.
+  if (hasVote(Self))
+    for (const InitialKeeper &Each : Self.m_Settings.m_InitialKeepers)
+      dialKeeper(Self, Each.m_PeerUrl);
   JoinKeepers Request{Self.m_Formation.m_Keeper,
                       peerUrlOf(Self.m_Settings.m_Peer)};
   for (const std::string &Url : Self.m_Dialled)
     Self.m_Peers->sendToUrl(Url, Request);
 }
 
-void onRedirect(Keeper &Self, const RedirectLeader &Leader) {
-  if (Leader.m_PeerUrl.empty() || hasVote(Self) ||
-      !Self.m_Dialled.insert(Leader.m_PeerUrl).second)
-    return;
-  Self.m_Peers->connect(Leader.m_PeerUrl);
+void onRedirect(Keeper &Self, const NodeId &From,
+                const RedirectLeader &Leader) {
+  if (Leader.m_IdentityRemoved)
+    return joinAnew(Self, From, Leader);
+  if (!hasVote(Self))
+    dialKeeper(Self, Leader.m_PeerUrl);
 }
 
 void onJoin(Keeper &Self, const NodeId &From, const JoinKeepers &Request) {
@@ -89,6 +113,10 @@
     return;
   if (!leads(Self))
     return redirectToLeader(Self, From);
+  if (removalIsCommitted(Self.m_Replica, Request.m_Keeper))
+    return Self.m_Peers->send(
+        From, RedirectLeader{Self.m_Formation.m_Keeper,
+                             peerUrlOf(Self.m_Settings.m_Peer), true});
   Self.m_Joining[Request.m_Keeper] = {{Request.m_Keeper, Request.m_PeerUrl},
                                       monotonicNow()};
 }
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -144,7 +144,7 @@
   else if (const JoinKeepers *Join = std::get_if<JoinKeepers>(&Message))
     onJoin(Self, From, *Join);
   else if (const RedirectLeader *Leader = std::get_if<RedirectLeader>(&Message))
-    onRedirect(Self, *Leader);
+    onRedirect(Self, From, *Leader);
 }
 
 void finishInForceWaits(Keeper &Self, Millis Now) {
--- a/tests/core/RepairWorld.cpp
+++ b/tests/core/RepairWorld.cpp
@@ -192,8 +192,13 @@
     const Keeper &Own = keeperOf(Vm);
     if (Own.m_FrozenUntil > Now || Leader->m_FrozenUntil > Now ||
         m_Cluster.isCut(Own.m_Id, Leader->m_Id) ||
-        internal::isVoter(Own.m_Replica.m_Set, Vm.m_Keeper))
+        !mustAskToJoin(Own.m_Replica, m_Cluster.localNow(Own)))
       continue;
+    if (removalIsCommitted(Leader->m_Replica, Vm.m_Keeper)) {
+      m_Cluster.crash(keeperOf(Vm));
+      giveIdentity(Vm);
+      continue;
+    }
     m_Joining[Leader->m_Id][Vm.m_Keeper] = {{Vm.m_Keeper, Vm.m_Name},
                                             m_Cluster.localNow(*Leader)};
   }
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -229,10 +229,11 @@
 
 BOOST_AUTO_TEST_CASE(KeeperMessagesKeepEveryField) {
   {
-    RedirectLeader Sent{KeeperId("k2"), "ws://127.0.0.1:9"};
+    RedirectLeader Sent{KeeperId("k2"), "ws://127.0.0.1:9", true};
     RedirectLeader Got = roundTrip(Sent);
     SAME(m_Leader);
     SAME(m_PeerUrl);
+    SAME(m_IdentityRemoved);
   }
   {
     IdentityClaim Sent{KeeperId("k2"), ~0ULL, 5};
--- a/tests/process/Keepers.tests.cpp
+++ b/tests/process/Keepers.tests.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <thread>
 
 using namespace vanillaferry;
@@ -446,4 +447,41 @@
   requireZone(Fleet, Done, zoneName(Done - 1));
 }
 
+// Guards against a sound keeper that was removed while it was away and then
+// runs on without a vote, because a removed identity never returns.
+BOOST_AUTO_TEST_CASE(ARemovedKeeperThatReturnsVotesUnderANewIdentity) {
+  KeeperFleet Fleet(3, {{"self_repair", true}});
+  std::size_t Leader = form(Fleet);
+  BOOST_REQUIRE(accepted(Fleet.edit("zones", 0, "e1", zonesWith("a"))));
+  std::size_t Away = (Leader + 1) % Fleet.size();
+  std::string Former = Fleet.localStatus(Away)["keeper"];
+  Fleet.process(Away).freeze();
+  OperatorReply Removed =
+      httpCall(Fleet.httpUrl(Leader), {"DELETE", "/keepers/" + Former, {}, ""});
+  BOOST_REQUIRE_EQUAL(Removed.m_HttpStatus, 200);
+  Fleet.process(Away).thaw();
+  BOOST_TEST(waitUntil(
+      [&] {
+        json Status = Fleet.localStatus(Leader);
+        std::size_t Votes = 0;
+        for (const json &Row : Status.value("keepers", json::array()))
+          Votes += Row["votes"].get<bool>() && Row["keeper"] != Former;
+        return Votes == Fleet.size();
+      },
+      15000));
+  std::string Fresh = Fleet.localStatus(Away)["keeper"];
+  BOOST_TEST(Fresh != Former);
+  BOOST_TEST(std::filesystem::exists(Fleet.dataFolder(Away) + "/log.removed"));
+  Fleet.process(Away).kill();
+  Fleet.start(Away);
+  BOOST_TEST(waitUntil(
+      [&] {
+        json Status = Fleet.localStatus(Away);
+        return !Status.is_null() && Status["keeper"] == Fresh &&
+               Status["role"] == "follower";
+      },
+      15000));
+  requireZone(Fleet, 1, "a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
