Count only voters that answer when the repair judges what the set bears

The repair counted a voter as live until it had been silent for 5 s, so a VM lost a moment ago hid that the set bore no further loss: with four replacements in 13 s, nine voters of which five ran stayed as they were, and a closing that took one disk left no leader.

What the set bears is now counted with voters that answered within the election time-out; only those silent for 5 s are removed, as before.

--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -89,19 +89,27 @@
   return Longest;
 }
 
-/// True when the silent voters leave the set with fewer bearable losses than
-/// are tolerated, and it would bear more without them.
-bool silentVotersAreABurden(const Replica &State, const RepairLimits &Limits,
-                            Millis Now) {
+/// Voters other than the leader that were silent for longer than this.
+std::size_t silentVoters(const Replica &State, Millis Limit, Millis Now) {
   const Addresses &Voters = State.m_Set.m_Voters;
-  std::size_t Silent = static_cast<std::size_t>(std::count_if(
-      Voters.begin(), Voters.end(), [&State, Now](const KeeperAddress &Each) {
-        return Each.m_Keeper != State.m_Self &&
-               silenceOf(State, Each.m_Keeper, Now) > BurdenTimeout;
+  return static_cast<std::size_t>(
+      std::count_if(Voters.begin(), Voters.end(), [&](const KeeperAddress &V) {
+        return V.m_Keeper != State.m_Self &&
+               silenceOf(State, V.m_Keeper, Now) > Limit;
       }));
-  std::size_t Live = Voters.size() - Silent;
-  std::size_t Bears = bearableLosses(Voters.size(), Live);
-  return Bears < Limits.m_ToleratedLosses && Bears < bearableLosses(Live, Live);
+}
+
+/// True when the set bears fewer losses now than are tolerated, and would bear
+/// more without the voters that were silent for BurdenTimeout.
+bool silentVotersAreABurden(const Replica &State, const RepairLimits &Limits,
+                            Millis Now) {
+  std::size_t Voters = State.m_Set.m_Voters.size();
+  std::size_t Live =
+      Voters - silentVoters(State, State.m_Options.m_ElectionMax, Now);
+  std::size_t Silent = silentVoters(State, BurdenTimeout, Now);
+  std::size_t Bears = bearableLosses(Voters, Live);
+  return Bears < Limits.m_ToleratedLosses &&
+         Bears < bearableLosses(Voters - Silent, Live);
 }
 
 RepairStep removalStep(const Replica &State, const RepairLimits &Limits,
