--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -12,10 +12,14 @@
   return RawBytes<Text>{Value};
 }
 
-/// Number of a message's kind on the wire. Numbers are never reused.
+/// Name of a message's kind, and its number on the wire. Numbers are never
+/// reused.
 template <typename T> struct KindOf;
 #define KIND(Type, Number)                                                     \
-  template <> struct KindOf<Type> { static constexpr int Value = Number; };
+  template <> struct KindOf<Type> {                                            \
+    static constexpr int Value = Number;                                       \
+    static constexpr const char *Name = #Type;                                 \
+  };
 KIND(Hello, 1)
 KIND(Heartbeat, 2)
 KIND(Renew, 3)
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -299,8 +299,8 @@
     } else if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Message)) {
       Probed = Probed || Beat->m_Probe;
     } else {
-      m_OnEvent(
-          {PeerEvent::Kind::Message, Link.m_Node, Id, std::move(Message)});
+      m_OnEvent({PeerEvent::Kind::Message, Link.m_Node, Id, std::move(Message),
+                 std::string(), monotonicNow()});
     }
   }
   if (Probed) {
--- a/src/daemon/connection/message_codec.cpp
+++ b/src/daemon/connection/message_codec.cpp
@@ -294,6 +294,14 @@
   return Messages;
 }
 
+const char *messageName(const PeerMessage &Message) {
+  return std::visit(
+      [](const auto &Data) {
+        return KindOf<std::decay_t<decltype(Data)>>::Name;
+      },
+      Message);
+}
+
 bool isControlMessage(const PeerMessage &Message) {
   return !std::holds_alternative<Forward>(Message) &&
          !std::holds_alternative<ForwardChunk>(Message) &&
--- a/src/daemon/connection/message_codec.hpp
+++ b/src/daemon/connection/message_codec.hpp
@@ -26,4 +26,7 @@
 /// other messages count towards the control budget.
 bool isControlMessage(const PeerMessage &Message);
 
+/// Name of the message's type, for logs and metrics.
+const char *messageName(const PeerMessage &Message);
+
 } // namespace vanillaferry
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -23,6 +23,8 @@
   PeerMessage m_Message;
   /// URL that this end connected to; empty for an accepted link.
   std::string m_Url = std::string();
+  /// When the event was handed over; the time from then on was spent waiting.
+  Millis m_PostedAt = Millis(0);
 };
 
 struct PeerOptions {
--- a/src/daemon/connection/target_list_reader.cpp
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/platform_protocol.hpp"
 #include "connection/text_fetch.hpp"
+#include "process/clock.hpp"
 #include "process/log.hpp"
 
 namespace vanillaferry {
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t PageTimeoutMs = 1500;
+constexpr Millis SlowReading{1000};
 
 } // namespace
 
@@ -21,6 +23,8 @@
   if (m_Reading)
     return;
   m_Reading = true;
+  m_BeganAt = monotonicNow();
+  m_CallsBefore = m_Calls;
   m_PageToken.clear();
   m_Collected.clear();
   m_Unreadable = 0;
@@ -65,6 +69,10 @@
 
 void TargetListReader::finish(Result<std::vector<ListedTarget>> Read) {
   m_Reading = false;
+  Millis Took = monotonicNow() - m_BeganAt;
+  if (Took >= SlowReading)
+    logEvent(Event::TargetListSlow,
+             {{"took_ms", Took.m_Value}, {"pages", m_Calls - m_CallsBefore}});
   m_OnRead(std::move(Read));
 }
 
--- a/src/daemon/connection/target_list_reader.hpp
+++ b/src/daemon/connection/target_list_reader.hpp
@@ -27,6 +27,8 @@
 
   /// Begins a reading; does nothing while one is under way.
   void read();
+  /// When the present or last reading began; its content is as old.
+  Millis beganAt() const { return m_BeganAt; }
   /// Calls made so far.
   std::uint64_t calls() const { return m_Calls; }
 
@@ -46,6 +48,8 @@
   std::size_t m_UnreadableBefore = 0;
   std::string m_PageToken;
   std::uint64_t m_Calls = 0;
+  Millis m_BeganAt;
+  std::uint64_t m_CallsBefore = 0;
   bool m_Reading = false;
 };
 
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -58,7 +58,9 @@
   if (Changed)
     logEvent(Event::TargetListRead,
              {{"targets", static_cast<std::uint64_t>(Targets.size())},
-              {"from", Source}});
+              {"digest", List.m_Digest},
+              {"from", Source},
+              {"age_ms", (monotonicNow() - ReadAt).m_Value}});
   List.m_Targets = std::move(Targets);
   List.m_ReadAt = ReadAt;
   recordListedVersions(G);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -7,6 +7,7 @@
 #include "process/disk_task.hpp"
 #include "process/keeper_formation.hpp"
 #include "process/mailbox.hpp"
+#include "process/message_load.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
 #include "vanillaferry/process/engine_orders.hpp"
@@ -226,6 +227,7 @@
   std::unique_ptr<Mailbox<DiskReport>> m_DiskMail;
   std::unique_ptr<OperatorHttp> m_Http;
   Metrics m_Metrics;
+  MessageLoad m_MessageLoad;
   GMainLoop *m_Loop = nullptr;
   int m_ExitCode = 0;
 
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -44,6 +44,7 @@
   sendChanges(Self, Now);
   relayStreams(Self, Now);
   announceChanges(Self, Now);
+  reportMessageLoad(Self.m_MessageLoad, Now);
   return G_SOURCE_CONTINUE;
 }
 
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -1,9 +1,11 @@
+#include "connection/message_codec.hpp"
 #include "process/clock.hpp"
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
 #include "vanillaferry/process/replication_codec.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace vanillaferry::internal {
 
@@ -147,6 +149,19 @@
     onRedirect(Self, From, *Leader);
 }
 
+void handleTimed(Keeper &Self, PeerEvent &Event) {
+  using Clock = std::chrono::steady_clock;
+  const char *Kind = messageName(Event.m_Message);
+  Millis Waited = monotonicNow() - Event.m_PostedAt;
+  Clock::time_point Begin = Clock::now();
+  onMessage(Self, Event.m_From, Event.m_Message);
+  std::chrono::microseconds Took =
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
+                                                            Begin);
+  recordMessage(Self.m_MessageLoad, Self.m_Metrics, Kind, Waited,
+                static_cast<std::uint64_t>(Took.count()));
+}
+
 void finishInForceWaits(Keeper &Self, Millis Now) {
   std::vector<InForceWait> Waits;
   Waits.swap(Self.m_InForceWaits);
@@ -233,10 +248,8 @@
 }
 
 void onPeerEvent(Keeper &Self, PeerEvent Event) {
-  if (Event.m_Kind == PeerEvent::Kind::Message) {
-    onMessage(Self, Event.m_From, Event.m_Message);
-    return;
-  }
+  if (Event.m_Kind == PeerEvent::Kind::Message)
+    return handleTimed(Self, Event);
   ConnectedPeer &Peer = Self.m_Connected[Event.m_From];
   if (Event.m_Kind == PeerEvent::Kind::Up) {
     const Hello &Greeting = std::get<Hello>(Event.m_Message);
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -81,7 +81,10 @@
   if (Digest != Before) {
     logEvent(Event::TargetListRead,
              {{"targets", static_cast<std::uint64_t>(Shared.m_Last.size())},
-              {"digest", Digest}});
+              {"digest", Digest},
+              {"from", "platform"},
+              {"took_ms",
+               (Shared.m_LastRead - Shared.m_Reader->beganAt()).m_Value}});
     recordKeeperVersions(Self, Shared.m_Last);
     replaceSharedList(Self, std::move(Text), Digest);
   } else {
@@ -141,6 +144,9 @@
                              : Text.error().m_Text}});
       return Self.m_Peers->send(From, TargetListRequest{0});
     }
+    logEvent(Event::TargetListRead, {{"digest", Update.m_Digest},
+                                     {"from", "leader"},
+                                     {"age_ms", Update.m_Age.m_Value}});
     Shared.m_Last.clear();
     Shared.m_LastRead = ReadAt;
     recordKeeperVersions(Self, decodeTargets(Text.value()));
