Drop pending proposals when a keeper ends its identity

A keeper that joins anew ends one task and starts another in the same process. Proposals that were scheduled on the main loop would run with the ended task's state. Found by reading; the process ended with the task before.

--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -245,6 +245,7 @@
   std::map<std::uint64_t, ReadHandler> m_Reads;
 
   std::map<NodeId, ConnectedPeer> m_Connected;
+  guint m_ProposalsSource = 0;
   std::set<std::string> m_Dialled;
   LogIndex m_DialledSet{~0ULL};
   /// Newest renewal of each router while this keeper can neither grant it nor
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -192,6 +192,8 @@
     g_main_loop_run(Self->m_Loop);
     for (guint Source : {Tick, Term, Interrupt, HangUp})
       g_source_remove(Source);
+    if (Self->m_ProposalsScheduled)
+      g_source_remove(Self->m_ProposalsSource);
     Code = Self->m_ExitCode;
     logEvent(Event::ProcessStopped, {{"exit_code", Code}});
   }
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -275,7 +275,8 @@
   if (Self.m_ProposalsScheduled)
     return;
   Self.m_ProposalsScheduled = true;
-  g_idle_add_full(G_PRIORITY_DEFAULT, &onProposals, &Self, nullptr);
+  Self.m_ProposalsSource =
+      g_idle_add_full(G_PRIORITY_DEFAULT, &onProposals, &Self, nullptr);
 }
 
 void awaitApplied(Keeper &Self, LogIndex Index, AppliedHandler OnApplied) {
