Let keepers handle changes first, then renewals, then reports

Lists of targets came late to gateways (DRAIN), and leases, which last 4 s, were granted for renewals that were older than that: the grants were worthless, and the queue could not shrink while all gateways renewed again.

KeeperInbox decides the order apart from I/O: what others wait for and what is few goes first; of each router only the newest renewal is kept, in the place of the first; prompt reports, which their senders repeat, take at most each ninth turn and are bounded, the oldest dropped. Renewals of a link that has ended are dropped, so that they leave no record of a gateway that is gone.

--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "vanillaferry/connection/liveness.hpp"
-#include "vanillaferry/connection/message.hpp"
+#include "vanillaferry/connection/peer_event.hpp"
 #include "vanillaferry/process/result.hpp"
 
 #include <functional>
@@ -11,22 +11,6 @@
 
 namespace vanillaferry {
 
-/// What the peer task reports to the task that owns the process's state. Up
-/// carries the other end's Hello as its message, Unsent a Forward of which
-/// nothing was sent, because there was no link or it was silent.
-struct PeerEvent {
-  enum class Kind { Up, Down, Message, Unsent };
-  Kind m_Kind = Kind::Message;
-  /// Node id of the other end (a keeper's id is its node id).
-  NodeId m_From;
-  std::uint64_t m_Connection = 0;
-  PeerMessage m_Message;
-  /// URL that this end connected to; empty for an accepted link.
-  std::string m_Url = std::string();
-  /// When the event was handed over; the time from then on was spent waiting.
-  Millis m_PostedAt = Millis(0);
-};
-
 struct PeerOptions {
   NodeId m_Self;
   Incarnation m_Incarnation;
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -12,6 +12,7 @@
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
 #include "vanillaferry/process/engine_orders.hpp"
+#include "vanillaferry/process/keeper_inbox.hpp"
 #include "vanillaferry/process/keeper_repair.hpp"
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/prompt_suspects.hpp"
@@ -221,6 +222,9 @@
   /// routers must not delay votes and heartbeats.
   std::unique_ptr<Mailbox<PeerEvent>> m_ReplicaMail;
   std::unique_ptr<Mailbox<PeerEvent>> m_PeerMail;
+  KeeperInbox m_Inbox;
+  bool m_InboxScheduled = false;
+  guint m_InboxSource = 0;
   std::unique_ptr<Mailbox<DiskReport>> m_DiskMail;
   std::unique_ptr<OperatorHttp> m_Http;
   Metrics m_Metrics;
@@ -240,12 +244,12 @@
 
   std::vector<ProposedCommand> m_Proposals;
   bool m_ProposalsScheduled = false;
+  guint m_ProposalsSource = 0;
   std::map<LogIndex, WaitingCommand> m_WaitingForApply;
   std::uint64_t m_NextReadToken = 1;
   std::map<std::uint64_t, ReadHandler> m_Reads;
 
   std::map<NodeId, ConnectedPeer> m_Connected;
-  guint m_ProposalsSource = 0;
   std::set<std::string> m_Dialled;
   LogIndex m_DialledSet{~0ULL};
   /// Newest renewal of each router while this keeper can neither grant it nor
@@ -307,6 +311,8 @@
 
 // keeper_requests.cpp
 void onPeerEvent(Keeper &Self, PeerEvent Event);
+/// Queues an event by its urgency.
+void queuePeerEvent(Keeper &Self, PeerEvent Event);
 /// Tells a process that asked this keeper which keeper leads.
 void redirectToLeader(Keeper &Self, const NodeId &To);
 LeaseOptions leaseOptions(const KeeperSettings &Settings);
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -23,9 +23,6 @@
 namespace {
 
 constexpr guint TickMillis = 20;
-/// Events other than replication messages that are handled before these get
-/// their turn again: some milliseconds on a twentieth of a core.
-constexpr std::size_t EventsPerTurn = 16;
 /// A whole snapshot may be queued on a link. This is more than a snapshot with
 /// half a million journaled calls and their answers of 1 KiB takes.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
@@ -176,7 +173,9 @@
   Self->m_ReplicaMail = std::make_unique<Mailbox<PeerEvent>>(
       nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_HIGH});
   Self->m_PeerMail = std::make_unique<Mailbox<PeerEvent>>(
-      nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_DEFAULT, EventsPerTurn});
+      nullptr,
+      [Raw](PeerEvent Event) { queuePeerEvent(*Raw, std::move(Event)); },
+      MailboxOptions{G_PRIORITY_HIGH});
   Self->m_DiskMail = std::make_unique<Mailbox<DiskReport>>(
       nullptr, [Raw](DiskReport Report) { onDiskReport(*Raw, Report); });
   int Code = startKeeper(*Self, Initialize);
@@ -192,6 +191,8 @@
     g_main_loop_run(Self->m_Loop);
     for (guint Source : {Tick, Term, Interrupt, HangUp})
       g_source_remove(Source);
+    if (Self->m_InboxScheduled)
+      g_source_remove(Self->m_InboxSource);
     if (Self->m_ProposalsScheduled)
       g_source_remove(Self->m_ProposalsSource);
     Code = Self->m_ExitCode;
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -13,6 +13,9 @@
 
 constexpr Millis LeaseCheckInterval{100};
 constexpr Millis ClockInterval{60000};
+/// Events other than replication messages that are handled before these get
+/// their turn again: some milliseconds on a twentieth of a core.
+constexpr std::size_t EventsPerTurn = 16;
 /// Largest message that is accepted in parts.
 constexpr std::size_t MaxLongMessageBytes = std::size_t(1) << 30;
 
@@ -198,8 +201,29 @@
                                           Self.m_State.m_Document.m_Version});
 }
 
+gboolean onInbox(gpointer Data) {
+  Keeper &Self = *static_cast<Keeper *>(Data);
+  for (std::size_t Count = 0; Count < EventsPerTurn; ++Count) {
+    std::optional<PeerEvent> Event = nextEvent(Self.m_Inbox);
+    if (!Event)
+      break;
+    onPeerEvent(Self, std::move(*Event));
+  }
+  Self.m_InboxScheduled = !isEmpty(Self.m_Inbox);
+  return Self.m_InboxScheduled ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+}
+
 } // namespace
 
+void queuePeerEvent(Keeper &Self, PeerEvent Event) {
+  addEvent(Self.m_Inbox, std::move(Event));
+  if (Self.m_InboxScheduled)
+    return;
+  Self.m_InboxScheduled = true;
+  Self.m_InboxSource =
+      g_idle_add_full(G_PRIORITY_DEFAULT, &onInbox, &Self, nullptr);
+}
+
 LeaseOptions leaseOptions(const KeeperSettings &Settings) {
   LeaseOptions Options;
   if (Settings.m_LeaseTime > Millis(0))
