Keep a keeper that is only slow, and send it a newer renewal

A gateway left its keeper when a renewal was not answered for a second. Where the keepers are slow that changes nothing for the better: the leader is the same for all of them, and each change costs two keepers a connection, a handshake and a greeting; 100 to 200 a second were counted, 25 a second even in calm seconds.

With each renewal the gateway asks the keeper's peer task for a heartbeat, which answers at once however long the keeper's queue is. A keeper that was heard of within 1.5 s is slow, not lost: it gets a newer renewal after a second, since a lease counts from the sending, and keeps the gateway for 6 s. One that is silent is left as before, one that ends its link at once.

--- a/include/vanillaferry/connection/peer_event.hpp
+++ b/include/vanillaferry/connection/peer_event.hpp
@@ -6,9 +6,10 @@
 
 /// What the peer task reports to the task that owns the process's state. Up
 /// carries the other end's Hello as its message, Unsent a Forward of which
-/// nothing was sent, because there was no link or it was silent.
+/// nothing was sent, because there was no link or it was silent, Heard a heartbeat on a link that
+/// this end dialled.
 struct PeerEvent {
-  enum class Kind { Up, Down, Message, Unsent };
+  enum class Kind { Up, Down, Message, Unsent, Heard };
   Kind m_Kind = Kind::Message;
   /// Node id of the other end (a keeper's id is its node id).
   NodeId m_From;
--- a/include/vanillaferry/process/keeper_choice.hpp
+++ b/include/vanillaferry/process/keeper_choice.hpp
@@ -26,6 +26,10 @@
   std::set<std::string> m_Up;
   /// When the oldest renewal without an answer was sent to m_Current.
   std::optional<Millis> m_WaitingSince;
+  /// When the current keeper's process was last heard of over its link.
+  std::optional<Millis> m_HeardAt;
+  /// When the unanswered renewal may be repeated.
+  Millis m_NextRepeat;
   /// The current keeper said that it keeps the renewal until it knows a leader.
   bool m_Held = false;
   /// Changes of keeper since the last answer; each doubles the time that the
@@ -59,8 +63,17 @@
 /// The current keeper keeps the renewal until it knows a leader.
 void recordKeeperHolds(KeeperChoice &Choice);
 
-/// True when the current keeper left a renewal unanswered for too long.
+/// The keeper's process answered over its link, though maybe not the renewal.
+void recordKeeperHeard(KeeperChoice &Choice, const std::string &Url,
+                       Millis Now);
+
+/// True when the current keeper left a renewal unanswered for too long. A
+/// keeper that is heard of is only slow: another one, which shares the leader
+/// with it, would not be faster, and the new link would add to their work.
 bool keeperOverdue(const KeeperChoice &Choice, Millis Now);
+/// True when a newer renewal is to be sent to a keeper that is slow, since the
+/// lease counts from its sending.
+bool renewalRepeatDue(const KeeperChoice &Choice, Millis Now);
 
 /// Makes a named keeper the current one.
 void selectKeeper(KeeperChoice &Choice, const std::string &Url);
--- a/src/core/process/keeper_choice.cpp
+++ b/src/core/process/keeper_choice.cpp
@@ -14,6 +14,12 @@
 /// A keeper that holds a renewal gives up earlier than this when it finds no
 /// leader, and says so.
 constexpr Millis HoldTimeout{2500};
+/// Each renewal asks the keeper's process for a sign of life, so one that runs
+/// is heard of more often than this.
+constexpr Millis HeardLifetime{1500};
+/// A keeper that is heard of but leaves renewals unanswered for this long is
+/// given up all the same.
+constexpr Millis SlowKeeperTimeout{6000};
 /// Bounds the growth of the timeout while no keeper answers, as during the
 /// formation of the first keeper set.
 constexpr unsigned MaxDoublings = 3;
@@ -47,6 +53,13 @@
   return Choice.m_Ranked.empty() || Choice.m_Current == Choice.m_Ranked.front();
 }
 
+/// Heard of lately and since the oldest unanswered renewal.
+bool isHeardOf(const KeeperChoice &Choice, Millis Now) {
+  return Choice.m_HeardAt && Choice.m_WaitingSince &&
+         *Choice.m_HeardAt > *Choice.m_WaitingSince &&
+         Now - *Choice.m_HeardAt <= HeardLifetime;
+}
+
 } // namespace
 
 KeeperChoice makeKeeperChoice(NodeId Self,
@@ -92,6 +105,7 @@
 }
 
 void recordRenewalSent(KeeperChoice &Choice, Millis Now) {
+  Choice.m_NextRepeat = Now + AnswerTimeout;
   if (!Choice.m_WaitingSince)
     Choice.m_WaitingSince = Now;
 }
@@ -106,6 +120,12 @@
 
 void recordKeeperHolds(KeeperChoice &Choice) { Choice.m_Held = true; }
 
+void recordKeeperHeard(KeeperChoice &Choice, const std::string &Url,
+                       Millis Now) {
+  if (Url == Choice.m_Current)
+    Choice.m_HeardAt = Now;
+}
+
 bool keeperOverdue(const KeeperChoice &Choice, Millis Now) {
   if (!Choice.m_WaitingSince)
     return false;
@@ -113,11 +133,19 @@
     return Now - *Choice.m_WaitingSince > HoldTimeout;
   Millis Allowed(AnswerTimeout.m_Value
                  << std::min(Choice.m_Unanswered, MaxDoublings));
+  if (isHeardOf(Choice, Now))
+    Allowed = std::max(Allowed, SlowKeeperTimeout);
   return Now - *Choice.m_WaitingSince > Allowed;
 }
 
+bool renewalRepeatDue(const KeeperChoice &Choice, Millis Now) {
+  return Choice.m_WaitingSince && !Choice.m_Held && isHeardOf(Choice, Now) &&
+         Now >= Choice.m_NextRepeat;
+}
+
 void selectKeeper(KeeperChoice &Choice, const std::string &Url) {
   Choice.m_Current = Url;
+  Choice.m_HeardAt.reset();
   Choice.m_WaitingSince.reset();
   Choice.m_Held = false;
 }
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -298,9 +298,12 @@
         return;
     } else if (const Heartbeat *Beat = std::get_if<Heartbeat>(&Message)) {
       Probed = Probed || Beat->m_Probe;
+      if (m_Options.m_ReportsHeartbeats && !Link.m_Url.empty())
+        m_OnEvent({PeerEvent::Kind::Heard, Link.m_Node, Id, PeerMessage(),
+                   Link.m_Url});
     } else {
       m_OnEvent({PeerEvent::Kind::Message, Link.m_Node, Id, std::move(Message),
-                 std::string(), monotonicNow()});
+                 Link.m_Url, monotonicNow()});
     }
   }
   if (Probed) {
--- a/src/daemon/connection/peer_task.hpp
+++ b/src/daemon/connection/peer_task.hpp
@@ -26,6 +26,8 @@
   /// A link with more bytes waiting to be sent is dropped and dialled again; a
   /// single frame may always wait.
   Bytes m_MaxBuffered{32 * 1024 * 1024};
+  /// Heartbeats on dialled links are reported as Heard.
+  bool m_ReportsHeartbeats = false;
   /// Bounds of the exponential pause between dials, before jitter.
   Millis m_RedialMin{100};
   Millis m_RedialMax{2000};
--- a/src/daemon/gateway/gateway.cpp
+++ b/src/daemon/gateway/gateway.cpp
@@ -101,6 +101,7 @@
   Options.m_Role = NodeRole::Router;
   Options.m_ListenAddress = G.m_Settings.m_Peer.m_Address;
   Options.m_ListenPort = G.m_Settings.m_Peer.m_Port;
+  Options.m_ReportsHeartbeats = true;
   Mailbox<PeerEvent> *Box = G.m_Mailbox.get();
   Result<std::unique_ptr<PeerTask>> Peers = PeerTask::start(
       Options, [Box](PeerEvent Event) { Box->post(std::move(Event)); });
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -76,6 +76,8 @@
       Renewal.m_OutOfReach.push_back({Row.first});
   recordRenewalSent(G.m_Keeper, Now);
   G.m_Peers->sendToUrl(G.m_Keeper.m_Current, std::move(Renewal));
+  // Answered by the keeper's peer task at once, however busy the keeper is.
+  G.m_Peers->sendToUrl(G.m_Keeper.m_Current, Heartbeat{Millis(), true});
 }
 
 /// Result of applying a grant's manifest.
@@ -347,13 +349,19 @@
     // A keeper sends changes only to gateways that renewed through it.
     onKeeperChanged(G, Now);
   dialKeepers(G);
-  // An unanswered renewal is not sent again to the same keeper: while a keeper
-  // is overloaded or has no leader, that would only add to its work.
-  if (renewalDue(G.m_Lease, Now) && !G.m_Keeper.m_WaitingSince)
+  // An unanswered renewal is repeated only to a keeper that is heard of, which
+  // keeps one renewal of each gateway.
+  bool Due = renewalDue(G.m_Lease, Now) && !G.m_Keeper.m_WaitingSince;
+  if (Due || renewalRepeatDue(G.m_Keeper, Now))
     sendRenewal(G, Now);
 }
 
 void handlePeerEvent(Gateway &G, PeerEvent Event) {
+  if (Event.m_Kind == PeerEvent::Kind::Message ||
+      Event.m_Kind == PeerEvent::Kind::Heard)
+    recordKeeperHeard(G.m_Keeper, Event.m_Url, monotonicNow());
+  if (Event.m_Kind == PeerEvent::Kind::Heard)
+    return;
   if (Event.m_Kind == PeerEvent::Kind::Message)
     handleControlMessage(G, Event.m_Message);
   else if (Event.m_Kind != PeerEvent::Kind::Unsent)
--- a/src/daemon/process/router.cpp
+++ b/src/daemon/process/router.cpp
@@ -245,6 +245,8 @@
     sessionLinkLost(R, Event.m_From, Now);
     return;
   }
+  case PeerEvent::Kind::Heard:
+    return;
   case PeerEvent::Kind::Unsent:
     if (const Forward *Order = std::get_if<Forward>(&Event.m_Message))
       sessionUnsent(R, Event.m_From, *Order);
--- a/tests/core/KeeperChoice.tests.cpp
+++ b/tests/core/KeeperChoice.tests.cpp
@@ -134,4 +134,36 @@
   BOOST_TEST(wantedKeepers(Choice, Start).size() == 2U);
 }
 
+// Guards against gateways that change keepers because all keepers are slow: the
+// new links cost the keepers more than the late renewals, and the leader is the
+// same for all of them.
+BOOST_AUTO_TEST_CASE(ASlowKeeperThatIsHeardOfGetsANewerRenewal) {
+  KeeperChoice Choice = atHomeKeeper(3);
+  recordRenewalSent(Choice, Start);
+  recordKeeperHeard(Choice, Choice.m_Current, Start + Millis(5));
+  BOOST_TEST(!renewalRepeatDue(Choice, Start + Millis(999)));
+  BOOST_TEST(renewalRepeatDue(Choice, Start + Millis(1000)));
+  BOOST_TEST(!keeperOverdue(Choice, Start + Millis(1001)));
+  recordRenewalSent(Choice, Start + Millis(1001));
+  BOOST_TEST(!renewalRepeatDue(Choice, Start + Millis(1100)));
+  recordKeeperHeard(Choice, Choice.m_Current, Start + Millis(1010));
+  BOOST_TEST(!keeperOverdue(Choice, Start + Millis(2500)));
+  // It may hang although its process answers.
+  recordKeeperHeard(Choice, Choice.m_Current, Start + Millis(6000));
+  BOOST_TEST(keeperOverdue(Choice, Start + Millis(6001)));
+}
+
+// Guards against a gateway that waits for a keeper that froze after it was
+// heard of.
+BOOST_AUTO_TEST_CASE(AKeeperThatFallsSilentIsLeftSoon) {
+  KeeperChoice Choice = atHomeKeeper(3);
+  recordRenewalSent(Choice, Start);
+  recordKeeperHeard(Choice, Choice.m_Current, Start + Millis(5));
+  BOOST_TEST(!keeperOverdue(Choice, Start + Millis(1505)));
+  BOOST_TEST(keeperOverdue(Choice, Start + Millis(1506)));
+  // What another keeper sent says nothing about the current one.
+  recordKeeperHeard(Choice, "ws://10.0.0.9:7340", Start + Millis(1506));
+  BOOST_TEST(keeperOverdue(Choice, Start + Millis(1506)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
