Remove gateways whose lease ended one by one

Each removal is an entry of the replicated log, a new epoch and a new list of members for all gateways, and so is each return.

One gateway at most is removed in each check of the leases, ten a second. One that returns before its turn stays a member at no cost. Until it is removed its share of what is divided among gateways stays unused; its lease counts as ended at once, as before.

--- a/include/vanillaferry/process/lease_table.hpp
+++ b/include/vanillaferry/process/lease_table.hpp
@@ -102,6 +102,11 @@
 std::vector<Command> expiredLeases(const LeaseTable &Table,
                                    const StateMachine &State, Millis Now);
 
+/// How many of these may be removed in one check of the leases. Each removal
+/// is a log entry and a new epoch for all; a gateway that returns meanwhile
+/// stays a member at no cost, and its targets need no other owner.
+std::size_t maxRemovals(const LeaseTable &Table);
+
 /// True when every lease has acknowledged this document version or expired.
 bool inForceEverywhere(const LeaseTable &Table, const StateMachine &State,
                        DocumentVersion Version, Millis Now);
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -3,11 +3,14 @@
 #include "process/lease_reports.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillaferry {
 
 namespace {
 
+constexpr std::size_t MaxGatewayRemovals = 1;
+
 /// True once every lease of the former leader has ended.
 bool formerLeasesEnded(const LeaseTable &Table, Millis Now) {
   return Table.m_LedSince + Table.m_Options.m_LeaseTime <= Now;
@@ -253,6 +256,16 @@
   return Ended;
 }
 
+std::size_t maxRemovals(const LeaseTable &Table) {
+  bool Gateways =
+      std::any_of(Table.m_Leases.begin(), Table.m_Leases.end(),
+                  [](const std::pair<const NodeId, NodeLease> &Row) {
+                    return Row.second.m_IdsOnly;
+                  });
+  return Gateways ? MaxGatewayRemovals
+                  : std::numeric_limits<std::size_t>::max();
+}
+
 bool inForceEverywhere(const LeaseTable &Table, const StateMachine &State,
                        DocumentVersion Version, Millis Now) {
   if (State.m_Document.m_Version < Version || !formerLeasesEnded(Table, Now))
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -180,7 +180,10 @@
 }
 
 void removeExpiredMembers(Keeper &Self, Millis Now) {
-  for (Command &Removal : expiredLeases(*Self.m_Leases, Self.m_State, Now)) {
+  std::vector<Command> Expired =
+      expiredLeases(*Self.m_Leases, Self.m_State, Now);
+  Expired.resize(std::min(Expired.size(), maxRemovals(*Self.m_Leases)));
+  for (Command &Removal : Expired) {
     NodeId Node = std::get<RemoveMember>(Removal).m_Node;
     if (!Self.m_Removing.insert(Node).second)
       continue;
