Sum up prompt reports at each keeper, ask the routers less often in a large fleet

A keeper sums the reports of its gateways up for as many milliseconds as there are members, at most 250; the leader asks at most every 3 ms for each member. With seven gateways nothing changes; with 291 the leader gets at most 36 sums a second and asks once in 0.9 s.

--- a/include/vanillaferry/process/prompt_suspects.hpp
+++ b/include/vanillaferry/process/prompt_suspects.hpp
@@ -39,6 +39,11 @@
   Millis m_History;
   /// Suspects, with the time at which the routers were asked about them.
   std::map<PromptPartId, Millis> m_Asked;
+  /// The routers are asked at most this often.
+  Millis m_AskInterval;
+  Millis m_NextAsk;
+  /// The suspects have changed since the routers were last asked.
+  bool m_AskDue = false;
 };
 
 /// What the leader does next.
--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -206,22 +206,30 @@
   return Table;
 }
 
-/// Keeps m_Asked at the suspects; returns true when they changed.
+/// Keeps m_Asked at the suspects that the routers know of; returns true when
+/// they are to be asked about new ones.
 bool updateAsked(PromptSuspects &Suspects, const EvidenceTable &Table,
                  Millis Now) {
-  bool Changed = false;
+  bool MayAsk = Now >= Suspects.m_NextAsk;
   std::map<PromptPartId, Millis> Asked;
   for (const std::pair<const PromptPartId, PartEvidence> &Row : Table) {
     if (Row.second.m_Count < SuspectThreshold)
       continue;
     std::map<PromptPartId, Millis>::const_iterator Known =
         Suspects.m_Asked.find(Row.first);
-    Changed = Changed || Known == Suspects.m_Asked.end();
-    Asked[Row.first] = Known == Suspects.m_Asked.end() ? Now : Known->second;
+    bool IsNew = Known == Suspects.m_Asked.end();
+    Suspects.m_AskDue = Suspects.m_AskDue || IsNew;
+    if (!IsNew || MayAsk)
+      Asked[Row.first] = IsNew ? Now : Known->second;
   }
-  Changed = Changed || Asked.size() != Suspects.m_Asked.size();
+  Suspects.m_AskDue =
+      Suspects.m_AskDue || Asked.size() != Suspects.m_Asked.size();
   Suspects.m_Asked = std::move(Asked);
-  return Changed;
+  if (!MayAsk || !Suspects.m_AskDue)
+    return false;
+  Suspects.m_AskDue = false;
+  Suspects.m_NextAsk = Now + Suspects.m_AskInterval;
+  return true;
 }
 
 std::string targetNames(const PartEvidence &Evidence) {
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -15,6 +15,7 @@
 #include "vanillaferry/process/keeper_inbox.hpp"
 #include "vanillaferry/process/keeper_repair.hpp"
 #include "vanillaferry/process/lease_table.hpp"
+#include "vanillaferry/process/prompt_report_sum.hpp"
 #include "vanillaferry/process/prompt_suspects.hpp"
 #include "vanillaferry/process/relay_board.hpp"
 #include "vanillaferry/process/replication.hpp"
@@ -283,6 +284,8 @@
   LoadTable m_LoadBoard;
   RelayBoard m_RelayBoard;
   PromptJudge m_Prompts;
+  /// Reports of the gateways connected here, for the leader.
+  PromptReportSum m_PromptReports;
   KeeperStreams m_Streams;
   /// Keepers that asked for a vote, with the time of their last request.
   std::map<KeeperId, JoiningKeeper> m_Joining;
@@ -390,6 +393,8 @@
 /// Takes a router's report as the leader, or relays it to the leader.
 void onPromptReport(Keeper &Self, const NodeId &From,
                     const PromptReport &Report);
+/// Sends the reports that were summed up for the leader.
+void relayPromptReports(Keeper &Self, Millis Now);
 /// Relays the leader's question to the gateways that are connected here.
 void onPromptWatch(Keeper &Self, const NodeId &From, const PromptWatch &Watch);
 /// Judges new evidence and starts trials; called while this keeper leads.
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -40,6 +40,7 @@
     relayWaitingRenewals(Self, Now);
   sendChanges(Self, Now);
   relayStreams(Self, Now);
+  relayPromptReports(Self, Now);
   announceChanges(Self, Now);
   reportMessageLoad(Self.m_MessageLoad, Now);
   return G_SOURCE_CONTINUE;
--- a/src/daemon/process/keeper_prompts.cpp
+++ b/src/daemon/process/keeper_prompts.cpp
@@ -3,6 +3,7 @@
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace vanillaferry::internal {
@@ -12,6 +13,22 @@
 /// Judging takes some milliseconds on a twentieth of a core.
 constexpr Millis JudgementInterval{100};
 
+/// The leader's questions and the sums of reports grow rarer with the fleet, so
+/// that they take a bounded part of its time: with seven gateways at most each
+/// judgement, with 291 each 900 ms, and sums each 250 ms.
+constexpr Millis AskTimePerRouter{3};
+constexpr Millis MaxReportHold{250};
+
+Millis askInterval(const Keeper &Self) {
+  return Millis(AskTimePerRouter.m_Value *
+                static_cast<std::int64_t>(Self.m_State.m_Members.size()));
+}
+
+Millis reportHoldTime(const Keeper &Self) {
+  return std::min(MaxReportHold, Millis(static_cast<std::int64_t>(
+                                     Self.m_State.m_Members.size())));
+}
+
 /// Asks all routers: the gateways connected here, the other keepers for theirs,
 /// and the routers that renew with the leader.
 void askRouters(Keeper &Self) {
@@ -42,10 +59,12 @@
 
 void judge(Keeper &Self, Millis Now) {
   PromptJudge &Prompts = Self.m_Prompts;
+  Prompts.m_Suspects.m_AskInterval = askInterval(Self);
   SuspectDecision Decision =
       judgeSuspects(Prompts.m_Suspects, Self.m_State.m_Quarantine, Now);
   if (Decision.m_Ask)
     askRouters(Self);
+  Prompts.m_Changed = Prompts.m_Changed || Prompts.m_Suspects.m_AskDue;
   for (QuarantinePart &Each : Decision.m_Quarantine) {
     Each.m_At = wallNow();
     proposeOnce(Self, Each.m_Part, Each);
@@ -82,9 +101,18 @@
     Self.m_Prompts.m_Changed = true;
     return;
   }
-  // Without a leader the report is lost; the router repeats it.
-  if (!Relayed && Self.m_Running && !Self.m_Replica.m_Leader.empty())
-    Self.m_Peers->send(NodeId(Self.m_Replica.m_Leader.m_Value), Report);
+  if (!isKeeper(Self, From))
+    addReport(Self.m_PromptReports, Report, monotonicNow());
+}
+
+void relayPromptReports(Keeper &Self, Millis Now) {
+  std::optional<PromptReport> Sum = takeReport(
+      Self.m_PromptReports, NodeId(Self.m_Formation.m_Keeper.m_Value),
+      reportHoldTime(Self), Now);
+  // Without a leader the sum is lost; the routers repeat their reports.
+  if (Sum && Self.m_Running && !Self.m_Replica.m_Leader.empty() && !leads(Self))
+    Self.m_Peers->send(NodeId(Self.m_Replica.m_Leader.m_Value),
+                       std::move(*Sum));
 }
 
 void onPromptWatch(Keeper &Self, const NodeId &From, const PromptWatch &Watch) {
