--- a/include/vanillaferry/connection/peer_event.hpp
+++ b/include/vanillaferry/connection/peer_event.hpp
@@ -6,8 +6,8 @@
 
 /// What the peer task reports to the task that owns the process's state. Up
 /// carries the other end's Hello as its message, Unsent a Forward of which
-/// nothing was sent, because there was no link or it was silent, Heard a heartbeat on a link that
-/// this end dialled.
+/// nothing was sent, because there was no link or it was silent, Heard a
+/// heartbeat on a link that this end dialled.
 struct PeerEvent {
   enum class Kind { Up, Down, Message, Unsent, Heard };
   Kind m_Kind = Kind::Message;
--- a/include/vanillaferry/process/prompt_report_sum.hpp
+++ b/include/vanillaferry/process/prompt_report_sum.hpp
@@ -8,6 +8,9 @@
 
 namespace vanillaferry {
 
+/// Reports on one target that are closer together are on the same end.
+constexpr Millis SameEndSpan{1000};
+
 /// Ends of one target's requests, with their time.
 struct DatedCrash {
   TargetCrash m_Crash;
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -1,9 +1,13 @@
 #include "vanillaferry/process/keeper_repair.hpp"
 
+#include "process/internal/replica.hpp"
+
 #include <algorithm>
 
 namespace vanillaferry {
 
+using namespace internal;
+
 namespace {
 
 using Addresses = std::vector<KeeperAddress>;
@@ -18,17 +22,6 @@
   return Found == All.end() ? nullptr : &*Found;
 }
 
-bool contains(const Addresses &All, const KeeperId &Keeper) {
-  return std::any_of(
-      All.begin(), All.end(),
-      [&Keeper](const KeeperAddress &Each) { return Each.m_Keeper == Keeper; });
-}
-
-bool isRemoved(const KeeperSet &Set, const KeeperId &Keeper) {
-  return std::find(Set.m_Removed.begin(), Set.m_Removed.end(), Keeper) !=
-         Set.m_Removed.end();
-}
-
 RepairStep step(RepairStep::Kind What, const KeeperAddress &Keeper,
                 RepairStep::Reason Why, Millis Silence = Millis(0)) {
   return {What, Keeper, Why, Silence};
@@ -56,8 +49,8 @@
   for (const std::pair<const KeeperId, JoiningKeeper> &Row : Joining) {
     const KeeperAddress &Address = Row.second.m_Address;
     if (Row.second.m_LastRequestAt + JoinRequestLifetime < Now ||
-        contains(Set.m_Voters, Row.first) ||
-        contains(Set.m_Learners, Row.first) || isRemoved(Set, Row.first))
+        isVoter(Set, Row.first) || isLearner(Set, Row.first) ||
+        isRemoved(Set, Row.first))
       continue;
     const KeeperAddress *Former = findByUrl(Set.m_Learners, Address);
     return Former ? step(RepairStep::Kind::Remove, *Former,
@@ -146,7 +139,7 @@
 bool mustAskToJoin(const Replica &State, Millis Now) {
   if (State.m_Role == ReplicaRole::Leader)
     return false;
-  return !contains(State.m_Set.m_Voters, State.m_Self) ||
+  return !isVoter(State.m_Set, State.m_Self) ||
          Now - State.m_LastLeaderContact > UnheardTimeout;
 }
 
--- a/src/core/process/prompt_report_sum.cpp
+++ b/src/core/process/prompt_report_sum.cpp
@@ -11,7 +11,6 @@
 /// The same end of the same target, reported again or by another gateway.
 DatedCrash *findCrash(PromptReportSum &Sum, const TargetCrash &Crash,
                       Millis At) {
-  constexpr Millis SameEndSpan{1000};
   for (DatedCrash &Each : Sum.m_Crashes) {
     Millis Apart = Each.m_At < At ? At - Each.m_At : Each.m_At - At;
     if (Each.m_Crash.m_Target == Crash.m_Target && Apart <= SameEndSpan)
--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -1,5 +1,6 @@
 #include "vanillaferry/process/prompt_suspects.hpp"
 
+#include "vanillaferry/process/prompt_report_sum.hpp"
 #include "vanillaferry/request/request_content.hpp"
 
 #include <algorithm>
@@ -16,8 +17,6 @@
 constexpr std::size_t MaxEvidenceParts = 100000;
 /// Requests kept of one end; an engine runs about as many.
 constexpr std::size_t MaxRequestsOfEnd = 256;
-/// Reports on one target that are closer together are on the same end.
-constexpr Millis SameEndSpan{1000};
 /// Targets that end closer together count once: a lost zone, rack or network
 /// ends many, whatever they run.
 constexpr Millis SharedCauseSpan{50};
