Remove replaced voters early also where the set bears just what is tolerated

Silent voters whose removal lets the set bear more now go after 2 s where it bears fewer losses than tolerated, after 5 s where it bears as many, after 15 s elsewhere. A removed keeper that still runs joins again, so a wrong removal costs a copy of the log.

--- a/include/vanillaferry/process/keeper_repair.hpp
+++ b/include/vanillaferry/process/keeper_repair.hpp
@@ -22,11 +22,13 @@
 /// A keeper without a message of a leader for this long may have been removed.
 /// An election takes less.
 constexpr Millis UnheardTimeout{3000};
-/// A silent voter is removed after this time already if the set bears fewer
-/// losses than it has to and would bear more without its silent voters. A VM
-/// that was replaced would count until LostVoterTimeout otherwise, and several
-/// of them leave no quorum after one more loss.
-constexpr Millis BurdenTimeout{5000};
+/// Where the set would bear more losses without its silent voters, these are
+/// removed earlier: after the first time if it bears fewer than are tolerated,
+/// after the second if it bears just as many, since a VM may leave beside them.
+/// VMs that were replaced would count until LostVoterTimeout otherwise, and
+/// several of them leave no quorum after one more loss.
+constexpr Millis UrgentRemoval{2000};
+constexpr Millis EarlyRemoval{5000};
 
 /// What the repair keeps to.
 struct RepairLimits {
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -92,17 +92,29 @@
       }));
 }
 
-/// True when the set bears fewer losses now than are tolerated, and would bear
-/// more without the voters that were silent for BurdenTimeout.
-bool silentVotersAreABurden(const Replica &State, const RepairLimits &Limits,
-                            Millis Now) {
+/// True when the set would bear more losses without the voters that were
+/// silent for longer than this.
+bool silentVotersAreABurden(const Replica &State, std::size_t Live,
+                            Millis Limit, Millis Now) {
+  std::size_t Voters = State.m_Set.m_Voters.size();
+  std::size_t Without = Voters - silentVoters(State, Limit, Now);
+  return bearableLosses(Voters, Live) < bearableLosses(Without, Live);
+}
+
+/// How long a voter may be silent before it is removed.
+Millis voterTimeout(const Replica &State, const RepairLimits &Limits,
+                    Millis Now) {
   std::size_t Voters = State.m_Set.m_Voters.size();
   std::size_t Live =
       Voters - silentVoters(State, State.m_Options.m_ElectionMax, Now);
-  std::size_t Silent = silentVoters(State, BurdenTimeout, Now);
   std::size_t Bears = bearableLosses(Voters, Live);
-  return Bears < Limits.m_ToleratedLosses &&
-         Bears < bearableLosses(Voters - Silent, Live);
+  if (Bears < Limits.m_ToleratedLosses &&
+      silentVotersAreABurden(State, Live, UrgentRemoval, Now))
+    return UrgentRemoval;
+  if (Bears == Limits.m_ToleratedLosses &&
+      silentVotersAreABurden(State, Live, EarlyRemoval, Now))
+    return EarlyRemoval;
+  return LostVoterTimeout;
 }
 
 RepairStep removalStep(const Replica &State, const RepairLimits &Limits,
@@ -116,9 +128,8 @@
       std::max(Limits.m_FirstVoters, 2 * Limits.m_ToleratedLosses + 1);
   if (State.m_Set.m_Voters.size() <= MinVoters)
     return {};
-  Millis Limit = silentVotersAreABurden(State, Limits, Now) ? BurdenTimeout
-                                                            : LostVoterTimeout;
-  return longestSilent(State, State.m_Set.m_Voters, Limit, Now);
+  return longestSilent(State, State.m_Set.m_Voters,
+                       voterTimeout(State, Limits, Now), Now);
 }
 
 } // namespace
--- a/tests/core/KeeperRepair.tests.cpp
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -135,24 +135,47 @@
 
 // Guards against VMs that were replaced one after the other and still count:
 // with three of them among eight voters, one more loss would leave no quorum.
-// Also against removing a voter that is briefly away from a set that bears it.
-BOOST_AUTO_TEST_CASE(SilentVotersAreRemovedEarlyOnlyWhereTheyAreABurden) {
-  const Millis Now = BurdenTimeout + Millis(1);
+BOOST_AUTO_TEST_CASE(SilentVotersThatLeaveNoLossBearableAreRemovedSoon) {
   std::vector<KeeperAddress> Voters;
   for (const char *Id : {"a", "b", "c", "d", "e", "f", "g", "h"})
     Voters.push_back(keeper(Id, Id));
   Replica Eight = leaderOf(Voters);
-  for (const char *Live : {"b", "c", "d", "e"})
-    Eight.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
-  RepairStep Step = nextRepair(Eight, {}, OneLoss, Now);
-  BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
-  BOOST_TEST((Step.m_Reason == RepairStep::Reason::Silent));
-  Voters.resize(5);
+  for (Millis Now : {UrgentRemoval, UrgentRemoval + Millis(1)}) {
+    for (const char *Live : {"b", "c", "d", "e"})
+      Eight.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+    RepairStep Step = nextRepair(Eight, {}, OneLoss, Now);
+    BOOST_TEST((Step.m_Kind == (Now > UrgentRemoval ? RepairStep::Kind::Remove
+                                                    : RepairStep::Kind::None)));
+  }
+}
+
+// Guards against a replaced VM that counts while its successor's predecessor
+// leaves: six voters with one silent bear one loss, five without it bear two.
+BOOST_AUTO_TEST_CASE(ASilentVoterIsRemovedEarlyWhereTheSetBearsJustEnough) {
+  std::vector<KeeperAddress> Voters;
+  for (const char *Id : {"a", "b", "c", "d", "e", "f"})
+    Voters.push_back(keeper(Id, Id));
+  Replica Six = leaderOf(Voters);
+  for (Millis Now : {EarlyRemoval, EarlyRemoval + Millis(1)}) {
+    for (const char *Live : {"b", "c", "d", "e"})
+      Six.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+    RepairStep Step = nextRepair(Six, {}, OneLoss, Now);
+    BOOST_TEST((Step.m_Kind == (Now > EarlyRemoval ? RepairStep::Kind::Remove
+                                                   : RepairStep::Kind::None)));
+  }
+}
+
+// Guards against removing a voter that is briefly away from a set that gains
+// nothing by it: five voters with one silent bear one loss, four bear one.
+BOOST_AUTO_TEST_CASE(ASilentVoterStaysWhereItsRemovalGainsNothing) {
+  std::vector<KeeperAddress> Voters;
+  for (const char *Id : {"a", "b", "c", "d", "e"})
+    Voters.push_back(keeper(Id, Id));
   Replica Five = leaderOf(Voters);
   for (const char *Live : {"b", "c", "d"})
-    Five.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
-  BOOST_TEST(
-      (nextRepair(Five, {}, OneLoss, Now).m_Kind == RepairStep::Kind::None));
+    Five.m_Peers[KeeperId(Live)].m_LastAnswer = LostVoterTimeout;
+  BOOST_TEST((nextRepair(Five, {}, OneLoss, LostVoterTimeout).m_Kind ==
+              RepairStep::Kind::None));
 }
 
 // Guards against a set that shrinks until the tolerated losses leave no
