--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -219,7 +219,19 @@
 } // namespace
 
 void queuePeerEvent(Keeper &Self, PeerEvent Event) {
+  const KeeperInbox &Inbox = Self.m_Inbox;
+  std::uint64_t Dropped = Inbox.m_ReportsDropped;
+  std::uint64_t Replaced = Inbox.m_RenewalsReplaced;
   addEvent(Self.m_Inbox, std::move(Event));
+  Dropped = Inbox.m_ReportsDropped - Dropped;
+  Replaced = Inbox.m_RenewalsReplaced - Replaced;
+  Self.m_MessageLoad.m_Dropped += Dropped;
+  if (Dropped > 0)
+    addCounter(Self.m_Metrics, "vanillaferry_prompt_reports_dropped_total",
+               Dropped);
+  if (Replaced > 0)
+    addCounter(Self.m_Metrics, "vanillaferry_renewals_replaced_total",
+               Replaced);
   if (Self.m_InboxScheduled)
     return;
   Self.m_InboxScheduled = true;
--- a/src/daemon/process/message_load.cpp
+++ b/src/daemon/process/message_load.cpp
@@ -52,12 +52,14 @@
   if (Now < Load.m_NextReport)
     return;
   Load.m_NextReport = Now + ReportInterval;
-  if (Load.m_LongestWait >= LongWait)
+  if (Load.m_LongestWait >= LongWait || Load.m_Dropped > 0)
     logEvent(Event::MessagesWait,
              {{"longest_wait_ms", Load.m_LongestWait.m_Value},
+              {"dropped", Load.m_Dropped},
               {"busiest", busiestKinds(Load)}});
   Load.m_Kinds.clear();
   Load.m_LongestWait = Millis(0);
+  Load.m_Dropped = 0;
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/message_load.hpp
+++ b/src/daemon/process/message_load.hpp
@@ -20,6 +20,8 @@
   /// By the name of the message's type.
   std::map<std::string, KindLoad> m_Kinds;
   Millis m_LongestWait;
+  /// Messages dropped since the last report because too many waited.
+  std::uint64_t m_Dropped = 0;
   Millis m_NextReport;
 };
 
@@ -27,7 +29,8 @@
 void recordMessage(MessageLoad &Load, Metrics &M, const char *Kind,
                    Millis Waited, std::uint64_t Micros);
 
-/// Logs once a second what took the time while messages wait for long.
+/// Logs once a second what took the time while messages wait for long or are
+/// dropped.
 void reportMessageLoad(MessageLoad &Load, Millis Now);
 
 /// The kinds that took most of the time, as "Kind COUNT in MS ms".
