--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -94,8 +94,8 @@
 
 /// True when the set would bear more losses without the voters that were
 /// silent for longer than this.
-bool silentVotersAreABurden(const Replica &State, std::size_t Live,
-                            Millis Limit, Millis Now) {
+bool bearsMoreWithoutSilentVoters(const Replica &State, std::size_t Live,
+                                  Millis Limit, Millis Now) {
   std::size_t Voters = State.m_Set.m_Voters.size();
   std::size_t Without = Voters - silentVoters(State, Limit, Now);
   return bearableLosses(Voters, Live) < bearableLosses(Without, Live);
@@ -109,10 +109,10 @@
       Voters - silentVoters(State, State.m_Options.m_ElectionMax, Now);
   std::size_t Bears = bearableLosses(Voters, Live);
   if (Bears < Limits.m_ToleratedLosses &&
-      silentVotersAreABurden(State, Live, UrgentRemoval, Now))
+      bearsMoreWithoutSilentVoters(State, Live, UrgentRemoval, Now))
     return UrgentRemoval;
   if (Bears == Limits.m_ToleratedLosses &&
-      silentVotersAreABurden(State, Live, EarlyRemoval, Now))
+      bearsMoreWithoutSilentVoters(State, Live, EarlyRemoval, Now))
     return EarlyRemoval;
   return LostVoterTimeout;
 }
--- a/tests/core/KeeperRepair.tests.cpp
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -149,8 +149,8 @@
   }
 }
 
-// Guards against a replaced VM that counts while its successor's predecessor
-// leaves: six voters with one silent bear one loss, five without it bear two.
+// Guards against a replaced VM that still counts when the next one leaves: six
+// voters with one silent bear one loss, five without it bear two.
 BOOST_AUTO_TEST_CASE(ASilentVoterIsRemovedEarlyWhereTheSetBearsJustEnough) {
   std::vector<KeeperAddress> Voters;
   for (const char *Id : {"a", "b", "c", "d", "e", "f"})
