--- a/tests/core/LeaseStorm.tests.cpp
+++ b/tests/core/LeaseStorm.tests.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <random>
 #include <set>
 
 using namespace vanillaferry;
@@ -231,11 +232,8 @@
     return m_Gateways[static_cast<std::size_t>(
         std::atoi(Node.m_Value.c_str() + 1))];
   }
-  std::uint64_t spread() {
-    return m_Random =
-               m_Random * 6364136223846793005ULL + 1442695040888963407ULL,
-           m_Random >> 33;
-  }
+  /// Random number for the gateways' pauses.
+  std::uint64_t spread() { return m_Random(); }
 
   Millis m_Now;
   std::vector<std::string> m_Urls;
@@ -249,7 +247,7 @@
   int m_ReportsOwed = 0;
   int m_Links = 0;
   int m_Removals = 0;
-  std::uint64_t m_Random = 1;
+  std::mt19937_64 m_Random{1};
 };
 
 } // namespace
