Account for the processor time of a keeper's threads and of slow readings

The counters of handled messages were found by a label that was built for each message; they are kept by kind and written when the metrics are read.

--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -3,6 +3,7 @@
 #include "connection/message_codec.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "process/thread_meter.hpp"
 
 #include <algorithm>
 #include <netinet/tcp.h>
@@ -91,6 +92,7 @@
 }
 
 void PeerLinks::run() {
+  ThreadMeter Meter("peer");
   startTimer();
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard = boost::asio::make_work_guard(m_Context);
--- a/src/daemon/connection/target_list_reader.cpp
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -4,7 +4,9 @@
 #include "connection/text_fetch.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "process/thread_meter.hpp"
 
+#include <algorithm>
 #include <libsoup/soup.h>
 
 namespace vanillaferry {
@@ -14,6 +16,16 @@
 constexpr std::int64_t PageTimeoutMs = 1500;
 constexpr Millis SlowReading{1000};
 
+/// Where the time of one reading went.
+struct ReadingTimes {
+  Millis m_PageBeganAt;
+  /// From requests to the last bytes of their answers.
+  Millis m_Platform;
+  Millis m_LongestPage;
+  Millis m_Parse;
+  std::uint64_t m_ProcessorBefore = 0;
+};
+
 } // namespace
 
 /// State of the thread that reads.
@@ -40,6 +52,7 @@
   std::string m_PageToken;
   std::uint64_t m_PagesRead = 0;
   Millis m_BeganAt;
+  ReadingTimes m_Times;
   bool m_Waiting = false;
 };
 
@@ -49,12 +62,15 @@
   m_Collected.clear();
   m_Unreadable = 0;
   m_PagesRead = 0;
+  m_Times = ReadingTimes();
+  m_Times.m_ProcessorBefore = ownThreadMicros();
   readPage();
 }
 
 void TargetListReader::Pages::readPage() {
   ++m_PagesRead;
   m_Waiting = true;
+  m_Times.m_PageBeganAt = monotonicNow();
   fetchText(m_Session.get(),
             "http://" + m_Address + m_Protocol.m_TargetListPath(m_PageToken),
             PageTimeoutMs, [Weak = weak_from_this()](const std::string &Text) {
@@ -65,9 +81,14 @@
 
 void TargetListReader::Pages::takePage(const std::string &Text) {
   m_Waiting = false;
+  Millis AnsweredAt = monotonicNow();
+  Millis Took = AnsweredAt - m_Times.m_PageBeganAt;
+  m_Times.m_Platform = m_Times.m_Platform + Took;
+  m_Times.m_LongestPage = std::max(m_Times.m_LongestPage, Took);
   if (Text.empty())
     return finish(makeError(ErrorCode::Unavailable, "no answer"));
   Result<TargetPage> Page = m_Protocol.m_ReadTargetPage(Text);
+  m_Times.m_Parse = m_Times.m_Parse + (monotonicNow() - AnsweredAt);
   if (!Page)
     return finish(Page.error());
   for (ListedTarget &Entry : Page.value().m_Targets)
@@ -94,7 +115,12 @@
   Millis Took = monotonicNow() - m_BeganAt;
   if (Took >= SlowReading)
     logEvent(Event::TargetListSlow,
-             {{"took_ms", Took.m_Value}, {"pages", m_PagesRead}});
+             {{"took_ms", Took.m_Value},
+              {"pages", m_PagesRead},
+              {"platform_ms", m_Times.m_Platform.m_Value},
+              {"longest_page_ms", m_Times.m_LongestPage.m_Value},
+              {"parse_ms", m_Times.m_Parse.m_Value},
+              {"processor_us", ownThreadMicros() - m_Times.m_ProcessorBefore}});
   m_Readings.post({std::move(Read), m_BeganAt});
 }
 
@@ -132,6 +158,7 @@
 
 void TargetListReader::run(const PlatformProtocol &Protocol,
                            const std::string &Address) {
+  ThreadMeter Meter("list");
   g_main_context_push_thread_default(m_Context);
   m_Pages = std::make_shared<Pages>(Protocol, Address, m_Readings);
   g_main_loop_run(m_Loop);
--- a/src/daemon/process/disk_task.cpp
+++ b/src/daemon/process/disk_task.cpp
@@ -1,6 +1,7 @@
 #include "process/disk_task.hpp"
 
 #include "process/log.hpp"
+#include "process/thread_meter.hpp"
 
 #include <utility>
 
@@ -43,6 +44,7 @@
 }
 
 void DiskTask::run() {
+  ThreadMeter Meter("disk");
   while (true) {
     std::vector<DiskWrite> Batch;
     std::uint64_t Ticket = 0;
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -11,6 +11,7 @@
 #include "process/message_load.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
+#include "process/thread_meter.hpp"
 #include "vanillaferry/process/engine_orders.hpp"
 #include "vanillaferry/process/keeper_inbox.hpp"
 #include "vanillaferry/process/keeper_repair.hpp"
@@ -232,6 +233,9 @@
   MessageLoad m_MessageLoad;
   GMainLoop *m_Loop = nullptr;
   int m_ExitCode = 0;
+  /// Processor time at the last line about it.
+  std::vector<ThreadUse> m_UsesReported;
+  Millis m_NextUseReport;
 
   std::uint64_t m_LastTicket = 0;
   std::uint64_t m_SyncedTicket = 0;
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -27,6 +27,18 @@
 /// half a million journaled calls and their answers of 1 KiB takes.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
 
+constexpr Millis UseReportInterval{5000};
+
+void reportProcessorUse(Keeper &Self, Millis Now) {
+  if (Now < Self.m_NextUseReport)
+    return;
+  Self.m_NextUseReport = Now + UseReportInterval;
+  std::vector<ThreadUse> Uses = threadUses();
+  logEvent(Event::ProcessorUsed,
+           {{"threads_ms", useSince(Self.m_UsesReported, Uses)}});
+  Self.m_UsesReported = std::move(Uses);
+}
+
 gboolean onTick(gpointer Data) {
   Keeper &Self = *static_cast<Keeper *>(Data);
   Millis Now = monotonicNow();
@@ -44,6 +56,7 @@
   announceChanges(Self, Now);
   reportMessageLoad(Self.m_MessageLoad, Now);
   return G_SOURCE_CONTINUE;
+  reportProcessorUse(Self, Now);
 }
 
 /// The keeper set is part of the log, so new settings need no work here; the
@@ -216,6 +229,7 @@
               const PlatformProtocol *Protocol) {
   for (;;) {
     bool JoinsAnew = false;
+  ThreadMeter Meter("main");
     int Code = internal::runIdentity(Settings, Initialize, Protocol, JoinsAnew);
     if (!JoinsAnew)
       return Code;
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -286,6 +286,10 @@
 void getMetrics(Keeper &Self, const ExchangePtr &Exchange) {
   Metrics &M = Self.m_Metrics;
   setPeerCounters(M, Self.m_Peers->counters());
+  setMessageCounters(M, Self.m_MessageLoad);
+  for (const ThreadUse &Each : threadUses())
+    M.m_Counters["vanillaferry_thread_processor_us_total{thread=\"" +
+                 Each.m_Name + "\"}"] = Each.m_Micros;
   setGauge(M, "vanillaferry_keeper_leads", leads(Self) ? 1 : 0);
   setGauge(M, "vanillaferry_keeper_term",
            static_cast<double>(Self.m_Replica.m_Hard.m_Term.m_Value));
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -161,7 +161,7 @@
   std::chrono::microseconds Took =
       std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
                                                             Begin);
-  recordMessage(Self.m_MessageLoad, Self.m_Metrics, Kind, Waited,
+  recordMessage(Self.m_MessageLoad, Kind, Waited,
                 static_cast<std::uint64_t>(Took.count()));
 }
 
--- a/src/daemon/process/message_load.cpp
+++ b/src/daemon/process/message_load.cpp
@@ -16,24 +16,12 @@
 constexpr std::size_t MaxKindsReported = 4;
 constexpr std::uint64_t MicrosPerMilli = 1000;
 
-} // namespace
-
-void recordMessage(MessageLoad &Load, Metrics &M, const char *Kind,
-                   Millis Waited, std::uint64_t Micros) {
-  KindLoad &Row = Load.m_Kinds[Kind];
-  ++Row.m_Count;
-  Row.m_Micros += Micros;
-  Load.m_LongestWait = std::max(Load.m_LongestWait, Waited);
-  std::string Label = std::string("{kind=\"") + Kind + "\"}";
-  addCounter(M, "vanillaferry_messages_handled_total" + Label);
-  addCounter(M, "vanillaferry_message_handling_us_total" + Label, Micros);
-  setGauge(M, "vanillaferry_message_wait_ms",
-           static_cast<double>(Waited.m_Value));
-}
-
+/// The kinds that took most of the time, as "Kind COUNT in MS ms".
 std::string busiestKinds(const MessageLoad &Load) {
-  std::vector<std::pair<std::string, KindLoad>> Rows(Load.m_Kinds.begin(),
-                                                     Load.m_Kinds.end());
+  std::vector<std::pair<std::string, KindLoad>> Rows;
+  for (const std::pair<const std::string, KindLoad> &Row : Load.m_Kinds)
+    if (Row.second.m_Count > 0)
+      Rows.push_back(Row);
   std::sort(Rows.begin(), Rows.end(),
             [](const std::pair<std::string, KindLoad> &A,
                const std::pair<std::string, KindLoad> &B) {
@@ -48,6 +36,32 @@
   return Text;
 }
 
+void resetReported(MessageLoad &Load) {
+  for (std::pair<const std::string, KindLoad> &Row : Load.m_Kinds) {
+    Row.second.m_Count = 0;
+    Row.second.m_Micros = 0;
+  }
+  Load.m_LongestWait = Millis(0);
+  Load.m_Dropped = 0;
+}
+
+} // namespace
+
+void recordMessage(MessageLoad &Load, const char *Kind, Millis Waited,
+                   std::uint64_t Micros) {
+  std::map<std::string, KindLoad, std::less<>>::iterator Found =
+      Load.m_Kinds.find(Kind);
+  if (Found == Load.m_Kinds.end())
+    Found = Load.m_Kinds.emplace(Kind, KindLoad()).first;
+  KindLoad &Row = Found->second;
+  ++Row.m_Count;
+  ++Row.m_TotalCount;
+  Row.m_Micros += Micros;
+  Row.m_TotalMicros += Micros;
+  Load.m_LastWait = Waited;
+  Load.m_LongestWait = std::max(Load.m_LongestWait, Waited);
+}
+
 void reportMessageLoad(MessageLoad &Load, Millis Now) {
   if (Now < Load.m_NextReport)
     return;
@@ -57,9 +71,19 @@
              {{"longest_wait_ms", Load.m_LongestWait.m_Value},
               {"dropped", Load.m_Dropped},
               {"busiest", busiestKinds(Load)}});
-  Load.m_Kinds.clear();
-  Load.m_LongestWait = Millis(0);
-  Load.m_Dropped = 0;
+  resetReported(Load);
+}
+
+void setMessageCounters(Metrics &M, const MessageLoad &Load) {
+  for (const std::pair<const std::string, KindLoad> &Row : Load.m_Kinds) {
+    std::string Label = "{kind=\"" + Row.first + "\"}";
+    M.m_Counters["vanillaferry_messages_handled_total" + Label] =
+        Row.second.m_TotalCount;
+    M.m_Counters["vanillaferry_message_handling_us_total" + Label] =
+        Row.second.m_TotalMicros;
+  }
+  setGauge(M, "vanillaferry_message_wait_ms",
+           static_cast<double>(Load.m_LastWait.m_Value));
 }
 
 } // namespace vanillaferry
