--- a/tests/process/GatewayFleet.cpp
+++ b/tests/process/GatewayFleet.cpp
@@ -77,6 +77,9 @@
     Each.m_Real = {m_Network + ".2." + std::to_string(Index + 1), m_HttpPort};
     Each.m_Link = std::make_unique<LinkProxy>(front(Index), Each.m_Real);
     Each.m_List = m_Targets->listAddress();
+    // Nothing listens there.
+    if (Links == TargetLinks::KeepersList)
+      Each.m_List.m_Ip = m_Network + ".5.250";
     if (Links == TargetLinks::Own)
       linkToTargets(Index);
   }
@@ -103,8 +106,8 @@
         Addresses.back(), m_Targets->address(Target)));
   }
   Each.m_OwnList = std::make_unique<FakeListener>(
-      Each.m_List, [this, Addresses](int Socket, const FakeRequest &) {
-        return m_Targets->serveList(Socket, Addresses);
+      Each.m_List, [this, Addresses](int Socket, const FakeRequest &Request) {
+        return m_Targets->serveList(Socket, Request, Addresses);
       });
 }
 
@@ -165,7 +168,7 @@
                    {"heartbeat_ms", 160},
                    {"log", {{"format", "json"}, {"file", "-"}}}};
   // Without the keepers' list each gateway reads its own.
-  if (m_Links == TargetLinks::Shared)
+  if (m_Links != TargetLinks::Own)
     Settings["target_list"] = m_Targets->listAddress().text();
   start(Each, "keeper", Settings, FileSizeLimit);
 }
--- a/tests/process/GatewayFleet.hpp
+++ b/tests/process/GatewayFleet.hpp
@@ -24,6 +24,9 @@
   Shared,
   /// Each gateway reads a list of its own and has a proxy to each target.
   Own,
+  /// Gateways cannot read the list, as in a fleet so large that their turn to
+  /// do so comes too late; they depend on the keepers.
+  KeepersList,
 };
 
 /// Gateways, keepers and emulated targets with the settings of the users'
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -1,7 +1,9 @@
 #include "process/PlatformFakes.hpp"
 
+#include "process/EngineCrashes.hpp"
 #include "process/RouterFleet.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -36,6 +38,17 @@
          Body;
 }
 
+const std::string PageTokenPrefix = "entry-";
+
+/// Index of the first target on the page that a request names.
+std::size_t pageStart(const std::string &Path) {
+  std::size_t At = Path.find(PageTokenPrefix);
+  return At == std::string::npos
+             ? 0
+             : std::strtoul(Path.c_str() + At + PageTokenPrefix.size(), nullptr,
+                            10);
+}
+
 void waitForClose(int Socket) {
   constexpr int LimitMs = 20000;
   pollfd Poll = {Socket, POLLIN, 0};
@@ -187,8 +200,8 @@
   for (std::size_t Index = 0; Index < Targets; ++Index)
     Addresses.push_back(address(Index));
   m_List = std::make_unique<FakeListener>(
-      listAddress(), [this, Addresses](int Socket, const FakeRequest &) {
-        return serveList(Socket, Addresses);
+      listAddress(), [this, Addresses](int Socket, const FakeRequest &Request) {
+        return serveList(Socket, Request, Addresses);
       });
   m_Restarts = std::thread([this] { restartCrashed(); });
 }
@@ -430,8 +443,16 @@
   return !Faults.m_Unframed && sendAll(Socket, "0\r\n\r\n");
 }
 
-bool PlatformFakes::serveList(int Socket,
+void PlatformFakes::slowLastListReader(int DelayMs) {
+  m_ListDelayMs = DelayMs;
+  m_SlowListReader = m_LastListReader.load();
+}
+
+bool PlatformFakes::serveList(int Socket, const FakeRequest &Request,
                               const std::vector<LoopbackAddress> &Addresses) {
+  m_LastListReader = Socket;
+  if (m_SlowListReader == Socket)
+    pauseFor(m_ListDelayMs);
   if (m_ListFails)
     return sendAll(Socket,
                    withLength("HTTP/1.1 429 Too Many Requests\r\n", ""));
@@ -439,7 +460,11 @@
   // An entry that does not describe a target; readers have to skip it.
   Entries.push_back({{"id", 7}, {"state", "elsewhere"}});
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  for (std::size_t Index = 0; Index < m_Targets.size(); ++Index) {
+  std::size_t First = pageStart(Request.m_Path);
+  std::size_t End = m_ListPage > 0
+                        ? std::min(First + m_ListPage, m_Targets.size())
+                        : m_Targets.size();
+  for (std::size_t Index = First; Index < End; ++Index) {
     const Target &Each = *m_Targets[Index];
     Entries.push_back({{"id", Each.m_Id},
                        {"service", Each.m_Service},
@@ -451,6 +476,8 @@
                        {"cold_remaining_ms", 0}});
   }
   json Page = {{"instances", Entries}, {"next", nullptr}};
+  if (End < m_Targets.size())
+    Page["next"] = PageTokenPrefix + std::to_string(End);
   return sendAll(Socket, withLength("HTTP/1.1 200 OK\r\n"
                                     "Content-Type: application/json\r\n",
                                     Page.dump()));
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -115,7 +115,8 @@
   LoopbackAddress address(std::size_t Index) const;
   /// Answers a request for the list, with these addresses in place of the
   /// targets' own.
-  bool serveList(int Socket, const std::vector<LoopbackAddress> &Addresses);
+  bool serveList(int Socket, const FakeRequest &Request,
+                 const std::vector<LoopbackAddress> &Addresses);
   void setFaults(std::size_t Index, const TargetFaults &Faults);
   void stop(std::size_t Index);
   /// Starts a stopped target as a new instance.
@@ -131,6 +132,10 @@
   void setCrashingBody(const std::string &Body);
   std::vector<EngineCrash> crashes() const;
   void setListFails(bool Fails) { m_ListFails = Fails; }
+  /// Lists are sent in pages of this many entries.
+  void setListPage(std::size_t Entries) { m_ListPage = Entries; }
+  /// Answers each page late to the process that asked for the list last.
+  void slowLastListReader(int DelayMs);
   std::vector<TargetRun> runs() const;
   /// Times at which requests were refused with a wish for a pause.
   std::vector<double> pauseRefusals() const;
@@ -173,6 +178,10 @@
   std::vector<double> m_PauseRefusals;
   int m_Instances = 0;
   std::atomic<bool> m_ListFails{false};
+  std::atomic<std::size_t> m_ListPage{0};
+  std::atomic<int> m_LastListReader{-1};
+  std::atomic<int> m_SlowListReader{-1};
+  std::atomic<int> m_ListDelayMs{0};
   std::string m_CrashingPart;
   std::string m_CrashingBody;
   std::vector<EngineCrash> m_Crashes;
