Let the keepers read the platform's list in turn

Cause: only the leader read the list, and the next reading began when the last one had ended. A reading of 2.8 s that began 1.5 s after the notice broke the rule by itself. Ruled out: waiting for the processor in parsing (14 to 26 ms of a slow reading); a single bad keeper (pages take over a second at followers too).

Change: voters read in turn, each interval another one, the leader last; each rank waits one interval longer for the one before it, so that a reader that is slow, frozen or cut off costs one interval. Readings may overlap; an older result is dropped. A list that is made from the one held is taken whatever its age seems.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -217,7 +217,7 @@
   std::uint64_t m_TargetsBase = 0;
   /// Edit script to the leader's list; empty when the node has it.
   std::string m_TargetsDelta;
-  /// Time since the leader last read the list.
+  /// Time since the reading began.
   Millis m_TargetsAge;
   /// Epoch of the ids that m_IdsDelta applies to; 0 for none.
   Epoch m_IdsBase;
@@ -495,8 +495,8 @@
   std::string m_PeerUrl;
 };
 
-/// A keeper's target list, sent to followers and gateways when the leader has
-/// read it: an edit script to the text with m_Digest.
+/// A keeper's target list, sent to the other keepers and to gateways after each
+/// reading: an edit script to the text with m_Digest.
 struct TargetListUpdate {
   std::uint64_t m_Digest = 0;
   /// Digest of the text that m_Delta applies to; 0 for the empty text.
@@ -507,8 +507,8 @@
   Millis m_Age;
 };
 
-/// A follower asks the leader for the target list after an update that does not
-/// apply to the list it holds.
+/// A keeper asks for the whole target list after an update that does not apply
+/// to the list it holds.
 struct TargetListRequest {
   std::uint64_t m_Held = 0;
 };
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -160,8 +160,9 @@
 
 // target_list.cpp
 void pollTargetList(Gateway &G);
-/// Applies the keepers' target list.
-void applyKeepersTargets(Gateway &G, const TargetListUpdate &Update);
+/// Applies the keepers' target list; false when it does not apply to the one
+/// held here.
+bool applyKeepersTargets(Gateway &G, const TargetListUpdate &Update);
 /// Rebuilds the pools from the current target list, after a change of the
 /// manifest, the list or the routers.
 void rebuildPools(Gateway &G);
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -17,6 +17,8 @@
 constexpr Millis UnknownLeaderDelay{150};
 /// Delay before a manifest that did not come with the grant is requested again.
 constexpr Millis ManifestRetryDelay{400};
+/// Gateways that lack the same list ask for it within this time.
+constexpr Millis ListRequestSpread{200};
 /// What a gateway that passes a request on adds to its header.
 constexpr Bytes RelayFieldBytes{1024};
 
@@ -289,6 +291,18 @@
   resumeWaiting(G);
 }
 
+/// A list that does not apply is asked for with a renewal; the keeper takes it
+/// for held and would send the next change only.
+void handleTargetListUpdate(Gateway &G, const TargetListUpdate &Update) {
+  if (applyKeepersTargets(G, Update))
+    return;
+  Millis Soon = monotonicNow() +
+                Millis(static_cast<std::int64_t>(
+                    randomSeed() %
+                    static_cast<std::uint64_t>(ListRequestSpread.m_Value)));
+  G.m_Lease.m_NextRenewal = std::min(G.m_Lease.m_NextRenewal, Soon);
+}
+
 void handleRedirect(Gateway &G, const RedirectLeader &Redirect) {
   Millis Now = monotonicNow();
   if (Redirect.m_PeerUrl.empty())
@@ -307,7 +321,7 @@
     handleRedirect(G, *Leader);
   else if (const TargetListUpdate *Update =
                std::get_if<TargetListUpdate>(&Message))
-    applyKeepersTargets(G, *Update);
+    handleTargetListUpdate(G, *Update);
   else if (const ControlUpdate *Change = std::get_if<ControlUpdate>(&Message))
     handleControlUpdate(G, *Change);
   else if (const PromptWatch *Watch = std::get_if<PromptWatch>(&Message))
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
+#include "vanillaferry/process/list_turn.hpp"
 #include "vanillaferry/version/target_listing.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
@@ -153,19 +154,22 @@
     rebuildPool(G, Service, Now);
 }
 
-void applyKeepersTargets(Gateway &G, const TargetListUpdate &Update) {
+bool applyKeepersTargets(Gateway &G, const TargetListUpdate &Update) {
   TargetListState &List = G.m_TargetList;
   Millis ReadAt = monotonicNow() - Update.m_Age;
-  if (Update.m_Digest == 0 || (List.m_Received && ReadAt < List.m_ReadAt))
-    return;
+  if (Update.m_Digest == 0 || (List.m_Received && ReadAt < List.m_ReadAt &&
+                               !succeedsList(Update.m_Base, List.m_Digest)))
+    return true;
+  if (List.m_Received)
+    ReadAt = std::max(ReadAt, List.m_ReadAt);
   if (Update.m_Digest == List.m_Digest) {
     List.m_ReadAt = ReadAt;
     confirmVersions(G.m_Streams.m_History, ReadAt);
-    return;
+    return true;
   }
   if (Update.m_Delta.empty() ||
       (Update.m_Base != 0 && Update.m_Base != List.m_Digest))
-    return;
+    return false;
   Result<std::string> Text = applyTextDelta(
       Update.m_Base == 0 ? std::string() : List.m_Text, Update.m_Delta);
   Result<std::vector<ListedTarget>> Targets =
@@ -174,11 +178,12 @@
   if (!Targets) {
     logEvent(Event::TargetListFailed, {{"why", Targets.error().m_Text}});
     List.m_Digest = 0;
-    return;
+    return false;
   }
   List.m_Digest = Update.m_Digest;
   List.m_Text = std::move(Text.value());
   replaceTargets(G, std::move(Targets.value()), "keepers", ReadAt);
+  return true;
 }
 
 void pollTargetList(Gateway &G) {
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -15,6 +15,7 @@
 #include "vanillaferry/process/engine_orders.hpp"
 #include "vanillaferry/process/keeper_inbox.hpp"
 #include "vanillaferry/process/keeper_repair.hpp"
+#include "vanillaferry/process/list_turn.hpp"
 #include "vanillaferry/process/lease_table.hpp"
 #include "vanillaferry/process/prompt_report_sum.hpp"
 #include "vanillaferry/process/prompt_suspects.hpp"
@@ -136,12 +137,12 @@
   Millis m_BusyUntil;
 };
 
-/// The platform's list of targets, which the leader reads for all routers.
+/// The platform's list of targets, which the keepers read in turn for all
+/// routers.
 struct SharedTargetList {
   std::unique_ptr<TargetListReader> m_Reader;
   std::vector<ListedTarget> m_Last;
-  Millis m_LastRead;
-  Millis m_NextRead;
+  ListTurn m_Turn;
   std::string m_Text;
   /// 0 before the first reading.
   std::uint64_t m_Digest = 0;
@@ -382,12 +383,13 @@
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change);
 
 // keeper_targets.cpp
-/// Reads the platform's list of targets, which the leader does for all routers.
+/// Begins a reading of the platform's list of targets when it is this keeper's
+/// turn.
 void readTargetsWhenDue(Keeper &Self, Millis Now);
 /// Adds to a grant the update from the router's list of targets to the one last
 /// read.
 void attachTargets(Keeper &Self, const Renew &Request, Grant &Granted);
-/// Applies the leader's list at a follower.
+/// Applies the list that another keeper read.
 void onTargetListUpdate(Keeper &Self, const NodeId &From,
                         const TargetListUpdate &Update);
 void onTargetListRequest(Keeper &Self, const NodeId &From,
@@ -414,7 +416,7 @@
 void recordKeeperVersions(Keeper &Self,
                           const Result<std::vector<ListedTarget>> &Listed);
 void confirmKeeperVersions(Keeper &Self);
-/// Replicates the versions that the leader's list shows, where they changed.
+/// Replicates the versions that the list shows, where they changed.
 void proposeListedVersions(Keeper &Self);
 void relayStreams(Keeper &Self, Millis Now);
 
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -55,6 +55,7 @@
   relayPromptReports(Self, Now);
   announceChanges(Self, Now);
   reportMessageLoad(Self.m_MessageLoad, Now);
+  readTargetsWhenDue(Self, Now);
   return G_SOURCE_CONTINUE;
   reportProcessorUse(Self, Now);
 }
@@ -184,6 +185,7 @@
   Mailbox<PeerEvent>::Handler OnPeerEvent = [Raw](PeerEvent Event) {
     onPeerEvent(*Raw, std::move(Event));
   };
+  Self->m_SharedTargets.m_Turn.m_NewestAt = Self->m_StartedAt;
   Self->m_ReplicaMail = std::make_unique<Mailbox<PeerEvent>>(
       nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_HIGH});
   Self->m_PeerMail = std::make_unique<Mailbox<PeerEvent>>(
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -273,7 +273,6 @@
     return;
   announceLeavingVms(Self, Now);
   repairKeeperSet(Self, Now);
-  readTargetsWhenDue(Self, Now);
   judgePrompts(Self, Now);
   grantWaitingRenewals(Self);
   if (Now >= Self.m_NextLeaseCheck) {
--- a/src/daemon/process/keeper_streams.cpp
+++ b/src/daemon/process/keeper_streams.cpp
@@ -18,7 +18,7 @@
 std::optional<SoleVersion> soleVersionOf(const Keeper &Self,
                                          const PoolId &Service) {
   Millis Now = monotonicNow();
-  if (Now - Self.m_SharedTargets.m_LastRead >= ListLifetime)
+  if (Now - Self.m_SharedTargets.m_Turn.m_NewestAt >= ListLifetime)
     return std::nullopt;
   std::optional<SoleVersion> Sole =
       soleVersion(Self.m_Streams.m_Versions, Service, Now);
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -4,15 +4,16 @@
 #include "vanillaferry/version/target_listing.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry::internal {
 
 namespace {
 
-constexpr Millis ReadInterval{700};
 TargetListUpdate updateFrom(SharedTargetList &Shared, std::uint64_t Held) {
   TargetListUpdate Message;
   Message.m_Digest = Shared.m_Digest;
-  Message.m_Age = monotonicNow() - Shared.m_LastRead;
+  Message.m_Age = monotonicNow() - Shared.m_Turn.m_NewestAt;
   if (Held == Shared.m_Digest)
     return Message;
   const TextUpdate &Update =
@@ -39,16 +40,16 @@
   }
 }
 
-/// Sends the leader's list to the other keepers, as a change from the list that
-/// they were sent before.
-void sendToFollowers(Keeper &Self, std::uint64_t Before) {
+/// Sends the list to the other keepers, as a change from the list that they
+/// were sent before.
+void sendToKeepers(Keeper &Self, std::uint64_t Before) {
   TargetListUpdate Update = updateFrom(Self.m_SharedTargets, Before);
   for (const std::pair<const NodeId, ConnectedPeer> &Row : Self.m_Connected)
     if (Row.second.m_Role == NodeRole::Keeper)
       Self.m_Peers->send(Row.first, Update);
 }
 
-/// A keeper that starts to lead continues from the former leader's list.
+/// A reader continues from the list of the reader before it.
 void restoreColdTimes(SharedTargetList &Shared) {
   if (!Shared.m_Last.empty() || Shared.m_Text.empty())
     return;
@@ -59,22 +60,30 @@
     logEvent(Event::TargetListFailed, {{"why", Known.error().m_Text}});
 }
 
+/// Only the leader replicates which software versions the list shows.
+void proposeVersionsAsLeader(Keeper &Self) {
+  if (leads(Self))
+    proposeListedVersions(Self);
+}
+
 void onTargetListRead(Keeper &Self, TargetListReading Reading) {
   SharedTargetList &Shared = Self.m_SharedTargets;
   Result<std::vector<ListedTarget>> &Read = Reading.m_Targets;
   if (!Read) {
     logEvent(Event::TargetListFailed,
              {{"why", Read.error().m_Text},
-              {"age_ms", (monotonicNow() - Shared.m_LastRead).m_Value}});
+              {"age_ms", (monotonicNow() - Shared.m_Turn.m_NewestAt).m_Value}});
     addCounter(Self.m_Metrics, "vanillaferry_target_list_failures_total");
     return;
   }
-  if (!leads(Self))
-    return;
+  // Another keeper's newer reading may have ended first.
+  if (Reading.m_BeganAt <= Shared.m_Turn.m_NewestAt)
+    return addCounter(Self.m_Metrics, "vanillaferry_target_lists_late_total");
   restoreColdTimes(Shared);
   retainColdTimes(Read.value(), Shared.m_Last);
   Shared.m_Last = std::move(Read.value());
-  Shared.m_LastRead = Reading.m_BeganAt;
+  Shared.m_Turn.m_NewestAt = Reading.m_BeganAt;
+  Shared.m_Turn.m_LastReader = Self.m_Formation.m_Keeper;
   std::string Text = encodeTargets(Shared.m_Last);
   std::uint64_t Digest = textDigest(Text);
   std::uint64_t Before = Shared.m_Digest;
@@ -89,8 +98,15 @@
   } else {
     confirmKeeperVersions(Self);
   }
-  proposeListedVersions(Self);
-  sendToFollowers(Self, Before);
+  sendToKeepers(Self, Before);
+  proposeVersionsAsLeader(Self);
+}
+
+std::vector<KeeperId> votersOf(const Keeper &Self) {
+  std::vector<KeeperId> Voters;
+  for (const KeeperAddress &Voter : Self.m_Replica.m_Set.m_Voters)
+    Voters.push_back(Voter.m_Keeper);
+  return Voters;
 }
 
 } // namespace
@@ -98,9 +114,17 @@
 void readTargetsWhenDue(Keeper &Self, Millis Now) {
   SharedTargetList &Shared = Self.m_SharedTargets;
   if (Self.m_Settings.m_TargetList.empty() || !Self.m_Protocol ||
-      Now < Shared.m_NextRead)
+      !Self.m_Running || Now < Shared.m_Turn.m_NewestAt + ListReadInterval)
+    return;
+  std::vector<KeeperId> Voters = votersOf(Self);
+  const KeeperId &Own = Self.m_Formation.m_Keeper;
+  if (std::find(Voters.begin(), Voters.end(), Own) == Voters.end())
+    return;
+  std::size_t Rank = readerRank(Voters, Own, Self.m_Replica.m_Leader,
+                                Shared.m_Turn.m_LastReader);
+  if (!listReadingDue(Shared.m_Turn, Rank, Now))
     return;
-  Shared.m_NextRead = Now + ReadInterval;
+  Shared.m_Turn.m_OwnAt = Now;
   if (!Shared.m_Reader) {
     Keeper *Raw = &Self;
     Shared.m_Reader = std::make_unique<TargetListReader>(
@@ -126,11 +150,13 @@
 void onTargetListUpdate(Keeper &Self, const NodeId &From,
                         const TargetListUpdate &Update) {
   SharedTargetList &Shared = Self.m_SharedTargets;
-  if (leads(Self) || !isKeeper(Self, From) || Update.m_Digest == 0)
+  if (!isKeeper(Self, From) || Update.m_Digest == 0)
     return;
   Millis ReadAt = monotonicNow() - Update.m_Age;
-  if (ReadAt < Shared.m_LastRead)
+  if (ReadAt < Shared.m_Turn.m_NewestAt &&
+      !succeedsList(Update.m_Base, Shared.m_Digest))
     return;
+  ReadAt = std::max(ReadAt, Shared.m_Turn.m_NewestAt);
   if (Update.m_Digest != Shared.m_Digest) {
     bool Applies = Update.m_Base == 0 || Update.m_Base == Shared.m_Digest;
     if (Update.m_Delta.empty() || !Applies)
@@ -144,21 +170,23 @@
       return Self.m_Peers->send(From, TargetListRequest{0});
     }
     logEvent(Event::TargetListRead, {{"digest", Update.m_Digest},
-                                     {"from", "leader"},
+                                     {"from", From.m_Value},
                                      {"age_ms", Update.m_Age.m_Value}});
     Shared.m_Last.clear();
-    Shared.m_LastRead = ReadAt;
+    Shared.m_Turn.m_NewestAt = ReadAt;
     recordKeeperVersions(Self, decodeTargets(Text.value()));
     replaceSharedList(Self, std::move(Text.value()), Update.m_Digest);
   } else {
     confirmKeeperVersions(Self);
   }
-  Shared.m_LastRead = ReadAt;
+  Shared.m_Turn.m_NewestAt = ReadAt;
+  Shared.m_Turn.m_LastReader = KeeperId(From.m_Value);
+  proposeVersionsAsLeader(Self);
 }
 
 void onTargetListRequest(Keeper &Self, const NodeId &From,
                          const TargetListRequest &Request) {
-  if (leads(Self) && isKeeper(Self, From) && Self.m_SharedTargets.m_Digest != 0)
+  if (isKeeper(Self, From) && Self.m_SharedTargets.m_Digest != 0)
     Self.m_Peers->send(From, updateFrom(Self.m_SharedTargets, Request.m_Held));
 }
 
--- a/src/daemon/process/settings.hpp
+++ b/src/daemon/process/settings.hpp
@@ -75,7 +75,7 @@
   std::size_t m_ToleratedLosses = 1;
   /// Manifests and changes of zones are accepted without an operator's token.
   bool m_OpenManifest = false;
-  /// IP:PORT of the platform's list of targets, which the leader reads for all
+  /// IP:PORT of the platform's list of targets, which the keepers read for all
   /// routers; empty for none.
   std::string m_TargetList;
   /// Time between the leader's heartbeats, from which the election times
