--- a/src/core/process/archive.hpp
+++ b/src/core/process/archive.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/cbor_items.hpp"
 #include "vanillaferry/process/ids.hpp"
 #include "vanillaferry/process/units.hpp"
 
@@ -39,19 +40,7 @@
 
   /// Writes the head of an item: its major type and its value or length.
   void head(std::uint8_t Major, std::uint64_t Value) {
-    std::uint8_t Type = static_cast<std::uint8_t>(Major << 5);
-    constexpr std::uint64_t LargestInHead = 23;
-    if (Value <= LargestInHead) {
-      m_Data.push_back(static_cast<char>(Type | Value));
-      return;
-    }
-    std::uint8_t Power = Value <= 0xFF         ? 0
-                         : Value <= 0xFFFF     ? 1
-                         : Value <= 0xFFFFFFFF ? 2
-                                               : 3;
-    m_Data.push_back(static_cast<char>(Type | (24 + Power)));
-    for (int Shift = (8 << Power) - 8; Shift >= 0; Shift -= 8)
-      m_Data.push_back(static_cast<char>(Value >> Shift));
+    appendHead(m_Data, static_cast<CborMajor>(Major), Value);
   }
   void text(const char *Start, std::size_t Length) {
     head(3, Length);
--- a/src/core/process/replication_codec.cpp
+++ b/src/core/process/replication_codec.cpp
@@ -1,129 +1,143 @@
 #include "vanillaferry/process/replication_codec.hpp"
 
-#include "process/cbor.hpp"
-#include "process/internal/replication_json.hpp"
+#include "process/cbor_items.hpp"
 
 #include <limits>
 #include <utility>
 
 namespace vanillaferry {
 
-namespace internal {
-
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr unsigned LastEntryKind = static_cast<unsigned>(EntryKind::KeeperSet);
 constexpr unsigned LastMessageKind =
     static_cast<unsigned>(ReplicaMessage::Kind::SnapshotAnswer);
+/// A message nests an array of lists of addresses in its snapshot.
+constexpr unsigned MaxDepth = 8;
+constexpr std::size_t MessageItems = 16;
+constexpr std::size_t EntryItems = 4;
+constexpr std::size_t SnapshotItems = 4;
+constexpr std::size_t KeeperSetItems = 3;
+
+/// Takes the items of an array one after the other. The first one that is
+/// missing or of another type makes all that follow fail.
+class ItemReader {
+public:
+  explicit ItemReader(const CborItem &Array)
+      : m_Data(Array.m_Content), m_Good(Array.m_Major == CborMajor::Array) {}
+
+  bool good() const { return m_Good; }
+  bool atEnd() const { return m_Data.empty(); }
+  std::optional<CborItem> next() {
+    std::optional<CborItem> Item;
+    if (m_Good)
+      Item = takeItem(m_Data, MaxDepth);
+    m_Good = Item.has_value();
+    return Item;
+  }
+  std::uint64_t number() { return take(CborMajor::Unsigned).m_Argument; }
+  std::string text() { return std::string(take(CborMajor::Text).m_Content); }
+  std::string bytes() { return std::string(take(CborMajor::Bytes).m_Content); }
+  bool boolean() {
+    std::uint64_t Value = take(CborMajor::Simple).m_Argument;
+    m_Good = m_Good && (Value == CborTrue || Value == CborFalse);
+    return Value == CborTrue;
+  }
+  /// Takes an array; its items are read by another reader.
+  CborItem array() { return take(CborMajor::Array); }
+  void fail() { m_Good = false; }
+
+private:
+  CborItem take(CborMajor Expected) {
+    std::optional<CborItem> Item = next();
+    m_Good = Item && Item->m_Major == Expected;
+    return m_Good ? *Item : CborItem();
+  }
 
-Json binary(const std::string &Data) {
-  return Json::binary(Json::binary_t::container_type(Data.begin(), Data.end()));
-}
-
-bool readNumber(const Json &Value, std::uint64_t &Out) {
-  if (!Value.is_number_integer() ||
-      (!Value.is_number_unsigned() && Value.get<std::int64_t>() < 0))
-    return false;
-  Out = Value.get<std::uint64_t>();
-  return true;
-}
-
-bool readText(const Json &Value, std::string &Out) {
-  if (!Value.is_string())
-    return false;
-  Out = Value.get_ref<const std::string &>();
-  return true;
-}
-
-bool readBinary(const Json &Value, std::string &Out) {
-  if (!Value.is_binary())
-    return false;
-  const Json::binary_t &Data = Value.get_binary();
-  Out.assign(Data.begin(), Data.end());
-  return true;
-}
-
-bool readBool(const Json &Value, bool &Out) {
-  if (!Value.is_boolean())
-    return false;
-  Out = Value.get<bool>();
-  return true;
-}
-
-Json addressesToJson(const std::vector<KeeperAddress> &Keepers) {
-  Json List = Json::array();
-  for (const KeeperAddress &Address : Keepers)
-    List.push_back(Json::array({Address.m_Keeper.m_Value, Address.m_PeerUrl}));
-  return List;
+  std::string_view m_Data;
+  bool m_Good;
+};
+
+void appendAddresses(std::string &Out,
+                     const std::vector<KeeperAddress> &Keepers) {
+  appendHead(Out, CborMajor::Array, Keepers.size());
+  for (const KeeperAddress &Address : Keepers) {
+    appendHead(Out, CborMajor::Array, 2);
+    appendText(Out, Address.m_Keeper.m_Value);
+    appendText(Out, Address.m_PeerUrl);
+  }
 }
 
-bool readAddresses(const Json &List, std::vector<KeeperAddress> &Out) {
-  if (!List.is_array())
-    return false;
-  for (const Json &Item : List) {
+bool readAddresses(const CborItem &List, std::vector<KeeperAddress> &Keepers) {
+  ItemReader Items(List);
+  while (Items.good() && !Items.atEnd()) {
+    ItemReader Pair(Items.array());
     KeeperAddress Address;
-    if (!Item.is_array() || Item.size() != 2 ||
-        !readText(Item[0], Address.m_Keeper.m_Value) ||
-        !readText(Item[1], Address.m_PeerUrl))
+    Address.m_Keeper.m_Value = Pair.text();
+    Address.m_PeerUrl = Pair.text();
+    if (!Pair.good() || !Pair.atEnd())
       return false;
-    Out.push_back(std::move(Address));
+    Keepers.push_back(std::move(Address));
   }
-  return true;
+  return Items.good();
 }
 
-Json entryToJson(const LogEntry &Entry) {
-  return Json::array({Entry.m_Index.m_Value, Entry.m_Term.m_Value,
-                      static_cast<unsigned>(Entry.m_Kind),
-                      binary(Entry.m_Data)});
+void appendKeeperSet(std::string &Out, const KeeperSet &Set) {
+  appendHead(Out, CborMajor::Array, KeeperSetItems);
+  appendAddresses(Out, Set.m_Voters);
+  appendAddresses(Out, Set.m_Learners);
+  appendHead(Out, CborMajor::Array, Set.m_Removed.size());
+  for (const KeeperId &Keeper : Set.m_Removed)
+    appendText(Out, Keeper.m_Value);
 }
 
-bool readEntry(const Json &Item, LogEntry &Out) {
-  std::uint64_t Kind = 0;
-  if (!Item.is_array() || Item.size() != 4 ||
-      !readNumber(Item[0], Out.m_Index.m_Value) ||
-      !readNumber(Item[1], Out.m_Term.m_Value) || !readNumber(Item[2], Kind) ||
-      Kind > LastEntryKind || !readBinary(Item[3], Out.m_Data))
+bool readKeeperSet(const CborItem &Item, KeeperSet &Set) {
+  ItemReader Parts(Item);
+  if (!readAddresses(Parts.array(), Set.m_Voters) ||
+      !readAddresses(Parts.array(), Set.m_Learners))
     return false;
-  Out.m_Kind = static_cast<EntryKind>(Kind);
-  return true;
+  ItemReader Removed(Parts.array());
+  while (Removed.good() && !Removed.atEnd())
+    Set.m_Removed.push_back(KeeperId(Removed.text()));
+  return Parts.good() && Parts.atEnd() && Removed.good();
 }
 
-Json snapshotToJson(const Snapshot &Taken) {
-  return Json::array({Taken.m_LastIndex.m_Value, Taken.m_LastTerm.m_Value,
-                      keeperSetToJson(Taken.m_Set), binary(Taken.m_Data)});
+void appendEntry(std::string &Out, const LogEntry &Entry) {
+  appendHead(Out, CborMajor::Array, EntryItems);
+  appendNumber(Out, Entry.m_Index.m_Value);
+  appendNumber(Out, Entry.m_Term.m_Value);
+  appendNumber(Out, static_cast<std::uint64_t>(Entry.m_Kind));
+  appendBytes(Out, Entry.m_Data);
 }
 
-bool readSnapshot(const Json &Item, Snapshot &Out) {
-  if (!Item.is_array() || Item.size() != 4 ||
-      !readNumber(Item[0], Out.m_LastIndex.m_Value) ||
-      !readNumber(Item[1], Out.m_LastTerm.m_Value) ||
-      !readBinary(Item[3], Out.m_Data))
-    return false;
-  std::optional<KeeperSet> Set = keeperSetFromJson(Item[2]);
-  if (!Set)
+bool readEntry(const CborItem &Item, LogEntry &Entry) {
+  ItemReader Items(Item);
+  Entry.m_Index.m_Value = Items.number();
+  Entry.m_Term.m_Value = Items.number();
+  std::uint64_t Kind = Items.number();
+  Entry.m_Data = Items.bytes();
+  if (!Items.good() || !Items.atEnd() || Kind > LastEntryKind)
     return false;
-  Out.m_Set = std::move(*Set);
+  Entry.m_Kind = static_cast<EntryKind>(Kind);
   return true;
 }
 
-bool readHead(const Json &Item, ReplicaMessage &Out) {
-  std::uint64_t Kind = 0;
-  if (!readNumber(Item[0], Kind) || Kind > LastMessageKind)
+void appendSnapshot(std::string &Out, const Snapshot &Taken) {
+  appendHead(Out, CborMajor::Array, SnapshotItems);
+  appendNumber(Out, Taken.m_LastIndex.m_Value);
+  appendNumber(Out, Taken.m_LastTerm.m_Value);
+  appendKeeperSet(Out, Taken.m_Set);
+  appendBytes(Out, Taken.m_Data);
+}
+
+bool readSnapshot(const CborItem &Item, Snapshot &Taken) {
+  ItemReader Items(Item);
+  Taken.m_LastIndex.m_Value = Items.number();
+  Taken.m_LastTerm.m_Value = Items.number();
+  if (!readKeeperSet(Items.array(), Taken.m_Set))
     return false;
-  Out.m_Kind = static_cast<ReplicaMessage::Kind>(Kind);
-  return readText(Item[1], Out.m_From.m_Value) &&
-         readText(Item[2], Out.m_To.m_Value) &&
-         readNumber(Item[3], Out.m_Term.m_Value) &&
-         readNumber(Item[4], Out.m_PreviousIndex.m_Value) &&
-         readNumber(Item[5], Out.m_PreviousTerm.m_Value) &&
-         readNumber(Item[6], Out.m_Commit.m_Value) &&
-         readBool(Item[7], Out.m_Granted) &&
-         readNumber(Item[8], Out.m_Match.m_Value) &&
-         readNumber(Item[9], Out.m_Sequence) &&
-         readNumber(Item[10], Out.m_Acked.m_Value) &&
-         readBool(Item[11], Out.m_Regressed);
+  Taken.m_Data = Items.bytes();
+  return Items.good() && Items.atEnd();
 }
 
 /// Values that no keeper sends and that would overflow index arithmetic.
@@ -138,103 +152,123 @@
           Message.m_Snapshot->m_LastIndex.m_Value < Limit);
 }
 
-bool readMessage(const Json &Item, ReplicaMessage &Out) {
-  // The last item is present only when it is true, so that keepers of an older
-  // build understand all other messages.
-  bool HasNoLeader = Item.is_array() && Item.size() == 17;
-  if (!Item.is_array() || (Item.size() != 16 && !HasNoLeader) ||
-      !readHead(Item, Out) || !Item[12].is_array())
-    return false;
-  if (HasNoLeader && !readBool(Item[16], Out.m_NoLeader))
-    return false;
-  Out.m_Entries.resize(Item[12].size());
-  for (std::size_t I = 0; I < Out.m_Entries.size(); ++I)
-    if (!readEntry(Item[12][I], Out.m_Entries[I]))
-      return false;
-  if (!Item[13].is_null()) {
-    Out.m_Snapshot.emplace();
-    if (!readSnapshot(Item[13], *Out.m_Snapshot))
+bool readEntries(const CborItem &List, std::vector<LogEntry> &Entries) {
+  ItemReader Items(List);
+  while (Items.good() && !Items.atEnd())
+    if (!readEntry(Items.array(), Entries.emplace_back()))
       return false;
-  }
-  return readNumber(Item[14], Out.m_SnapshotSize) &&
-         readNumber(Item[15], Out.m_Offset) && isPlausible(Out);
+  return Items.good();
 }
 
-} // namespace
-
-Json keeperSetToJson(const KeeperSet &Set) {
-  Json Removed = Json::array();
-  for (const KeeperId &Keeper : Set.m_Removed)
-    Removed.push_back(Keeper.m_Value);
-  return Json::array({addressesToJson(Set.m_Voters),
-                      addressesToJson(Set.m_Learners), std::move(Removed)});
+bool readOptionalSnapshot(ItemReader &Items, std::optional<Snapshot> &Taken) {
+  std::optional<CborItem> Item = Items.next();
+  if (!Item)
+    return false;
+  if (Item->m_Major == CborMajor::Simple)
+    return Item->m_Argument == CborNull;
+  return readSnapshot(*Item, Taken.emplace());
 }
 
-std::optional<KeeperSet> keeperSetFromJson(const Json &Item) {
-  KeeperSet Set;
-  if (!Item.is_array() || Item.size() != 3 ||
-      !readAddresses(Item[0], Set.m_Voters) ||
-      !readAddresses(Item[1], Set.m_Learners) || !Item[2].is_array())
-    return std::nullopt;
-  for (const Json &Removed : Item[2]) {
-    KeeperId Keeper;
-    if (!readText(Removed, Keeper.m_Value))
-      return std::nullopt;
-    Set.m_Removed.push_back(std::move(Keeper));
-  }
-  return Set;
+bool readMessage(const CborItem &Item, ReplicaMessage &Message) {
+  ItemReader Items(Item);
+  std::uint64_t Kind = Items.number();
+  if (Kind > LastMessageKind)
+    return false;
+  Message.m_Kind = static_cast<ReplicaMessage::Kind>(Kind);
+  Message.m_From.m_Value = Items.text();
+  Message.m_To.m_Value = Items.text();
+  Message.m_Term.m_Value = Items.number();
+  Message.m_PreviousIndex.m_Value = Items.number();
+  Message.m_PreviousTerm.m_Value = Items.number();
+  Message.m_Commit.m_Value = Items.number();
+  Message.m_Granted = Items.boolean();
+  Message.m_Match.m_Value = Items.number();
+  Message.m_Sequence = Items.number();
+  Message.m_Acked.m_Value = Items.number();
+  Message.m_Regressed = Items.boolean();
+  if (!readEntries(Items.array(), Message.m_Entries) ||
+      !readOptionalSnapshot(Items, Message.m_Snapshot))
+    return false;
+  Message.m_SnapshotSize = Items.number();
+  Message.m_Offset = Items.number();
+  // The last item is present only when it is true, so that keepers of an older
+  // build understand all other messages.
+  if (Items.good() && !Items.atEnd())
+    Message.m_NoLeader = Items.boolean();
+  return Items.good() && Items.atEnd() && isPlausible(Message);
 }
 
-} // namespace internal
+/// The only item of the data; absent when it is not one well-formed item.
+std::optional<CborItem> wholeItem(const std::string &Data) {
+  std::string_view Rest = Data;
+  std::optional<CborItem> Item = takeItem(Rest, MaxDepth);
+  return Rest.empty() ? Item : std::nullopt;
+}
 
-using namespace internal;
+} // namespace
 
 std::string encodeKeeperSet(const KeeperSet &Set) {
-  return encodeCbor(keeperSetToJson(Set));
+  std::string Out;
+  appendKeeperSet(Out, Set);
+  return Out;
 }
 
 std::optional<KeeperSet> decodeKeeperSet(const std::string &Data) {
-  Result<nlohmann::json> Value = parseCbor(Data);
-  if (!Value)
+  std::optional<CborItem> Item = wholeItem(Data);
+  KeeperSet Set;
+  if (!Item || !readKeeperSet(*Item, Set))
     return std::nullopt;
-  return keeperSetFromJson(Value.value());
+  return Set;
 }
 
 std::string encodeReplicaMessage(const ReplicaMessage &Message) {
-  nlohmann::json Entries = nlohmann::json::array();
+  std::string Out;
+  appendHead(Out, CborMajor::Array,
+             MessageItems + (Message.m_NoLeader ? 1 : 0));
+  appendNumber(Out, static_cast<std::uint64_t>(Message.m_Kind));
+  appendText(Out, Message.m_From.m_Value);
+  appendText(Out, Message.m_To.m_Value);
+  appendNumber(Out, Message.m_Term.m_Value);
+  appendNumber(Out, Message.m_PreviousIndex.m_Value);
+  appendNumber(Out, Message.m_PreviousTerm.m_Value);
+  appendNumber(Out, Message.m_Commit.m_Value);
+  appendBool(Out, Message.m_Granted);
+  appendNumber(Out, Message.m_Match.m_Value);
+  appendNumber(Out, Message.m_Sequence);
+  appendNumber(Out, Message.m_Acked.m_Value);
+  appendBool(Out, Message.m_Regressed);
+  appendHead(Out, CborMajor::Array, Message.m_Entries.size());
   for (const LogEntry &Entry : Message.m_Entries)
-    Entries.push_back(entryToJson(Entry));
-  nlohmann::json Items = nlohmann::json::array(
-      {static_cast<unsigned>(Message.m_Kind), Message.m_From.m_Value,
-       Message.m_To.m_Value, Message.m_Term.m_Value,
-       Message.m_PreviousIndex.m_Value, Message.m_PreviousTerm.m_Value,
-       Message.m_Commit.m_Value, Message.m_Granted, Message.m_Match.m_Value,
-       Message.m_Sequence, Message.m_Acked.m_Value, Message.m_Regressed,
-       std::move(Entries),
-       Message.m_Snapshot ? snapshotToJson(*Message.m_Snapshot)
-                          : nlohmann::json(),
-       Message.m_SnapshotSize, Message.m_Offset});
+    appendEntry(Out, Entry);
+  if (Message.m_Snapshot)
+    appendSnapshot(Out, *Message.m_Snapshot);
+  else
+    appendHead(Out, CborMajor::Simple, CborNull);
+  appendNumber(Out, Message.m_SnapshotSize);
+  appendNumber(Out, Message.m_Offset);
   if (Message.m_NoLeader)
-    Items.push_back(true);
-  return encodeCbor(Items);
+    appendBool(Out, true);
+  return Out;
 }
 
 Result<ReplicaMessage> decodeReplicaMessage(const std::string &Data) {
   ReplicaMessage Message;
-  Result<nlohmann::json> Value = parseCbor(Data);
-  if (!Value || !readMessage(Value.value(), Message))
+  std::optional<CborItem> Item = wholeItem(Data);
+  if (!Item || !readMessage(*Item, Message))
     return makeError(ErrorCode::Malformed, "not a replication message in CBOR");
   return Message;
 }
 
 std::string encodeSnapshot(const Snapshot &Taken) {
-  return encodeCbor(snapshotToJson(Taken));
+  std::string Out;
+  appendSnapshot(Out, Taken);
+  return Out;
 }
 
 Result<Snapshot> decodeSnapshot(const std::string &Data) {
   Snapshot Taken;
-  Result<nlohmann::json> Value = parseCbor(Data);
-  if (!Value || !readSnapshot(Value.value(), Taken))
+  std::optional<CborItem> Item = wholeItem(Data);
+  if (!Item || !readSnapshot(*Item, Taken))
     return makeError(ErrorCode::Malformed, "not a snapshot in CBOR");
   return Taken;
 }
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -396,7 +396,7 @@
 
 void PeerLinks::append(PeerLink &Link, const PeerMessage &Message) {
   Link.m_BatchControl = isControlMessage(Message);
-  Link.m_Batch += encodeMessage(Message);
+  appendMessage(Link.m_Batch, Message);
   ++Link.m_BatchCount;
 }
 
--- a/src/daemon/connection/message_codec.cpp
+++ b/src/daemon/connection/message_codec.cpp
@@ -1,9 +1,9 @@
 #include "connection/message_codec.hpp"
 
 #include "connection/internal/message_fields.hpp"
+#include "process/cbor_items.hpp"
 
 #include <limits>
-#include <nlohmann/json.hpp>
 
 namespace vanillaferry {
 
@@ -13,16 +13,17 @@
 using internal::KindOf;
 using internal::maxNumber;
 using internal::RawBytes;
-using nlohmann::json;
 
 /// Frames nest at most: array of messages, map, array of structs, map, struct.
-/// A deeper frame could exhaust the stack of the recursive CBOR reader.
-constexpr std::size_t MaxDepth = 8;
+/// Each level of a frame is one call of the reader.
+constexpr unsigned MaxDepth = 8;
 
 /// Writes the fields of a struct; empty and zero fields are left out.
 class FieldWriter {
 public:
-  explicit FieldWriter(json &Map) : m_Map(Map) {}
+  explicit FieldWriter(std::string &Out) : m_Out(Out) {}
+
+  std::size_t count() const { return m_Count; }
 
   template <typename Tag>
   void operator()(const char *Key, const StringId<Tag> &Id) {
@@ -43,47 +44,68 @@
       nested(Key, Value);
   }
   void operator()(const char *Key, RawBytes<const std::string> Raw) {
-    if (!Raw.m_Text.empty())
-      m_Map[Key] = json::binary(
-          std::vector<std::uint8_t>(Raw.m_Text.begin(), Raw.m_Text.end()));
+    if (Raw.m_Text.empty())
+      return;
+    key(Key);
+    appendBytes(m_Out, Raw.m_Text);
   }
   template <typename T>
   void operator()(const char *Key, const std::vector<T> &List) {
     if (List.empty())
       return;
-    json &Array = m_Map[Key] = json::array();
-    for (const T &Item : List) {
-      json Map = json::object();
-      FieldWriter Inner(Map);
-      fields(Inner, Item);
-      Array.push_back(std::move(Map));
-    }
+    key(Key);
+    appendHead(m_Out, CborMajor::Array, List.size());
+    for (const T &Item : List)
+      map(Item);
   }
 
 private:
+  void key(const char *Key) {
+    appendText(m_Out, Key);
+    ++m_Count;
+  }
   void text(const char *Key, const std::string &Value) {
-    if (!Value.empty())
-      m_Map[Key] = Value;
+    if (Value.empty())
+      return;
+    key(Key);
+    appendText(m_Out, Value);
   }
   template <typename T> void number(const char *Key, T Value) {
-    if (Value != T())
-      m_Map[Key] = Value;
+    if (Value == T())
+      return;
+    key(Key);
+    if constexpr (std::is_same_v<T, bool>)
+      appendBool(m_Out, Value);
+    else if constexpr (std::is_signed_v<T>)
+      appendNumber(m_Out, static_cast<std::int64_t>(Value));
+    else
+      appendNumber(m_Out, static_cast<std::uint64_t>(Value));
   }
   template <typename T> void nested(const char *Key, const T &Value) {
-    json Map = json::object();
-    FieldWriter Inner(Map);
+    std::size_t Before = m_Out.size();
+    key(Key);
+    if (map(Value) > 0)
+      return;
+    m_Out.resize(Before);
+    --m_Count;
+  }
+  template <typename T> std::size_t map(const T &Value) {
+    std::size_t At = m_Out.size();
+    FieldWriter Inner(m_Out);
     fields(Inner, Value);
-    if (!Map.empty())
-      m_Map[Key] = std::move(Map);
+    insertMapHead(m_Out, At, Inner.m_Count);
+    return Inner.m_Count;
   }
 
-  json &m_Map;
+  std::string &m_Out;
+  std::size_t m_Count = 0;
 };
 
 /// Reads the fields of a struct; a missing field is empty or zero.
 class FieldReader {
 public:
-  FieldReader(json &Map, std::string &Fault) : m_Map(Map), m_Fault(Fault) {}
+  FieldReader(CborMap &Map, unsigned Depth, std::string &Fault)
+      : m_Map(Map), m_Depth(Depth), m_Fault(Fault) {}
 
   template <typename Tag> void operator()(const char *Key, StringId<Tag> &Id) {
     (*this)(Key, Id.m_Value);
@@ -94,61 +116,72 @@
   }
   template <typename T> void operator()(const char *Key, T &Value) {
     Value = T();
-    auto Found = m_Map.find(Key);
-    if (Found == m_Map.end()) {
+    const CborItem *Found = m_Map.find(Key);
+    if (!Found) {
       if constexpr (std::is_enum_v<T>)
         Value = static_cast<T>(0);
     } else if constexpr (std::is_enum_v<T>) {
       enumeration(Key, *Found, Value);
     } else if constexpr (std::is_same_v<T, bool>) {
-      if (Found->is_boolean())
-        Value = Found->template get<bool>();
-      else
-        fail(Key, "a boolean");
+      boolean(Key, *Found, Value);
     } else if constexpr (std::is_same_v<T, std::string>) {
-      if (Found->is_string())
-        Value = std::move(Found->template get_ref<std::string &>());
-      else
-        fail(Key, "a text");
+      text(Key, *Found, CborMajor::Text, Value);
     } else if constexpr (std::is_arithmetic_v<T>) {
       number(Key, *Found, Value);
     } else {
-      if (Found->is_object()) {
-        FieldReader Inner(*Found, m_Fault);
-        fields(Inner, Value);
-      } else {
+      if (!nested(*Found, Value))
         fail(Key, "a map");
-      }
     }
   }
   void operator()(const char *Key, RawBytes<std::string> Raw) {
     Raw.m_Text.clear();
-    auto Found = m_Map.find(Key);
-    if (Found == m_Map.end())
-      return;
-    if (!Found->is_binary())
-      return fail(Key, "a byte string");
-    const json::binary_t &Data = Found->get_binary();
-    Raw.m_Text.assign(Data.begin(), Data.end());
+    const CborItem *Found = m_Map.find(Key);
+    if (Found)
+      text(Key, *Found, CborMajor::Bytes, Raw.m_Text);
   }
   template <typename T> void operator()(const char *Key, std::vector<T> &List) {
     List.clear();
-    auto Found = m_Map.find(Key);
-    if (Found == m_Map.end())
+    const CborItem *Found = m_Map.find(Key);
+    if (!Found)
       return;
-    if (!Found->is_array())
+    if (Found->m_Major != CborMajor::Array)
       return fail(Key, "an array");
-    for (json &Item : *Found) {
-      if (!Item.is_object())
+    std::string_view Data = Found->m_Content;
+    while (!Data.empty()) {
+      std::optional<CborItem> Item = takeItem(Data, m_Depth);
+      if (!Item || !nested(*Item, List.emplace_back()))
         return fail(Key, "an array of maps");
-      FieldReader Inner(Item, m_Fault);
-      fields(Inner, List.emplace_back());
     }
   }
 
 private:
+  template <typename T> bool nested(const CborItem &Item, T &Value) {
+    CborMap Map;
+    if (Item.m_Major != CborMajor::Map || m_Depth == 0 ||
+        !Map.read(Item, m_Depth - 1))
+      return false;
+    FieldReader Inner(Map, m_Depth - 1, m_Fault);
+    fields(Inner, Value);
+    return true;
+  }
+  void text(const char *Key, const CborItem &Found, CborMajor Expected,
+            std::string &Value) {
+    if (Found.m_Major == Expected)
+      Value.assign(Found.m_Content);
+    else
+      fail(Key, Expected == CborMajor::Text ? "a text" : "a byte string");
+  }
+  void boolean(const char *Key, const CborItem &Found, bool &Value) {
+    bool Known =
+        Found.m_Major == CborMajor::Simple &&
+        (Found.m_Argument == CborTrue || Found.m_Argument == CborFalse);
+    if (Known)
+      Value = Found.m_Argument == CborTrue;
+    else
+      fail(Key, "a boolean");
+  }
   template <typename T>
-  void enumeration(const char *Key, const json &Found, T &Value) {
+  void enumeration(const char *Key, const CborItem &Found, T &Value) {
     std::uint32_t Number = 0;
     number(Key, Found, Number);
     if (Number > maxNumber(T()))
@@ -157,17 +190,17 @@
       Value = static_cast<T>(Number);
   }
   template <typename T>
-  void number(const char *Key, const json &Found, T &Value) {
-    if (Found.is_number_unsigned()) {
-      std::uint64_t Number = Found.get<std::uint64_t>();
-      if (Number > static_cast<std::uint64_t>(std::numeric_limits<T>::max()))
+  void number(const char *Key, const CborItem &Found, T &Value) {
+    std::uint64_t Argument = Found.m_Argument;
+    if (Found.m_Major == CborMajor::Unsigned) {
+      if (Argument > static_cast<std::uint64_t>(std::numeric_limits<T>::max()))
         return fail(Key, "a smaller number");
-      Value = static_cast<T>(Number);
-    } else if (Found.is_number_integer() && std::is_signed_v<T>) {
-      std::int64_t Number = Found.get<std::int64_t>();
-      if (Number < static_cast<std::int64_t>(std::numeric_limits<T>::min()))
+      Value = static_cast<T>(Argument);
+    } else if (Found.m_Major == CborMajor::Negative && std::is_signed_v<T>) {
+      if (Argument > static_cast<std::uint64_t>(std::numeric_limits<T>::max()))
         return fail(Key, "a larger number");
-      Value = static_cast<T>(Number);
+      // The item states -1 - Argument.
+      Value = static_cast<T>(-static_cast<std::int64_t>(Argument) - 1);
     } else {
       fail(Key, "a whole number");
     }
@@ -177,68 +210,37 @@
       m_Fault = std::string("field ") + Key + ": expected " + Expected;
   }
 
-  json &m_Map;
+  CborMap &m_Map;
+  unsigned m_Depth;
   std::string &m_Fault;
 };
 
-using DomParser = nlohmann::detail::json_sax_dom_parser<json>;
-
-/// Builds the JSON value and stops at a depth that no valid frame has.
-class BoundedParser : public DomParser {
-public:
-  explicit BoundedParser(json &Root) : DomParser(Root, false) {}
-
-  bool start_object(std::size_t Length) { // NOLINT: name given by nlohmann
-    return ++m_Depth <= MaxDepth && DomParser::start_object(Length);
-  }
-  bool end_object() { // NOLINT: name given by nlohmann
-    --m_Depth;
-    return DomParser::end_object();
-  }
-  bool start_array(std::size_t Length) { // NOLINT: name given by nlohmann
-    return ++m_Depth <= MaxDepth && DomParser::start_array(Length);
-  }
-  bool end_array() { // NOLINT: name given by nlohmann
-    --m_Depth;
-    return DomParser::end_array();
-  }
-
-private:
-  std::size_t m_Depth = 0;
-};
-
-bool parseCbor(const std::string &Frame, json &Root) {
-  try {
-    BoundedParser Parser(Root);
-    return json::sax_parse(Frame, &Parser, json::input_format_t::cbor);
-  } catch (const std::exception &) {
-    // nlohmann throws for array lengths beyond the address space.
-    return false;
-  }
-}
-
 template <std::size_t Index = 0>
-bool readKind(int Kind, json &Map, PeerMessage &Message, std::string &Fault) {
+bool readKind(std::uint64_t Kind, CborMap &Map, PeerMessage &Message,
+              std::string &Fault) {
   if constexpr (Index < std::variant_size_v<PeerMessage>) {
     using T = std::variant_alternative_t<Index, PeerMessage>;
     if (KindOf<T>::Value != Kind)
       return readKind<Index + 1>(Kind, Map, Message, Fault);
-    FieldReader Reader(Map, Fault);
+    FieldReader Reader(Map, MaxDepth, Fault);
     fields(Reader, Message.emplace<T>());
     return true;
   }
   return false;
 }
 
-std::string readMessage(json &Map, PeerMessage &Message) {
-  if (!Map.is_object())
+std::string readMessage(const CborItem &Item, PeerMessage &Message) {
+  if (Item.m_Major != CborMajor::Map)
     return "a message is not a map";
-  auto Kind = Map.find("k");
-  if (Kind == Map.end() || !Kind->is_number_unsigned())
+  CborMap Map;
+  if (!Map.read(Item, MaxDepth))
+    return "a message has too many fields";
+  const CborItem *Kind = Map.find("k");
+  if (!Kind || Kind->m_Major != CborMajor::Unsigned)
     return "a message has no kind";
-  std::uint64_t Number = Kind->get<std::uint64_t>();
+  std::uint64_t Number = Kind->m_Argument;
   std::string Fault;
-  if (Number > 255 || !readKind(static_cast<int>(Number), Map, Message, Fault))
+  if (!readKind(Number, Map, Message, Fault))
     return "unknown kind " + std::to_string(Number);
   if (!Fault.empty())
     Fault = "kind " + std::to_string(Number) + ", " + Fault;
@@ -247,47 +249,54 @@
 
 } // namespace
 
-std::string encodeMessage(const PeerMessage &Message) {
-  json Map = json::object();
+void appendMessage(std::string &Out, const PeerMessage &Message) {
+  std::size_t At = Out.size();
+  std::size_t Fields = 0;
   std::visit(
-      [&Map](const auto &Data) {
-        Map["k"] = KindOf<std::decay_t<decltype(Data)>>::Value;
-        FieldWriter Writer(Map);
+      [&Out, &Fields](const auto &Data) {
+        appendText(Out, "k");
+        appendNumber(
+            Out, std::uint64_t(KindOf<std::decay_t<decltype(Data)>>::Value));
+        FieldWriter Writer(Out);
         fields(Writer, Data);
+        Fields = Writer.count() + 1;
       },
       Message);
+  insertMapHead(Out, At, Fields);
+}
+
+std::string encodeMessage(const PeerMessage &Message) {
   std::string Encoded;
-  json::to_cbor(Map, nlohmann::detail::output_adapter<char>(Encoded));
+  appendMessage(Encoded, Message);
   return Encoded;
 }
 
 void appendFrameHead(std::string &Frame, std::size_t Count) {
-  // RFC 8949, section 3: major type 4, the count in the head or one byte on.
-  if (Count < 24) {
-    Frame.push_back(static_cast<char>(0x80U | Count));
-  } else {
-    Frame.push_back(static_cast<char>(0x98U));
-    Frame.push_back(static_cast<char>(Count));
-  }
+  appendHead(Frame, CborMajor::Array, Count);
 }
 
 Result<std::vector<PeerMessage>> decodeFrame(const std::string &Frame) {
-  json Root;
-  if (!parseCbor(Frame, Root))
+  std::string_view Data = Frame;
+  std::optional<CborItem> Root = takeItem(Data, MaxDepth);
+  if (!Root || !Data.empty())
     return makeError(ErrorCode::Malformed, "the frame is not CBOR");
   std::vector<PeerMessage> Messages;
-  if (!Root.is_array()) {
-    std::string Fault = readMessage(Root, Messages.emplace_back());
+  if (Root->m_Major != CborMajor::Array) {
+    std::string Fault = readMessage(*Root, Messages.emplace_back());
     if (!Fault.empty())
       return makeError(ErrorCode::Malformed, Fault);
     return Messages;
   }
-  if (Root.empty() || Root.size() > MaxMessagesPerFrame)
-    return makeError(ErrorCode::Malformed, "the frame has " +
-                                               std::to_string(Root.size()) +
-                                               " messages");
-  for (json &Map : Root) {
-    std::string Fault = readMessage(Map, Messages.emplace_back());
+  std::uint64_t Count = Root->m_Argument;
+  if (Count == 0 || Count > MaxMessagesPerFrame)
+    return makeError(ErrorCode::Malformed,
+                     "the frame has " + std::to_string(Count) + " messages");
+  std::string_view Items = Root->m_Content;
+  Messages.reserve(Count);
+  while (!Items.empty()) {
+    std::optional<CborItem> Item = takeItem(Items, MaxDepth);
+    std::string Fault = Item ? readMessage(*Item, Messages.emplace_back())
+                             : std::string("an item is malformed");
     if (!Fault.empty())
       return makeError(ErrorCode::Malformed, Fault);
   }
--- a/src/daemon/connection/message_codec.hpp
+++ b/src/daemon/connection/message_codec.hpp
@@ -13,6 +13,7 @@
 
 /// CBOR map of one message. A frame of one message is exactly this map.
 std::string encodeMessage(const PeerMessage &Message);
+void appendMessage(std::string &Out, const PeerMessage &Message);
 
 /// Appends the head of a CBOR array; a frame of several messages is this head
 /// followed by their maps. Count is at most MaxMessagesPerFrame.
