Look members up only after a change of the membership

Leases of removed nodes are looked for only at an epoch at which not all leases were found to be members', which gives the same result.

--- a/include/vanillaferry/process/lease_table.hpp
+++ b/include/vanillaferry/process/lease_table.hpp
@@ -66,6 +66,8 @@
   std::map<NodeId, NodeLease> m_Leases;
   /// Leases of replaced or removed incarnations, until they no longer count.
   std::vector<NodeLease> m_Former;
+  /// Epoch at which every lease in m_Leases was one of a member; 0 before.
+  Epoch m_AllMembersAt;
   /// When each node that has no lease yet was proposed as a member.
   std::map<NodeId, Millis> m_Joining;
   ShareTable m_Shares;
--- a/src/core/process/lease_reports.cpp
+++ b/src/core/process/lease_reports.cpp
@@ -41,12 +41,16 @@
                            const StateMachine &State) {
   if (Lease.m_OwnedElsewhereEpoch == State.m_Epoch && State.m_Epoch != Epoch(0))
     return;
+  Lease.m_OwnedElsewhere.clear();
+  Lease.m_OwnedElsewhereEpoch = State.m_Epoch;
+  // Gateways own no targets.
+  if (Lease.m_Targets.empty())
+    return;
   refreshOwners(Table.m_Owners, State);
   std::map<NodeId, Member>::const_iterator Current =
       State.m_Members.find(Lease.m_Node);
   bool Present = Current != State.m_Members.end() &&
                  Current->second.m_Incarnation == Lease.m_Incarnation;
-  Lease.m_OwnedElsewhere.clear();
   for (const TargetLoad &Load : Lease.m_Targets) {
     if (Load.m_Running == 0)
       continue;
@@ -55,7 +59,6 @@
     if (Owner && (!Present || *Owner != Lease.m_Node))
       Lease.m_OwnedElsewhere.push_back(Load);
   }
-  Lease.m_OwnedElsewhereEpoch = State.m_Epoch;
 }
 
 void addResidual(LeaseTable &Table, NodeLease &Lease, const StateMachine &State,
--- a/src/core/process/lease_table.cpp
+++ b/src/core/process/lease_table.cpp
@@ -32,19 +32,33 @@
       Visit(Lease);
 }
 
-/// Moves expired leases of removed nodes to m_Former and drops expired ones
-/// whose report is too old to count.
-void pruneFormer(LeaseTable &Table, const StateMachine &State, Millis Now) {
+/// Moves expired leases of removed nodes to m_Former.
+void moveRemovedNodes(LeaseTable &Table, const StateMachine &State,
+                      Millis Now) {
+  // Looking all nodes up for each renewal would cost the square of the fleet.
+  if (Table.m_AllMembersAt == State.m_Epoch && State.m_Epoch != Epoch(0))
+    return;
+  bool AllMembers = true;
   std::map<NodeId, NodeLease>::iterator Row = Table.m_Leases.begin();
   while (Row != Table.m_Leases.end()) {
+    bool Removed = State.m_Members.count(Row->first) == 0;
     // The report of a removed node still counts as residual load.
-    if (State.m_Members.count(Row->first) == 0 && !isLive(Row->second, Now)) {
+    if (Removed && !isLive(Row->second, Now)) {
       Table.m_Former.push_back(std::move(Row->second));
       Row = Table.m_Leases.erase(Row);
     } else {
+      AllMembers = AllMembers && !Removed;
       ++Row;
     }
   }
+  if (AllMembers)
+    Table.m_AllMembersAt = State.m_Epoch;
+}
+
+/// Moves expired leases of removed nodes to m_Former and drops expired ones
+/// whose report is too old to count.
+void pruneFormer(LeaseTable &Table, const StateMachine &State, Millis Now) {
+  moveRemovedNodes(Table, State, Now);
   Millis Keep = Table.m_Options.m_ResidualMaxAge;
   Table.m_Former.erase(std::remove_if(Table.m_Former.begin(),
                                       Table.m_Former.end(),
--- a/src/core/request/load_board.cpp
+++ b/src/core/request/load_board.cpp
@@ -1,5 +1,6 @@
 #include "vanillaferry/request/load_board.hpp"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace vanillaferry {
@@ -66,6 +67,21 @@
   }
 }
 
+bool hasLowerKey(const KeyedLoad &A, const KeyedLoad &B) {
+  return A.m_Key < B.m_Key;
+}
+
+/// Requests at the targets of a key; Loads are sorted by it.
+std::uint32_t runningOf(const std::vector<KeyedLoad> &Loads,
+                        std::uint32_t Key) {
+  std::uint32_t Running = 0;
+  std::vector<KeyedLoad>::const_iterator At = std::lower_bound(
+      Loads.begin(), Loads.end(), KeyedLoad{Key}, &hasLowerKey);
+  for (; At != Loads.end() && At->m_Key == Key; ++At)
+    Running += At->m_Running;
+  return Running;
+}
+
 } // namespace
 
 std::uint32_t loadKey(const TargetId &Target) {
@@ -121,16 +137,20 @@
   dropOldReports(Table, Now);
   if (Table.m_Routers.size() * PercentScale < Members * MinReportedPercent)
     return std::nullopt;
-  std::unordered_map<std::uint32_t, std::uint32_t> Others = Table.m_Totals;
-  std::map<NodeId, RouterLoads>::const_iterator Own =
+  std::vector<KeyedLoad> Own;
+  std::map<NodeId, RouterLoads>::const_iterator Report =
       Table.m_Routers.find(Router);
-  if (Own != Table.m_Routers.end())
-    for (const KeyedLoad &Each : Own->second.m_Loads)
-      Others[Each.m_Key] -= Each.m_Running;
+  if (Report != Table.m_Routers.end())
+    Own = Report->second.m_Loads;
+  std::sort(Own.begin(), Own.end(), &hasLowerKey);
   std::vector<KeyedLoad> Loads;
-  for (const std::pair<const std::uint32_t, std::uint32_t> &Row : Others)
-    if (Row.second > 0)
-      Loads.push_back({Row.first, Row.second});
+  Loads.reserve(Table.m_Totals.size());
+  for (const std::pair<const std::uint32_t, std::uint32_t> &Row :
+       Table.m_Totals) {
+    std::uint32_t Others = Row.second - runningOf(Own, Row.first);
+    if (Others > 0)
+      Loads.push_back({Row.first, Others});
+  }
   return Loads;
 }
 
