Send whole lists to gateways compressed

Cause: a gateway that comes to a keeper got the target list and the members' ids as text, 25 and 5 KB at 168 targets and 291 members. At the start each of three keepers had 97 of them: 2.9 MB, four seconds of a link of 6 Mbit/s that heartbeats share. Leaders were lost, gateways changed keepers, and got all of it again.

Change: scripts of over a kilobyte go compressed to gateways whose renewal says that they take them so; others get them as before.

TheFirstGrantsOfALargeFleetFitIntoASecondOfAKeepersLink would need 2.9 MB of 750 KB before.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -163,6 +163,8 @@
   /// takes none.
   std::string m_RelayAddress;
   std::vector<ServiceOutOfReach> m_OutOfReach;
+  /// The node takes large edit scripts compressed; older builds do not.
+  bool m_TakesPacked = false;
 };
 
 /// Address of a keeper that relays renewals.
@@ -245,6 +247,10 @@
   std::vector<RefusedPart> m_Quarantine;
   /// For each service of Renew::m_OutOfReach.
   std::vector<RelayOffer> m_Relays;
+  /// In place of m_TargetsDelta and m_IdsDelta, compressed; only for nodes that
+  /// take them so.
+  std::string m_TargetsPacked = {};
+  std::string m_IdsPacked = {};
 };
 
 /// A router's report of its running requests between two renewals. It does not
@@ -505,6 +511,8 @@
   std::string m_Delta;
   /// Time since the leader last read the list.
   Millis m_Age;
+  /// In place of m_Delta, compressed; only for receivers that take it so.
+  std::string m_Packed = {};
 };
 
 /// A keeper asks for the whole target list after an update that does not apply
--- a/include/vanillaferry/version/text_history.hpp
+++ b/include/vanillaferry/version/text_history.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "vanillaferry/process/ids.hpp"
+#include "vanillaferry/process/result.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -23,8 +24,18 @@
   /// Version that the script applies to; 0 for the empty text.
   std::uint64_t m_Base = 0;
   std::string m_Delta;
+  /// m_Delta compressed; empty where that gains nothing.
+  std::string m_Packed;
 };
 
+/// Compresses scripts of over a thousand bytes.
+std::string packDelta(const std::string &Delta);
+
+/// Applies a script, or the one that Packed holds. An error for damaged data.
+Result<std::string> applyTextUpdate(const std::string &Base,
+                                    const std::string &Delta,
+                                    const std::string &Packed);
+
 /// Adds a version and drops the oldest beyond the limit; a version that is
 /// already present stays unchanged.
 void addTextVersion(TextHistory &History, std::uint64_t Version,
--- a/src/core/version/text_history.cpp
+++ b/src/core/version/text_history.cpp
@@ -1,11 +1,15 @@
 #include "vanillaferry/version/text_history.hpp"
 
+#include "vanillaferry/version/text_compression.hpp"
 #include "vanillaferry/version/text_delta.hpp"
 
 namespace vanillaferry {
 
 namespace {
 
+/// Smaller scripts fit into a packet or two.
+constexpr std::size_t MinPackedBytes = 1024;
+
 /// Ends an id. It is the separator at which makeTextDelta() splits texts, so
 /// that one changed id is a small change.
 const std::string IdEnd = "},";
@@ -50,12 +54,28 @@
   return Nodes;
 }
 
+std::string packDelta(const std::string &Delta) {
+  if (Delta.size() < MinPackedBytes)
+    return std::string();
+  std::string Packed = compressText(Delta);
+  return Packed.size() < Delta.size() ? Packed : std::string();
+}
+
+Result<std::string> applyTextUpdate(const std::string &Base,
+                                    const std::string &Delta,
+                                    const std::string &Packed) {
+  if (Packed.empty())
+    return applyTextDelta(Base, Delta);
+  Result<std::string> Script = decompressText(Packed);
+  return Script ? applyTextDelta(Base, Script.value()) : Script;
+}
+
 TextUpdate makeTextUpdate(const TextHistory &History, std::uint64_t Held,
                           const std::string &Text) {
   const std::string *Base = Held == 0 ? nullptr : findText(History, Held);
   if (!Base)
-    return {0, makeTextDelta(std::string(), Text)};
-  return {Held, makeTextDelta(*Base, Text)};
+    return {0, makeTextDelta(std::string(), Text), std::string()};
+  return {Held, makeTextDelta(*Base, Text), std::string()};
 }
 
 const TextUpdate &sharedTextUpdate(TextUpdates &Made,
@@ -64,8 +84,10 @@
                                    const std::string &Text) {
   std::uint64_t Base = hasTextVersion(History, Held) ? Held : 0;
   TextUpdates::iterator Known = Made.find(Base);
-  if (Known == Made.end())
+  if (Known == Made.end()) {
     Known = Made.emplace(Base, makeTextUpdate(History, Base, Text)).first;
+    Known->second.m_Packed = packDelta(Known->second.m_Delta);
+  }
   return Known->second;
 }
 
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -194,6 +194,7 @@
   Visit("q", Data.m_QuarantineHeld);
   Visit("ra", Data.m_RelayAddress);
   Visit("ro", Data.m_OutOfReach);
+  Visit("pk", Data.m_TakesPacked);
 }
 
 template <typename V, typename M, IfMessage<M, RefusedPart> * = nullptr>
@@ -244,6 +245,8 @@
   Visit("qv", Data.m_QuarantineVersion);
   Visit("ql", Data.m_Quarantine);
   Visit("rl", Data.m_Relays);
+  Visit("tp", rawBytes(Data.m_TargetsPacked));
+  Visit("ip", rawBytes(Data.m_IdsPacked));
 }
 
 template <typename V, typename M, IfMessage<M, TargetListUpdate> * = nullptr>
@@ -252,6 +255,7 @@
   Visit("b", Data.m_Base);
   Visit("x", Data.m_Delta);
   Visit("a", Data.m_Age);
+  Visit("z", rawBytes(Data.m_Packed));
 }
 
 template <typename V, typename M, IfMessage<M, ControlUpdate> * = nullptr>
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -64,6 +64,7 @@
   Renewal.m_ManifestHeld = G.m_Control.m_Routes.m_Manifest.m_Version;
   Renewal.m_TargetsHeld = G.m_TargetList.m_Digest;
   Renewal.m_IdsOnly = true;
+  Renewal.m_TakesPacked = true;
   std::vector<KeyedLoad> Running;
   for (const std::pair<const PoolId, GatewayPool> &Row : G.m_Pools)
     addRunning(Row.second.m_Dispatch, Running);
@@ -167,12 +168,13 @@
 
 void applyMembers(Gateway &G, const Grant &Granted) {
   ControlState &Control = G.m_Control;
-  if (Granted.m_IdsDelta.empty() ||
+  bool Changed = !Granted.m_IdsDelta.empty() || !Granted.m_IdsPacked.empty();
+  if (!Changed ||
       (Granted.m_IdsBase != Epoch(0) && Granted.m_IdsBase != Control.m_Epoch))
     return;
-  Result<std::string> Text = applyTextDelta(
+  Result<std::string> Text = applyTextUpdate(
       Granted.m_IdsBase == Epoch(0) ? std::string() : Control.m_RouterIds,
-      Granted.m_IdsDelta);
+      Granted.m_IdsDelta, Granted.m_IdsPacked);
   if (!Text) {
     logEvent(Event::SectionRefused,
              {{"section", "members"}, {"fault", Text.error().m_Text}});
@@ -276,7 +278,8 @@
   applyRefusedParts(G, Granted.m_QuarantineVersion, Granted.m_Quarantine);
   applyMembers(G, Granted);
   applyKeepersTargets(G, {Granted.m_TargetsDigest, Granted.m_TargetsBase,
-                          Granted.m_TargetsDelta, Granted.m_TargetsAge});
+                          Granted.m_TargetsDelta, Granted.m_TargetsAge,
+                          Granted.m_TargetsPacked});
   applyLoads(G, Granted, Now);
   applyRelayOffers(G.m_Relays, Granted.m_Relays);
   recordManifestOutcome(G, Outcome, Granted.m_Version);
--- a/src/daemon/gateway/target_list.cpp
+++ b/src/daemon/gateway/target_list.cpp
@@ -3,7 +3,7 @@
 #include "process/log.hpp"
 #include "vanillaferry/process/list_turn.hpp"
 #include "vanillaferry/version/target_listing.hpp"
-#include "vanillaferry/version/text_delta.hpp"
+#include "vanillaferry/version/text_history.hpp"
 
 #include <algorithm>
 
@@ -167,11 +167,12 @@
     confirmVersions(G.m_Streams.m_History, ReadAt);
     return true;
   }
-  if (Update.m_Delta.empty() ||
-      (Update.m_Base != 0 && Update.m_Base != List.m_Digest))
+  bool Changed = !Update.m_Delta.empty() || !Update.m_Packed.empty();
+  if (!Changed || (Update.m_Base != 0 && Update.m_Base != List.m_Digest))
     return false;
-  Result<std::string> Text = applyTextDelta(
-      Update.m_Base == 0 ? std::string() : List.m_Text, Update.m_Delta);
+  Result<std::string> Text =
+      applyTextUpdate(Update.m_Base == 0 ? std::string() : List.m_Text,
+                      Update.m_Delta, Update.m_Packed);
   Result<std::vector<ListedTarget>> Targets =
       Text ? decodeTargets(Text.value())
            : Result<std::vector<ListedTarget>>(Text.error());
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-TargetListUpdate updateFrom(SharedTargetList &Shared, std::uint64_t Held) {
+/// The update for a receiver that holds this list.
+TargetListUpdate updateFrom(SharedTargetList &Shared, std::uint64_t Held,
+                            bool TakesPacked) {
   TargetListUpdate Message;
   Message.m_Digest = Shared.m_Digest;
   Message.m_Age = monotonicNow() - Shared.m_Turn.m_NewestAt;
@@ -19,7 +21,10 @@
   const TextUpdate &Update =
       sharedTextUpdate(Shared.m_Updates, Shared.m_History, Held, Shared.m_Text);
   Message.m_Base = Update.m_Base;
-  Message.m_Delta = Update.m_Delta;
+  if (TakesPacked && !Update.m_Packed.empty())
+    Message.m_Packed = Update.m_Packed;
+  else
+    Message.m_Delta = Update.m_Delta;
   return Message;
 }
 
@@ -32,18 +37,19 @@
   addTextVersion(Shared.m_History, Digest, Shared.m_Text);
   Shared.m_Updates.clear();
   for (std::pair<const NodeId, ServedGateway> &Row : Self.m_Served) {
-    std::uint64_t &Held = Row.second.m_Last.m_TargetsHeld;
-    if (Held == 0)
+    Renew &Last = Row.second.m_Last;
+    if (Last.m_TargetsHeld == 0)
       continue;
-    Self.m_Peers->send(Row.first, updateFrom(Shared, Held));
-    Held = Digest;
+    Self.m_Peers->send(
+        Row.first, updateFrom(Shared, Last.m_TargetsHeld, Last.m_TakesPacked));
+    Last.m_TargetsHeld = Digest;
   }
 }
 
 /// Sends the list to the other keepers, as a change from the list that they
 /// were sent before.
 void sendToKeepers(Keeper &Self, std::uint64_t Before) {
-  TargetListUpdate Update = updateFrom(Self.m_SharedTargets, Before);
+  TargetListUpdate Update = updateFrom(Self.m_SharedTargets, Before, false);
   for (const std::pair<const NodeId, ConnectedPeer> &Row : Self.m_Connected)
     if (Row.second.m_Role == NodeRole::Keeper)
       Self.m_Peers->send(Row.first, Update);
@@ -140,11 +146,13 @@
   SharedTargetList &Shared = Self.m_SharedTargets;
   if (Shared.m_Digest == 0)
     return;
-  TargetListUpdate Update = updateFrom(Shared, Request.m_TargetsHeld);
+  TargetListUpdate Update =
+      updateFrom(Shared, Request.m_TargetsHeld, Request.m_TakesPacked);
   Granted.m_TargetsDigest = Update.m_Digest;
   Granted.m_TargetsAge = Update.m_Age;
   Granted.m_TargetsBase = Update.m_Base;
   Granted.m_TargetsDelta = std::move(Update.m_Delta);
+  Granted.m_TargetsPacked = std::move(Update.m_Packed);
 }
 
 void onTargetListUpdate(Keeper &Self, const NodeId &From,
@@ -187,7 +195,8 @@
 void onTargetListRequest(Keeper &Self, const NodeId &From,
                          const TargetListRequest &Request) {
   if (isKeeper(Self, From) && Self.m_SharedTargets.m_Digest != 0)
-    Self.m_Peers->send(From, updateFrom(Self.m_SharedTargets, Request.m_Held));
+    Self.m_Peers->send(From,
+                       updateFrom(Self.m_SharedTargets, Request.m_Held, false));
 }
 
 } // namespace vanillaferry::internal
--- a/tests/core/Manifest.tests.cpp
+++ b/tests/core/Manifest.tests.cpp
@@ -7,6 +7,7 @@
 #include "vanillaferry/version/text_history.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 using namespace vanillaferry;
 
@@ -203,6 +204,35 @@
   BOOST_TEST(Made.size() == 2U);
 }
 
+// Guards against the start of a large fleet that fills the keepers' links with
+// first grants, so that heartbeats come too late: each of the first three
+// keepers serves a third of 291 gateways over 6 Mbit/s.
+BOOST_AUTO_TEST_CASE(TheFirstGrantsOfALargeFleetFitIntoASecondOfAKeepersLink) {
+  constexpr std::size_t GatewaysPerKeeper = 97;
+  constexpr std::size_t LinkBytesPerSecond = 6 * 1000 * 1000 / 8;
+  std::mt19937_64 Random(1);
+  std::vector<ListedTarget> Targets(168);
+  for (ListedTarget &Each : Targets) {
+    Each.m_Id = TargetId("i-" + std::to_string(Random() % 10000000000));
+    Each.m_Service = PoolId("sorting-llm");
+    Each.m_Address = "10." + std::to_string(Random() % 256) + "." +
+                     std::to_string(Random() % 256) + ".9:8080";
+    Each.m_Zone = ZoneId("bantala");
+  }
+  std::vector<NodeId> Nodes;
+  for (int Node = 0; Node < 291; ++Node)
+    Nodes.push_back(NodeId("front-bantala-" + std::to_string(Node)));
+  std::size_t Bytes = 0;
+  for (const std::string &Text :
+       {encodeTargets(Targets), encodeMemberIds(Nodes)}) {
+    TextUpdates Made;
+    const TextUpdate &Whole = sharedTextUpdate(Made, TextHistory(), 0, Text);
+    BOOST_TEST(applyTextUpdate("", "", Whole.m_Packed).value() == Text);
+    Bytes += Whole.m_Packed.size();
+  }
+  BOOST_TEST(Bytes * GatewaysPerKeeper < LinkBytesPerSecond);
+}
+
 // Guards against sending the whole member list to every router on a membership
 // change: with 81 routers this occupied a keeper's link for 0.9 s at each
 // restart.
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -77,8 +77,10 @@
              1ULL << 39,
              1ULL << 37,
              "10.0.0.2:7341",
-             {{PoolId("desk")}}};
+             {{PoolId("desk")}},
+             true};
   Renew Got = roundTrip(Sent);
+  SAME(m_TakesPacked);
   SAME(m_RelayAddress);
   SAME(m_OutOfReach.at(0).m_Service);
   SAME(m_QuarantineHeld);
@@ -150,8 +152,12 @@
              {{"ws://10.0.0.1:7340"}},
              1ULL << 36,
              {{PromptPartId("5c1e07a2"), 3}},
-             {{PoolId("desk"), "10.0.0.3:7341"}}};
+             {{PoolId("desk"), "10.0.0.3:7341"}},
+             std::string("\x78\0", 2),
+             std::string("\x78\1", 2)};
   Grant Got = roundTrip(Sent);
+  SAME(m_TargetsPacked);
+  SAME(m_IdsPacked);
   SAME(m_Relays.at(0).m_Service);
   SAME(m_Relays.at(0).m_Address);
   SAME(m_QuarantineVersion);
@@ -436,12 +442,14 @@
     SAME(m_PeerUrl);
   }
   {
-    TargetListUpdate Sent{1ULL << 63, 1ULL << 62, "t2;[]", Millis(12)};
+    TargetListUpdate Sent{1ULL << 63, 1ULL << 62, "t2;[]", Millis(12),
+                          std::string("\x78\0", 2)};
     TargetListUpdate Got = roundTrip(Sent);
     SAME(m_Digest);
     SAME(m_Base);
     SAME(m_Delta);
     SAME(m_Age);
+    SAME(m_Packed);
   }
   {
     TargetListRequest Sent{1ULL << 61};
