Log the bytes on a keeper's links in place of its threads' time

In the users' simulated machines the processor clock of a thread runs with the wall clock, so the line said nothing there; the time stays in the metrics.

--- a/src/daemon/connection/target_list_reader.cpp
+++ b/src/daemon/connection/target_list_reader.cpp
@@ -23,7 +23,6 @@
   Millis m_Platform;
   Millis m_LongestPage;
   Millis m_Parse;
-  std::uint64_t m_ProcessorBefore = 0;
 };
 
 } // namespace
@@ -63,7 +62,6 @@
   m_Unreadable = 0;
   m_PagesRead = 0;
   m_Times = ReadingTimes();
-  m_Times.m_ProcessorBefore = ownThreadMicros();
   readPage();
 }
 
@@ -119,8 +117,7 @@
               {"pages", m_PagesRead},
               {"platform_ms", m_Times.m_Platform.m_Value},
               {"longest_page_ms", m_Times.m_LongestPage.m_Value},
-              {"parse_ms", m_Times.m_Parse.m_Value},
-              {"processor_us", ownThreadMicros() - m_Times.m_ProcessorBefore}});
+              {"parse_ms", m_Times.m_Parse.m_Value}});
   m_Readings.post({std::move(Read), m_BeganAt});
 }
 
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -11,12 +11,11 @@
 #include "process/message_load.hpp"
 #include "process/metrics.hpp"
 #include "process/settings.hpp"
-#include "process/thread_meter.hpp"
 #include "vanillaferry/process/engine_orders.hpp"
 #include "vanillaferry/process/keeper_inbox.hpp"
 #include "vanillaferry/process/keeper_repair.hpp"
-#include "vanillaferry/process/list_turn.hpp"
 #include "vanillaferry/process/lease_table.hpp"
+#include "vanillaferry/process/list_turn.hpp"
 #include "vanillaferry/process/prompt_report_sum.hpp"
 #include "vanillaferry/process/prompt_suspects.hpp"
 #include "vanillaferry/process/relay_board.hpp"
@@ -141,6 +140,7 @@
 /// routers.
 struct SharedTargetList {
   std::unique_ptr<TargetListReader> m_Reader;
+  /// Content of m_Text, as far as it was needed here.
   std::vector<ListedTarget> m_Last;
   ListTurn m_Turn;
   std::string m_Text;
@@ -232,11 +232,11 @@
   std::unique_ptr<OperatorHttp> m_Http;
   Metrics m_Metrics;
   MessageLoad m_MessageLoad;
+  /// Counters at the last line about them.
+  PeerCounters m_LinksReported;
+  Millis m_NextLinkReport;
   GMainLoop *m_Loop = nullptr;
   int m_ExitCode = 0;
-  /// Processor time at the last line about it.
-  std::vector<ThreadUse> m_UsesReported;
-  Millis m_NextUseReport;
 
   std::uint64_t m_LastTicket = 0;
   std::uint64_t m_SyncedTicket = 0;
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -6,6 +6,7 @@
 #include "process/internal/keeper_api.hpp"
 #include "process/internal/keeper_task.hpp"
 #include "process/log.hpp"
+#include "process/thread_meter.hpp"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -27,16 +28,20 @@
 /// half a million journaled calls and their answers of 1 KiB takes.
 constexpr Bytes MaxKeeperBuffered{1024LL * 1024 * 1024};
 
-constexpr Millis UseReportInterval{5000};
+constexpr Millis LinkReportInterval{5000};
 
-void reportProcessorUse(Keeper &Self, Millis Now) {
-  if (Now < Self.m_NextUseReport)
+void reportLinkLoad(Keeper &Self, Millis Now) {
+  if (Now < Self.m_NextLinkReport)
     return;
-  Self.m_NextUseReport = Now + UseReportInterval;
-  std::vector<ThreadUse> Uses = threadUses();
-  logEvent(Event::ProcessorUsed,
-           {{"threads_ms", useSince(Self.m_UsesReported, Uses)}});
-  Self.m_UsesReported = std::move(Uses);
+  Self.m_NextLinkReport = Now + LinkReportInterval;
+  PeerCounters Counted = Self.m_Peers->counters();
+  const PeerCounters &Before = Self.m_LinksReported;
+  logEvent(
+      Event::LinkLoad,
+      {{"sent_bytes", Counted.m_BytesSent - Before.m_BytesSent},
+       {"received_bytes", Counted.m_BytesReceived - Before.m_BytesReceived},
+       {"lost_links", Counted.m_LinksLost - Before.m_LinksLost}});
+  Self.m_LinksReported = Counted;
 }
 
 gboolean onTick(gpointer Data) {
@@ -50,14 +55,14 @@
     tickLeader(Self, Now);
   else
     relayWaitingRenewals(Self, Now);
+  readTargetsWhenDue(Self, Now);
   sendChanges(Self, Now);
   relayStreams(Self, Now);
   relayPromptReports(Self, Now);
   announceChanges(Self, Now);
   reportMessageLoad(Self.m_MessageLoad, Now);
-  readTargetsWhenDue(Self, Now);
+  reportLinkLoad(Self, Now);
   return G_SOURCE_CONTINUE;
-  reportProcessorUse(Self, Now);
 }
 
 /// The keeper set is part of the log, so new settings need no work here; the
@@ -180,12 +185,12 @@
                     std::to_string(Settings.m_Http.m_Port);
   Self->m_Incarnation = Incarnation(randomSeed());
   Self->m_StartedAt = monotonicNow();
+  Self->m_SharedTargets.m_Turn.m_NewestAt = Self->m_StartedAt;
   startOrderCounters(Self->m_Metrics);
   Self->m_Loop = g_main_loop_new(nullptr, FALSE);
   Mailbox<PeerEvent>::Handler OnPeerEvent = [Raw](PeerEvent Event) {
     onPeerEvent(*Raw, std::move(Event));
   };
-  Self->m_SharedTargets.m_Turn.m_NewestAt = Self->m_StartedAt;
   Self->m_ReplicaMail = std::make_unique<Mailbox<PeerEvent>>(
       nullptr, OnPeerEvent, MailboxOptions{G_PRIORITY_HIGH});
   Self->m_PeerMail = std::make_unique<Mailbox<PeerEvent>>(
@@ -229,9 +234,9 @@
 
 int runKeeper(const KeeperSettings &Settings, bool Initialize,
               const PlatformProtocol *Protocol) {
+  ThreadMeter Meter("main");
   for (;;) {
     bool JoinsAnew = false;
-  ThreadMeter Meter("main");
     int Code = internal::runIdentity(Settings, Initialize, Protocol, JoinsAnew);
     if (!JoinsAnew)
       return Code;
--- a/src/daemon/process/keeper_api_status.cpp
+++ b/src/daemon/process/keeper_api_status.cpp
@@ -2,6 +2,7 @@
 #include "process/clock.hpp"
 #include "process/internal/keeper_api.hpp"
 #include "process/log.hpp"
+#include "process/thread_meter.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/process/thread_meter.cpp
+++ b/src/daemon/process/thread_meter.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::uint64_t MicrosPerSecond = 1000000;
 constexpr std::uint64_t NanosPerMicro = 1000;
-constexpr std::uint64_t MicrosPerMilli = 1000;
 
 struct MeteredThread {
   std::string m_Name;
@@ -75,19 +74,4 @@
   return Uses;
 }
 
-std::uint64_t ownThreadMicros() { return readMicros(CLOCK_THREAD_CPUTIME_ID); }
-
-std::string useSince(const std::vector<ThreadUse> &Before,
-                     const std::vector<ThreadUse> &Now) {
-  std::map<std::string, std::uint64_t> Earlier;
-  for (const ThreadUse &Each : Before)
-    Earlier[Each.m_Name] = Each.m_Micros;
-  std::string Text;
-  for (const ThreadUse &Each : Now)
-    Text +=
-        (Text.empty() ? "" : ", ") + Each.m_Name + " " +
-        std::to_string((Each.m_Micros - Earlier[Each.m_Name]) / MicrosPerMilli);
-  return Text;
-}
-
 } // namespace vanillaferry
--- a/src/daemon/process/thread_meter.hpp
+++ b/src/daemon/process/thread_meter.hpp
@@ -26,11 +26,4 @@
 /// from any thread.
 std::vector<ThreadUse> threadUses();
 
-/// Processor time of the calling thread.
-std::uint64_t ownThreadMicros();
-
-/// What was used since Before, as "main 21, peer 18".
-std::string useSince(const std::vector<ThreadUse> &Before,
-                     const std::vector<ThreadUse> &Now);
-
 } // namespace vanillaferry
