--- a/include/vanillaferry/process/keeper_repair.hpp
+++ b/include/vanillaferry/process/keeper_repair.hpp
@@ -75,7 +75,4 @@
 /// that still runs under it has to join under a new one.
 bool removalIsCommitted(const Replica &State, const KeeperId &Keeper);
 
-/// How many of the live voters may be lost before no quorum is left.
-std::size_t bearableLosses(std::size_t Voters, std::size_t Live);
-
 } // namespace vanillaferry
--- a/include/vanillaferry/process/prompt_report_sum.hpp
+++ b/include/vanillaferry/process/prompt_report_sum.hpp
@@ -8,8 +8,8 @@
 
 namespace vanillaferry {
 
-/// Reports on one target that are closer together are on the same end.
-constexpr Millis SameEndSpan{1000};
+/// True when reports on one target with these times are on the same end.
+bool isSameEnd(Millis A, Millis B);
 
 /// Ends of one target's requests, with their time.
 struct DatedCrash {
--- a/src/core/process/internal/replica.hpp
+++ b/src/core/process/internal/replica.hpp
@@ -23,6 +23,7 @@
 bool isVoter(const KeeperSet &Set, const KeeperId &Keeper);
 bool isLearner(const KeeperSet &Set, const KeeperId &Keeper);
 bool isRemoved(const KeeperSet &Set, const KeeperId &Keeper);
+std::size_t quorumSize(std::size_t Voters);
 std::size_t quorumSize(const KeeperSet &Set);
 KeeperSet setAt(const Replica &State, LogIndex Index);
 /// Adopts the newest set in the log and updates role and peer records.
--- a/src/core/process/keeper_repair.cpp
+++ b/src/core/process/keeper_repair.cpp
@@ -92,6 +92,12 @@
       }));
 }
 
+/// How many of the live voters may be lost before no quorum is left.
+std::size_t bearableLosses(std::size_t Voters, std::size_t Live) {
+  std::size_t Quorum = quorumSize(Voters);
+  return Live > Quorum ? Live - Quorum : 0;
+}
+
 /// True when the set would bear more losses without the voters that were
 /// silent for longer than this.
 bool bearsMoreWithoutSilentVoters(const Replica &State, std::size_t Live,
@@ -159,9 +165,4 @@
          State.m_SetIndex <= State.m_Commit && isRemoved(State.m_Set, Keeper);
 }
 
-std::size_t bearableLosses(std::size_t Voters, std::size_t Live) {
-  std::size_t Quorum = Voters / 2 + 1;
-  return Live > Quorum ? Live - Quorum : 0;
-}
-
 } // namespace vanillaferry
--- a/src/core/process/prompt_report_sum.cpp
+++ b/src/core/process/prompt_report_sum.cpp
@@ -12,8 +12,7 @@
 DatedCrash *findCrash(PromptReportSum &Sum, const TargetCrash &Crash,
                       Millis At) {
   for (DatedCrash &Each : Sum.m_Crashes) {
-    Millis Apart = Each.m_At < At ? At - Each.m_At : Each.m_At - At;
-    if (Each.m_Crash.m_Target == Crash.m_Target && Apart <= SameEndSpan)
+    if (Each.m_Crash.m_Target == Crash.m_Target && isSameEnd(Each.m_At, At))
       return &Each;
   }
   return nullptr;
@@ -30,6 +29,11 @@
 
 } // namespace
 
+bool isSameEnd(Millis A, Millis B) {
+  constexpr Millis SameEndSpan{1000};
+  return (A < B ? B - A : A - B) <= SameEndSpan;
+}
+
 void addReport(PromptReportSum &Sum, const PromptReport &Report, Millis Now) {
   if (!Sum.m_Since)
     Sum.m_Since = Now;
--- a/src/core/process/prompt_suspects.cpp
+++ b/src/core/process/prompt_suspects.cpp
@@ -67,8 +67,7 @@
 TargetEnd &findOrAddEnd(PromptSuspects &Suspects, const TargetId &Target,
                         Millis At) {
   for (TargetEnd &Each : Suspects.m_Ends) {
-    Millis Apart = Each.m_At < At ? At - Each.m_At : Each.m_At - At;
-    if (Each.m_Target != Target || Apart > SameEndSpan)
+    if (Each.m_Target != Target || !isSameEnd(Each.m_At, At))
       continue;
     Each.m_At = std::min(Each.m_At, At);
     return Each;
--- a/src/core/process/replication_set.cpp
+++ b/src/core/process/replication_set.cpp
@@ -109,8 +109,10 @@
          Set.m_Removed.end();
 }
 
+std::size_t quorumSize(std::size_t Voters) { return Voters / 2 + 1; }
+
 std::size_t quorumSize(const KeeperSet &Set) {
-  return Set.m_Voters.size() / 2 + 1;
+  return quorumSize(Set.m_Voters.size());
 }
 
 KeeperSet setAt(const Replica &State, LogIndex Index) {
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -374,15 +374,20 @@
 }
 
 void handlePeerEvent(Gateway &G, PeerEvent Event) {
-  if (Event.m_Kind == PeerEvent::Kind::Message ||
-      Event.m_Kind == PeerEvent::Kind::Heard)
+  switch (Event.m_Kind) {
+  case PeerEvent::Kind::Heard:
     recordKeeperHeard(G.m_Keeper, Event.m_Url, monotonicNow());
-  if (Event.m_Kind == PeerEvent::Kind::Heard)
     return;
-  if (Event.m_Kind == PeerEvent::Kind::Message)
-    handleControlMessage(G, Event.m_Message);
-  else if (Event.m_Kind != PeerEvent::Kind::Unsent)
-    handleLinkChange(G, Event.m_Url, Event.m_Kind == PeerEvent::Kind::Up);
+  case PeerEvent::Kind::Message:
+    recordKeeperHeard(G.m_Keeper, Event.m_Url, monotonicNow());
+    return handleControlMessage(G, Event.m_Message);
+  case PeerEvent::Kind::Up:
+    return handleLinkChange(G, Event.m_Url, true);
+  case PeerEvent::Kind::Down:
+    return handleLinkChange(G, Event.m_Url, false);
+  case PeerEvent::Kind::Unsent:
+    return;
+  }
 }
 
 } // namespace vanillaferry
--- a/tests/core/KeeperRepair.tests.cpp
+++ b/tests/core/KeeperRepair.tests.cpp
@@ -25,10 +25,23 @@
   return State;
 }
 
-Replica threeVoters() {
-  return leaderOf({keeper("a", "a"), keeper("b", "b"), keeper("c", "c")});
+/// A leader of voters with these one-letter names at hosts of the same names;
+/// "a" leads.
+Replica leaderOfAll(const std::string &Names) {
+  std::vector<KeeperAddress> Voters;
+  for (char Name : Names)
+    Voters.push_back(keeper(std::string(1, Name), std::string(1, Name)));
+  return leaderOf(std::move(Voters));
+}
+
+/// These voters have just answered the leader.
+void recordAnswers(Replica &State, const std::string &Names, Millis Now) {
+  for (char Name : Names)
+    State.m_Peers[KeeperId(std::string(1, Name))].m_LastAnswer = Now;
 }
 
+Replica threeVoters() { return leaderOfAll("abc"); }
+
 std::map<KeeperId, JoiningKeeper> asking(const KeeperAddress &Keeper,
                                          Millis At) {
   return {{Keeper.m_Keeper, {Keeper, At}}};
@@ -98,10 +111,8 @@
   Replica Three = threeVoters();
   BOOST_TEST(
       (nextRepair(Three, {}, OneLoss, Later).m_Kind == RepairStep::Kind::None));
-  Replica Four = leaderOf(
-      {keeper("a", "a"), keeper("b", "b"), keeper("c", "c"), keeper("d", "d")});
-  Four.m_Peers[KeeperId("b")].m_LastAnswer = Later;
-  Four.m_Peers[KeeperId("d")].m_LastAnswer = Later;
+  Replica Four = leaderOfAll("abcd");
+  recordAnswers(Four, "bd", Later);
   RepairStep Step = nextRepair(Four, {}, OneLoss, Later);
   BOOST_TEST((Step.m_Kind == RepairStep::Kind::Remove));
   BOOST_TEST(Step.m_Keeper.m_Keeper == KeeperId("c"));
@@ -115,15 +126,13 @@
 BOOST_AUTO_TEST_CASE(ANewLearnerHasTimeForItsFirstAnswer) {
   const Millis Joined = LostVoterTimeout + Millis(60000);
   const KeeperAddress Fresh = keeper("e-1", "e");
-  Replica State = leaderOf(
-      {keeper("a", "a"), keeper("b", "b"), keeper("c", "c"), keeper("d", "d")});
+  Replica State = leaderOfAll("abcd");
   ReplicaActions Actions;
   BOOST_REQUIRE(
       (addLearner(State, Fresh, Actions, Joined) == ProposeError::None));
   for (Millis Since : {Millis(10), Millis(500), Millis(5000), LostVoterTimeout,
                        LostVoterTimeout + Millis(1)}) {
-    for (const char *Other : {"b", "c", "d"})
-      State.m_Peers[KeeperId(Other)].m_LastAnswer = Joined + Since;
+    recordAnswers(State, "bcd", Joined + Since);
     RepairStep Step = nextRepair(State, {}, OneLoss, Joined + Since);
     BOOST_TEST_CONTEXT("learner without an answer for " << Since.m_Value
                                                         << " ms")
@@ -136,13 +145,9 @@
 // Guards against VMs that were replaced one after the other and still count:
 // with three of them among eight voters, one more loss would leave no quorum.
 BOOST_AUTO_TEST_CASE(SilentVotersThatLeaveNoLossBearableAreRemovedSoon) {
-  std::vector<KeeperAddress> Voters;
-  for (const char *Id : {"a", "b", "c", "d", "e", "f", "g", "h"})
-    Voters.push_back(keeper(Id, Id));
-  Replica Eight = leaderOf(Voters);
+  Replica Eight = leaderOfAll("abcdefgh");
   for (Millis Now : {UrgentRemoval, UrgentRemoval + Millis(1)}) {
-    for (const char *Live : {"b", "c", "d", "e"})
-      Eight.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+    recordAnswers(Eight, "bcde", Now);
     RepairStep Step = nextRepair(Eight, {}, OneLoss, Now);
     BOOST_TEST((Step.m_Kind == (Now > UrgentRemoval ? RepairStep::Kind::Remove
                                                     : RepairStep::Kind::None)));
@@ -152,13 +157,9 @@
 // Guards against a replaced VM that still counts when the next one leaves: six
 // voters with one silent bear one loss, five without it bear two.
 BOOST_AUTO_TEST_CASE(ASilentVoterIsRemovedEarlyWhereTheSetBearsJustEnough) {
-  std::vector<KeeperAddress> Voters;
-  for (const char *Id : {"a", "b", "c", "d", "e", "f"})
-    Voters.push_back(keeper(Id, Id));
-  Replica Six = leaderOf(Voters);
+  Replica Six = leaderOfAll("abcdef");
   for (Millis Now : {EarlyRemoval, EarlyRemoval + Millis(1)}) {
-    for (const char *Live : {"b", "c", "d", "e"})
-      Six.m_Peers[KeeperId(Live)].m_LastAnswer = Now;
+    recordAnswers(Six, "bcde", Now);
     RepairStep Step = nextRepair(Six, {}, OneLoss, Now);
     BOOST_TEST((Step.m_Kind == (Now > EarlyRemoval ? RepairStep::Kind::Remove
                                                    : RepairStep::Kind::None)));
@@ -168,12 +169,8 @@
 // Guards against removing a voter that is briefly away from a set that gains
 // nothing by it: five voters with one silent bear one loss, four bear one.
 BOOST_AUTO_TEST_CASE(ASilentVoterStaysWhereItsRemovalGainsNothing) {
-  std::vector<KeeperAddress> Voters;
-  for (const char *Id : {"a", "b", "c", "d", "e"})
-    Voters.push_back(keeper(Id, Id));
-  Replica Five = leaderOf(Voters);
-  for (const char *Live : {"b", "c", "d"})
-    Five.m_Peers[KeeperId(Live)].m_LastAnswer = LostVoterTimeout;
+  Replica Five = leaderOfAll("abcde");
+  recordAnswers(Five, "bcd", LostVoterTimeout);
   BOOST_TEST((nextRepair(Five, {}, OneLoss, LostVoterTimeout).m_Kind ==
               RepairStep::Kind::None));
 }
@@ -182,11 +179,8 @@
 // majority: two need five voters, whatever the first set had.
 BOOST_AUTO_TEST_CASE(ToleratedLossesKeepTheSetFromShrinking) {
   const Millis Later = LostVoterTimeout + Millis(1);
-  Replica State =
-      leaderOf({keeper("a", "a"), keeper("b", "b"), keeper("c", "c"),
-                keeper("d", "d"), keeper("e", "e")});
-  for (const char *Live : {"b", "c", "d"})
-    State.m_Peers[KeeperId(Live)].m_LastAnswer = Later;
+  Replica State = leaderOfAll("abcde");
+  recordAnswers(State, "bcd", Later);
   BOOST_TEST(
       (nextRepair(State, {}, {3, 2}, Later).m_Kind == RepairStep::Kind::None));
   BOOST_TEST((nextRepair(State, {}, {3, 1}, Later).m_Kind ==
--- a/tests/core/LeaseStorm.tests.cpp
+++ b/tests/core/LeaseStorm.tests.cpp
@@ -26,6 +26,9 @@
 constexpr std::int64_t LinkCost = 8000;
 constexpr std::int64_t MembershipCost = 8000;
 constexpr std::int64_t MicrosPerMilli = 1000;
+constexpr int MillisPerSecond = 1000;
+/// The link between two keepers, which does not end here.
+constexpr std::uint64_t KeeperLink = 0;
 
 struct StormKeeper {
   std::string m_Url;
@@ -38,8 +41,8 @@
   NodeId m_Node;
   KeeperChoice m_Choice;
   RouterLease m_Lease;
-  std::set<std::string> m_Dialled;
-  std::uint64_t m_Connection = 0;
+  /// The links to keepers, by URL, with the number of the connection.
+  std::map<std::string, std::uint64_t> m_Dialled;
 };
 
 /// 291 gateways with their real lease and choice of keeper, nine keepers with
@@ -84,7 +87,7 @@
           return leaseHolds(Each.m_Lease, m_Now);
         }));
   }
-  int links() const { return m_Links; }
+  std::uint64_t links() const { return m_Links; }
   int removals() const { return m_Removals; }
 
 private:
@@ -115,17 +118,21 @@
   void dial(StormGateway &From) {
     std::vector<std::string> List = wantedKeepers(From.m_Choice, m_Now);
     std::set<std::string> Wanted(List.begin(), List.end());
-    for (const std::string &Url : From.m_Dialled)
-      if (Wanted.count(Url) == 0) {
-        recordKeeperLink(From.m_Choice, Url, false);
-        post(Url, {PeerEvent::Kind::Down, From.m_Node, 0, PeerMessage()});
+    std::map<std::string, std::uint64_t> Former;
+    Former.swap(From.m_Dialled);
+    for (const std::pair<const std::string, std::uint64_t> &Row : Former)
+      if (Wanted.count(Row.first) == 0) {
+        recordKeeperLink(From.m_Choice, Row.first, false);
+        post(Row.first,
+             {PeerEvent::Kind::Down, From.m_Node, Row.second, PeerMessage()});
+      } else {
+        From.m_Dialled.insert(Row);
       }
     for (const std::string &Url : Wanted)
-      if (From.m_Dialled.count(Url) == 0) {
+      if (From.m_Dialled.emplace(Url, m_Links + 1).second) {
         ++m_Links;
-        post(Url, {PeerEvent::Kind::Up, From.m_Node, 0, PeerMessage()});
+        post(Url, {PeerEvent::Kind::Up, From.m_Node, m_Links, PeerMessage()});
       }
-    From.m_Dialled = std::move(Wanted);
   }
 
   void sendRenewal(StormGateway &From) {
@@ -137,9 +144,11 @@
     Request.m_IdsOnly = true;
     recordRenewalSent(From.m_Choice, m_Now);
     const std::string &Url = From.m_Choice.m_Current;
-    if (From.m_Choice.m_Up.count(Url) == 0)
+    std::map<std::string, std::uint64_t>::const_iterator Link =
+        From.m_Dialled.find(Url);
+    if (Link == From.m_Dialled.end() || From.m_Choice.m_Up.count(Url) == 0)
       return;
-    post(Url, {PeerEvent::Kind::Message, From.m_Node, 0, Request});
+    post(Url, {PeerEvent::Kind::Message, From.m_Node, Link->second, Request});
     // The peer task answers the probe that goes with each renewal.
     recordKeeperHeard(From.m_Choice, Url, m_Now + Step);
   }
@@ -159,7 +168,7 @@
 
   void sendReports() {
     m_ReportsOwed += m_ReportsPerSecond * static_cast<int>(Step.m_Value);
-    for (; m_ReportsOwed >= 1000; m_ReportsOwed -= 1000)
+    for (; m_ReportsOwed >= MillisPerSecond; m_ReportsOwed -= MillisPerSecond)
       post(leader().m_Url,
            {PeerEvent::Kind::Message, m_Gateways[spread() % Gateways].m_Node, 0,
             PromptReport()});
@@ -191,6 +200,7 @@
     if (const Renew *Request = std::get_if<Renew>(&Event.m_Message)) {
       if (&At == &leader())
         return grant(*Request);
+      Event.m_Connection = KeeperLink;
       post(leader().m_Url, std::move(Event));
       return RelayCost;
     }
@@ -216,7 +226,7 @@
 
   void removeExpired() {
     if (m_Now < m_NextCheck ||
-        leader().m_BusyUntil > (m_Now.m_Value + 100) * MicrosPerMilli)
+        leader().m_BusyUntil > (m_Now + CheckInterval).m_Value * MicrosPerMilli)
       return;
     m_NextCheck = m_Now + CheckInterval;
     std::vector<Command> Expired = expiredLeases(m_Table, m_State, m_Now);
@@ -245,7 +255,8 @@
   Millis m_NextCheck;
   int m_ReportsPerSecond = 0;
   int m_ReportsOwed = 0;
-  int m_Links = 0;
+  /// Connections dialled so far; the last one's number.
+  std::uint64_t m_Links = 0;
   int m_Removals = 0;
   std::mt19937_64 m_Random{1};
 };
@@ -264,7 +275,7 @@
   Storm Fleet;
   Fleet.run(StormAt);
   BOOST_TEST(Fleet.withLease() == Gateways);
-  int LinksBefore = Fleet.links();
+  std::uint64_t LinksBefore = Fleet.links();
   Fleet.setReports(600);
   Fleet.stallLeader(StormAt + Millis(3000));
   Fleet.run(StormEnd);
--- a/tests/core/PromptSuspects.tests.cpp
+++ b/tests/core/PromptSuspects.tests.cpp
@@ -99,6 +99,26 @@
   BOOST_TEST(Later.m_Quarantine[0].m_Part == PromptPartId("bad"));
 }
 
+// Guards against a question to all routers with each new suspect, and against
+// suspects that arise meanwhile and are never asked about.
+BOOST_AUTO_TEST_CASE(TheRoutersAreAskedAtMostOnceInAnInterval) {
+  Leader Lead;
+  Lead.m_Suspects.m_AskInterval = Second;
+  Lead.endTarget({"first"});
+  Lead.m_Now = Lead.m_Now + Millis(100);
+  Lead.endTarget({"first,second"});
+  BOOST_TEST(judgeSuspects(Lead.m_Suspects, Lead.m_Held, Lead.m_Now).m_Ask);
+  Millis Asked = Lead.m_Now;
+  Lead.m_Now = Lead.m_Now + Millis(100);
+  Lead.endTarget({"second"});
+  BOOST_TEST(!judgeSuspects(Lead.m_Suspects, Lead.m_Held, Lead.m_Now).m_Ask);
+  BOOST_TEST(Lead.m_Suspects.m_AskDue);
+  BOOST_TEST(Lead.m_Suspects.m_Asked.count(PromptPartId("second")) == 0U);
+  BOOST_TEST(judgeSuspects(Lead.m_Suspects, Lead.m_Held, Asked + Second).m_Ask);
+  BOOST_TEST(!Lead.m_Suspects.m_AskDue);
+  BOOST_TEST(Lead.m_Suspects.m_Asked.count(PromptPartId("second")) == 1U);
+}
+
 // Guards against refusing a part with which engines answer in between.
 BOOST_AUTO_TEST_CASE(AnAnswerWithThePartMakesEarlierEndsNoEvidence) {
   Leader Lead;
--- a/tests/core/RepairSchedules.tests.cpp
+++ b/tests/core/RepairSchedules.tests.cpp
@@ -1,7 +1,6 @@
 #include "RepairWorld.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 
 using namespace replication_test;
 
@@ -23,11 +22,6 @@
   std::string m_Description;
 };
 
-std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
 Outcome runSchedule(std::uint64_t Seed) {
   bool Large = Seed % 4 == 0;
   RepairWorld World(Seed, Large ? 9 : 5, Large ? 2 : 1);
--- a/tests/core/RepairWorld.cpp
+++ b/tests/core/RepairWorld.cpp
@@ -106,11 +106,8 @@
 void RepairWorld::replace(KeeperVm &Vm) {
   std::string Former = Vm.m_Name;
   bool Planned = pick(0, 1) == 1;
-  if (Planned)
-    m_Leaving[Former] = m_Cluster.now() + pick(500, 4000);
-  else
-    m_Leaving[Former] = m_Cluster.now();
-  // The successor stops counting as lost when the former VM does.
+  m_Leaving[Former] = m_Cluster.now() + (Planned ? pick(500, 4000) : 0);
+  // Only the successor counts as lost, until it has caught up.
   addVm();
 }
 
--- a/tests/core/Replication.tests.cpp
+++ b/tests/core/Replication.tests.cpp
@@ -1,21 +1,11 @@
 #include "ReplicationHarness.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <string>
 
 using namespace vanillaferry;
 using namespace replication_test;
 
-namespace {
-
-std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default) {
-  const char *Text = std::getenv(Name);
-  return Text ? std::strtoull(Text, nullptr, 10) : Default;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(Replication)
 
 // Guards against any schedule of faults that loses or changes a committed
--- a/tests/core/ReplicationFaults.cpp
+++ b/tests/core/ReplicationFaults.cpp
@@ -3,6 +3,7 @@
 #include "process/internal/replica.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace replication_test {
 
@@ -147,6 +148,11 @@
   handle(*Leader, std::move(Actions));
 }
 
+std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
 std::string runSchedule(std::uint64_t Seed, Coverage &Total) {
   std::mt19937_64 Random(Seed * 2654435761u + 1);
   std::vector<std::size_t> Sizes = {1, 2, 3, 3, 3, 3, 4, 5};
--- a/tests/core/ReplicationHarness.hpp
+++ b/tests/core/ReplicationHarness.hpp
@@ -190,6 +190,9 @@
   KeeperSet m_CommittedSet;
 };
 
+/// A setting of a run by hand, such as VANILLAFERRY_SEED.
+std::uint64_t numberFromEnvironment(const char *Name, std::uint64_t Default);
+
 /// Runs one schedule; returns the violation or an empty text.
 std::string runSchedule(std::uint64_t Seed, Coverage &Total);
 
