--- a/src/core/process/cbor.hpp
+++ b/src/core/process/cbor.hpp
@@ -11,8 +11,9 @@
 constexpr std::size_t MaxCborDepth = 32;
 
 /// True for one well-formed CBOR item (RFC 8949) of definite lengths, without
-/// tags, nested no deeper than MaxCborDepth and without trailing bytes. Checked
-/// before parsing, because nlohmann's parser recurses once for each level.
+/// tags, with texts as keys of maps, nested no deeper than MaxCborDepth and
+/// without trailing bytes. Checked before parsing, because nlohmann's parser
+/// recurses once for each level.
 bool isPlainCbor(const std::string &Data);
 
 /// Parses CBOR data; malformed input gives an error, never an exception.
--- a/src/core/process/replication_codec.cpp
+++ b/src/core/process/replication_codec.cpp
@@ -45,7 +45,6 @@
   }
   /// Takes an array; its items are read by another reader.
   CborItem array() { return take(CborMajor::Array); }
-  void fail() { m_Good = false; }
 
 private:
   CborItem take(CborMajor Expected) {
