Choose between a plain and a compressed script in one place

The choice stood once for target lists and once for members' ids. packDelta is used by its own file only. Two comments still named the leader's reading.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -213,11 +213,11 @@
   std::string m_ManifestDelta;
   /// All availability zones that are out of service.
   std::vector<ZoneOut> m_ZonesOut;
-  /// Digest of the leader's target list; 0 when it has none.
+  /// Digest of the keeper's target list; 0 when it has none.
   std::uint64_t m_TargetsDigest = 0;
   /// Digest of the text that m_TargetsDelta applies to; 0 for the empty text.
   std::uint64_t m_TargetsBase = 0;
-  /// Edit script to the leader's list; empty when the node has it.
+  /// Edit script to the keeper's list; empty when the node has it.
   std::string m_TargetsDelta;
   /// Time since the reading began.
   Millis m_TargetsAge;
@@ -509,7 +509,7 @@
   std::uint64_t m_Base = 0;
   /// Empty when the receiver has the list.
   std::string m_Delta;
-  /// Time since the leader last read the list.
+  /// Time since the reading began.
   Millis m_Age;
   /// In place of m_Delta, compressed; only for receivers that take it so.
   std::string m_Packed = {};
--- a/include/vanillaferry/version/text_history.hpp
+++ b/include/vanillaferry/version/text_history.hpp
@@ -25,11 +25,13 @@
   std::uint64_t m_Base = 0;
   std::string m_Delta;
   /// m_Delta compressed; empty where that gains nothing.
-  std::string m_Packed;
+  std::string m_Packed = {};
 };
 
-/// Compresses scripts of over a thousand bytes.
-std::string packDelta(const std::string &Delta);
+/// Copies the script for one receiver: compressed where that gains and the
+/// receiver takes it so, else as it is. The other text stays empty.
+void copyScript(const TextUpdate &Update, bool TakesPacked, std::string &Delta,
+                std::string &Packed);
 
 /// Applies a script, or the one that Packed holds. An error for damaged data.
 Result<std::string> applyTextUpdate(const std::string &Base,
--- a/src/core/version/text_history.cpp
+++ b/src/core/version/text_history.cpp
@@ -21,6 +21,14 @@
   return nullptr;
 }
 
+/// Empty where compression gains nothing.
+std::string packDelta(const std::string &Delta) {
+  if (Delta.size() < MinPackedBytes)
+    return std::string();
+  std::string Packed = compressText(Delta);
+  return Packed.size() < Delta.size() ? Packed : std::string();
+}
+
 } // namespace
 
 void addTextVersion(TextHistory &History, std::uint64_t Version,
@@ -54,11 +62,12 @@
   return Nodes;
 }
 
-std::string packDelta(const std::string &Delta) {
-  if (Delta.size() < MinPackedBytes)
-    return std::string();
-  std::string Packed = compressText(Delta);
-  return Packed.size() < Delta.size() ? Packed : std::string();
+void copyScript(const TextUpdate &Update, bool TakesPacked, std::string &Delta,
+                std::string &Packed) {
+  if (TakesPacked && !Update.m_Packed.empty())
+    Packed = Update.m_Packed;
+  else
+    Delta = Update.m_Delta;
 }
 
 Result<std::string> applyTextUpdate(const std::string &Base,
@@ -74,8 +83,8 @@
                           const std::string &Text) {
   const std::string *Base = Held == 0 ? nullptr : findText(History, Held);
   if (!Base)
-    return {0, makeTextDelta(std::string(), Text), std::string()};
-  return {Held, makeTextDelta(*Base, Text), std::string()};
+    return {0, makeTextDelta(std::string(), Text)};
+  return {Held, makeTextDelta(*Base, Text)};
 }
 
 const TextUpdate &sharedTextUpdate(TextUpdates &Made,
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -212,10 +212,8 @@
                        Request.m_AckedEpoch.m_Value, Shared.m_Text);
   Granted.m_IdsEpoch = Known;
   Granted.m_IdsBase = Epoch(Update.m_Base);
-  if (Request.m_TakesPacked && !Update.m_Packed.empty())
-    Granted.m_IdsPacked = Update.m_Packed;
-  else
-    Granted.m_IdsDelta = Update.m_Delta;
+  copyScript(Update, Request.m_TakesPacked, Granted.m_IdsDelta,
+             Granted.m_IdsPacked);
 }
 
 void stateManifestDeadline(const Keeper &Self, const Renew &Request,
--- a/src/daemon/process/keeper_targets.cpp
+++ b/src/daemon/process/keeper_targets.cpp
@@ -21,10 +21,7 @@
   const TextUpdate &Update =
       sharedTextUpdate(Shared.m_Updates, Shared.m_History, Held, Shared.m_Text);
   Message.m_Base = Update.m_Base;
-  if (TakesPacked && !Update.m_Packed.empty())
-    Message.m_Packed = Update.m_Packed;
-  else
-    Message.m_Delta = Update.m_Delta;
+  copyScript(Update, TakesPacked, Message.m_Delta, Message.m_Packed);
   return Message;
 }
 
