--- a/tests/process/EngineCrashes.hpp
+++ b/tests/process/EngineCrashes.hpp
@@ -15,6 +15,8 @@
 constexpr int StartLimitMs = 20000;
 /// The users' time for what one machine learns to reach the others.
 constexpr double ContactMs = 3000;
+/// The users' time between a target's notice and the last request.
+constexpr double DrainMs = 3000;
 
 void pauseFor(double Ms);
 
--- a/tests/process/GatewayFleet.cpp
+++ b/tests/process/GatewayFleet.cpp
@@ -212,6 +212,13 @@
   return waitUntil([&] { return isReady(Index); }, LimitMs);
 }
 
+bool GatewayFleet::waitAllReady(int LimitMs) const {
+  for (std::size_t Index = 0; Index < m_Gateways.size(); ++Index)
+    if (!waitReady(Index, LimitMs))
+      return false;
+  return true;
+}
+
 json GatewayFleet::manifest(std::uint64_t Version,
                             const std::set<std::string> &Revoked) const {
   json Tenants = json::array();
--- a/tests/process/GatewayFleet.hpp
+++ b/tests/process/GatewayFleet.hpp
@@ -60,6 +60,8 @@
   void startGateway(std::size_t Index);
   bool isReady(std::size_t Index) const;
   bool waitReady(std::size_t Index, int LimitMs) const;
+  /// Waits for each gateway in turn, up to the limit for each.
+  bool waitAllReady(int LimitMs) const;
 
   /// A manifest of this version without the API keys in Revoked.
   nlohmann::json manifest(std::uint64_t Version,
--- a/tests/process/PromptCrashes.tests.cpp
+++ b/tests/process/PromptCrashes.tests.cpp
@@ -51,8 +51,7 @@
   FoundFaults Found;
   GatewayOperator Operator(Fleet, Found, 1);
   BOOST_REQUIRE(Operator.begin(StartLimitMs));
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   CallerOptions SoundOptions{CallKind::Stream, {"b1", "b2", "b3", "b4"}};
   CallerOptions BadOptions{
       CallKind::Stream, {CrashingPart}, std::chrono::milliseconds(250)};
@@ -90,8 +89,7 @@
   FoundFaults Found;
   GatewayOperator Operator(Fleet, Found, 1);
   BOOST_REQUIRE(Operator.begin(StartLimitMs));
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   CallerOptions BadOptions{
       CallKind::Stream, {CrashingPart}, std::chrono::milliseconds(250)};
   {
@@ -115,8 +113,7 @@
     Fleet.startKeeper(Index);
   for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
     Fleet.startGateway(Index);
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   std::size_t Crashes = Fleet.targets().crashes().size();
   {
     GatewayCallers Bad(Fleet, Found, 3, 19, BadOptions);
--- a/tests/process/RequestCrashes.tests.cpp
+++ b/tests/process/RequestCrashes.tests.cpp
@@ -36,8 +36,7 @@
   FoundFaults Found;
   GatewayOperator Operator(Fleet, Found, 1);
   BOOST_REQUIRE(Operator.begin(StartLimitMs));
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   CallerOptions SoundOptions;
   SoundOptions.m_Kind = Kind;
   if (Kind == CallKind::ResumableStream)
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -87,10 +87,7 @@
     BOOST_REQUIRE(m_Operator.begin(StartLimitMs));
     waitReady();
   }
-  void waitReady() {
-    for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
-      BOOST_REQUIRE(m_Fleet.waitReady(Index, StartLimitMs));
-  }
+  void waitReady() { BOOST_REQUIRE(m_Fleet.waitAllReady(StartLimitMs)); }
   /// Each engine begins anew with the version that the function gives for it.
   template <typename Choose> void replaceEngines(const Choose &VersionOf) {
     for (std::size_t Index = 0; Index < m_Fleet.targets().size(); ++Index) {
--- a/tests/process/TargetListNews.tests.cpp
+++ b/tests/process/TargetListNews.tests.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// The users' time between a target's notice and the last request.
-constexpr double DrainMs = 3000;
 /// With three pages, longer than DrainMs for one reading, and each page within
 /// the reader's time limit.
 constexpr int SlowPageMs = 1400;
@@ -30,8 +28,7 @@
   constexpr std::size_t Engine = 0;
   Fleet.targets().setSoftware(Engine, "leaving");
   BOOST_REQUIRE(Operator.begin(StartLimitMs));
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   GatewayCallers Callers(Fleet, Found, 8, 3, {CallKind::Stream, {"a", "b"}});
   pauseFor(1500);
   for (int Round = 0; Round < 3; ++Round) {
--- a/tests/process/TargetWishes.tests.cpp
+++ b/tests/process/TargetWishes.tests.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// The users' time between a target's notice and the last request.
-constexpr double DrainMs = 3000;
 /// The users' time from a refusal on after which the pause binds.
 constexpr double PauseFromMs = 500;
 /// Requests to a target that wants none, for each router.
@@ -28,8 +26,7 @@
   GatewayOperator Operator(Fleet, Found, 1);
   Fleet.targets().setSoftware(Engine, "leaving");
   BOOST_REQUIRE(Operator.begin(StartLimitMs));
-  for (std::size_t Index = 0; Index < Fleet.gateways(); ++Index)
-    BOOST_REQUIRE(Fleet.waitReady(Index, StartLimitMs));
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
   GatewayCallers Callers(Fleet, Found, 8, 3, {CallKind::Stream, {"a", "b"}});
   pauseFor(2000);
   TargetFaults Leaving;
