--- a/review/fleet.py
+++ b/review/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -15,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HOST = "desk.example"
@@ -113,13 +115,15 @@
 class Server:
     """A plain service's server: runs each request and answers it whole."""
 
-    def __init__(self, fleet, name, service, address, port, answer=None):
+    def __init__(self, fleet, name, service, address, port, answer=None,
+                 quiet=False):
         self.name = name
         self.service = service
         self.address = f"{address}:{port}"
         self.state = "ready"
         self.runs = []
         self._fleet = fleet
+        self._quiet = quiet
         self._answer = answer or (lambda headers, body: b"done " + body)
         self._http = HttpServer(address, port, self._serve)
 
@@ -140,9 +144,10 @@
                 .encode())
             return True
         self.runs.append((time.monotonic(), method, target, attempt, body))
-        self._fleet.record.write(
-            f"run     server={self.name} attempt={attempt} {method} {target} "
-            f"body={len(body)}")
+        if not self._quiet:
+            self._fleet.record.write(
+                f"run     server={self.name} attempt={attempt} {method} {target} "
+                f"body={len(body)}")
         answer = self._answer(headers, body)
         connection.sendall(
             (f"HTTP/1.1 200 OK\r\n{head}{SIGNATURE}: {attempt}.{len(answer)}"
@@ -199,6 +204,8 @@
         self._list = HttpServer(list_address, 0, self._serve_list)
         self._cloud = f"{list_address}:{self._list.port}"
         self._version = 0
+        # What the platform lets a gateway have open; None for no limit.
+        self.descriptors = None
 
     # Stand-in of the platform's list.
     def _serve_list(self, connection, line, headers, body):
@@ -215,9 +222,10 @@
     def extra_entries(self):
         return []
 
-    def add_server(self, name, service, answer=None):
+    def add_server(self, name, service, answer=None, quiet=False):
         address = f"{self._net}.{100 + len(self.servers)}"
-        server = Server(self, name, service, address, free_port(address), answer)
+        server = Server(self, name, service, address, free_port(address), answer,
+                        quiet)
         self.servers.append(server)
         return server
 
@@ -230,6 +238,12 @@
     def front(self, index=0):
         return self.gateway_ip(index), self._front
 
+    def ready_address(self, index=0):
+        return self.gateway_ip(index), self._ready
+
+    def open_files(self, name):
+        return len(os.listdir(f"/proc/{self._processes[name].pid}/fd"))
+
     def _start(self, role, name, ip, bootstrap=True):
         words, template = run_command(role)
         data = os.path.join(self.folder, "data-" + name)
@@ -253,9 +267,15 @@
             for word in words[1:]]
         if not os.access(words[0], os.X_OK):
             raise CannotRun(words[0] + " is missing: run the deploy file's build")
+        limit = self.descriptors if role == "gateway" else None
+
+        def limit_descriptors():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
         log = open(os.path.join(self.folder, name + ".log"), "wb")
         self._processes[name] = subprocess.Popen(
-            words, stdout=log, stderr=subprocess.STDOUT, cwd=ROOT)
+            words, stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
+            preexec_fn=limit_descriptors if limit else None)
         self.record.write(f"start   {name} pid={self._processes[name].pid}")
 
     def start(self):
@@ -445,8 +465,10 @@
     code = NOT_RUN
     try:
         code = case(os.path.join(folder, "record.txt"), trouble)
-    except (CannotRun, OSError) as fault:
+    except CannotRun as fault:
         print(f"the case could not run: {fault}")
+    except Exception:  # A fault of the script says nothing about the rule.
+        traceback.print_exc()
     print({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "not run"}[code])
     sys.stdout.flush()
     os._exit(code)
