--- a/review/fleet.py
+++ b/review/fleet.py
@@ -168,13 +168,15 @@
                   re.sub(r"\{\{([a-z_.0-9]+)\}\}", r"{{\1|json}}", template))
 
 
-def run_command(role):
-    """The program and arguments of a role in the deploy file."""
-    text = open(os.path.join(ROOT, "deploy/system.toml"), encoding="utf-8").read()
+def run_command(role, tree):
+    """The program and arguments of a role in the deploy file of a checkout."""
+    with open(os.path.join(tree, "deploy/system.toml"),
+              encoding="utf-8") as file:
+        text = file.read()
     section = text.split(f"[roles.{role}]", 1)[1]
     words = re.search(r'run = "([^"]+)"', section).group(1).split()
     template = re.search(r'template = "([^"]+)"', section).group(1)
-    with open(os.path.join(ROOT, template), encoding="utf-8") as file:
+    with open(os.path.join(tree, template), encoding="utf-8") as file:
         return words, file.read()
 
 
@@ -204,6 +206,9 @@
         self._list = HttpServer(list_address, 0, self._serve_list)
         self._cloud = f"{list_address}:{self._list.port}"
         self._version = 0
+        # The checkout whose build runs, for all processes and for some.
+        self.tree = ROOT
+        self.trees = {}
         # What the platform lets a gateway have open; None for no limit.
         self.descriptors = None
 
@@ -245,7 +250,8 @@
         return len(os.listdir(f"/proc/{self._processes[name].pid}/fd"))
 
     def _start(self, role, name, ip, bootstrap=True):
-        words, template = run_command(role)
+        tree = self.trees.get(name, self.tree)
+        words, template = run_command(role, tree)
         data = os.path.join(self.folder, "data-" + name)
         os.makedirs(data, exist_ok=True)
         values = {
@@ -262,7 +268,7 @@
         settings = os.path.join(self.folder, name + ".json")
         with open(settings, "w", encoding="utf-8") as file:
             file.write(render(template, values))
-        words = [os.path.join(ROOT, words[0])] + [
+        words = [os.path.join(tree, words[0])] + [
             settings if word.endswith("node.toml") else word
             for word in words[1:]]
         if not os.access(words[0], os.X_OK):
@@ -272,9 +278,9 @@
         def limit_descriptors():
             resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
-        log = open(os.path.join(self.folder, name + ".log"), "wb")
+        log = open(os.path.join(self.folder, name + ".log"), "ab")
         self._processes[name] = subprocess.Popen(
-            words, stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
+            words, stdout=log, stderr=subprocess.STDOUT, cwd=tree,
             preexec_fn=limit_descriptors if limit else None)
         self.record.write(f"start   {name} pid={self._processes[name].pid}")
 
