--- a/review/common-2/fleet2.py
+++ b/review/common-2/fleet2.py
@@ -414,6 +414,67 @@
         return -2, None, b""
 
 
+class KeptClient:
+    """A client that sends one request after the other on a channel that it keeps."""
+
+    def __init__(self, fleet, address, path, body, limit_ms=3000):
+        self.fleet, self.address, self.path, self.body = fleet, address, path, body
+        self.limit_ms = limit_ms
+        self.rows = []       # (time, attempt id, status, signature, the channel was reused)
+        self.channel, self.used = None, 0
+
+    async def ask(self):
+        attempt, began = new_id(), self.fleet.now()
+        reused = self.used > 0
+        try:
+            status, signature = await asyncio.wait_for(self.exchange(attempt),
+                                                       self.limit_ms / 1000.0)
+        except asyncio.TimeoutError:
+            status, signature = -2, None
+        except OSError:
+            status, signature = (-1 if self.channel else 0), None
+        if status < 200:
+            self.drop()
+        self.rows.append((began, attempt, status, signature, reused))
+        self.fleet.note("POST %s %s to %s -> %s%s" % (
+            self.path, attempt, self.address[0], status,
+            " on a kept channel" if reused else ""))
+
+    async def exchange(self, attempt):
+        if self.channel is None:
+            self.channel = await asyncio.open_connection(*self.address)
+        reader, writer = self.channel
+        writer.write(("POST %s HTTP/1.1\r\nHost: %s\r\nVanillaferry-Attempt-Id: %s\r\n"
+                      "Vanillaferry-Deadline-Milliseconds: %d\r\nX-Api-Key: k1\r\n"
+                      "Content-Length: %d\r\n\r\n" % (
+                          self.path, HOST, attempt, self.limit_ms, len(self.body))).encode()
+                     + self.body)
+        await writer.drain()
+        head = await read_head(reader)
+        if head is None:
+            return -1, None
+        try:
+            await read_body(reader, head)
+        except asyncio.IncompleteReadError:
+            return -1, None
+        self.used += 1
+        if head.get("connection", "").lower() == "close":
+            self.drop()
+        return int(head[""].split()[1]), head.get("vanillaferry-response-signature")
+
+    def drop(self):
+        if self.channel:
+            self.channel[1].close()
+        self.channel, self.used = None, 0
+
+    async def run(self, seconds, pause=1.0):
+        until = self.fleet.now() + seconds
+        await asyncio.sleep(random.random() * pause)
+        while self.fleet.now() < until:
+            await self.ask()
+            await asyncio.sleep(pause)
+
+
 # --- runners ------------------------------------------------------------------
 
 class Runner:
