--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,109 +1,26 @@
-"""Runners are upgraded in place: each starts again under the id that it had."""
+"""Machines are frozen while a key is taken away, and wake after a further change."""
 import asyncio
-import json
 import random
-import time
+import signal
 
-from fleet2 import (Fleet, HOST, Runner, new_id, read_head, route_entry, run_case,
+from fleet2 import (Fleet, Runner, client_request, new_id, route_entry, run_case,
                     service_entry)
 
-GATEWAYS = 7
-RUNNERS = 18
-UPGRADED = 3             # 0.17 of the runners
-STREAMS = 108
-EVENTS = 40
-EVENT_S = 0.2
-DOWN_S = 0.3
-GAP_S = 1.0
-LAG_S = 0.8              # max_lag_ms of the list
+GATEWAYS, FROZEN = 7, 6
+FROZEN_BEFORE_S = 3.4    # until the key is taken away
+ROUTES_A_CHANGE = 350    # big_config
+REVOCATION_S = 5.0       # revocation_ms
+CLIENTS = 5              # with the key, at each of the frozen machines
+ROUNDS = 3
 
 
-class Engine(Runner):
-    """A sound runner of a streaming service; it goes on at Last-Event-Id."""
+def word(count):
+    return "".join(random.choice("abcdefghijklmnopqrstuvwxyz0123456789") for _ in range(count))
 
-    def __init__(self, fleet, service, number):
-        super().__init__(fleet, service, number)
-        self.version, self.born = "v1", int(time.time() * 1000)
-        self.history = [(fleet.now(), self.state_now())]
 
-    def state_now(self):
-        return dict(Runner.entry(self), version=self.version, born=self.born)
-
-    def entry(self):
-        """As the list shows it: LAG_S late, and for a while after an end."""
-        shown = self.history[0][1]
-        for since, state in self.history:
-            if since <= self.fleet.now() - LAG_S:
-                shown = state
-        return shown
-
-    async def upgrade(self, same_id):
-        await self.crash()
-        await asyncio.sleep(DOWN_S)
-        if not same_id:
-            self.id = "i-%08x" % random.getrandbits(32)
-        self.version, self.born = "v2", int(time.time() * 1000)
-        self.history.append((self.fleet.now(), self.state_now()))
-        await self.start()
-        self.fleet.note("runner at %s starts again as %s, software v2"
-                        % (self.address[0], self.id))
-
-    async def handle(self, head, body, reader, writer):
-        if head[""].split()[1] == "/vanillaferry/report":
-            text = json.dumps({"stage": "combined", "busy": False, "sequence": 0,
-                               "born": self.born, "queued_requests": 0,
-                               "running_requests": self.running, "kv_used": 0,
-                               "kv_total": 90000, "cache_handles": 0, "models": [
-                                   {"name": "m", "version": 1, "adapters": []}]}).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                         b"Content-Length: %d\r\n\r\n" % len(text) + text)
-            await writer.drain()
-            return True
-        return await super().handle(head, body, reader, writer)
-
-    async def work(self, head, body, own, attempt, writer):
-        version = self.version
-        writer.write(("HTTP/1.1 200 OK\r\n%sVanillaferry-Response-Signature: s-%s\r\n"
-                      "Content-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n" % (own, attempt)).encode())
-        for number in range(int(head.get("last-event-id", 0)) + 1, EVENTS + 1):
-            event = ("id: %d\ndata: %s %d\n\n" % (number, version, number)).encode()
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
-            await writer.drain()
-            await asyncio.sleep(EVENT_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
-
-
-async def stream(fleet, number, address):
-    """One client's stream: the versions of its events, in order, and its end."""
-    versions, last, whole = [], 0, False
-    reader, writer = await asyncio.open_connection(*address)
-    try:
-        writer.write(("POST /chat/%d HTTP/1.1\r\nHost: %s\r\nX-Api-Key: k1\r\n"
-                      "Vanillaferry-Attempt-Id: %s\r\n"
-                      "Vanillaferry-Deadline-Milliseconds: 15000\r\n"
-                      "Content-Length: 4\r\n\r\nchat" % (number, HOST, new_id())).encode())
-        head = await read_head(reader)
-        while head and head[""].split()[1] == "200":
-            size = int((await reader.readline()).strip() or b"0", 16)
-            if size == 0:
-                whole = last == EVENTS
-                break
-            data = (await reader.readexactly(size)).decode()
-            await reader.readexactly(2)
-            for event in data.strip().split("\n\n"):
-                last = int(event.split("\n")[0].split(":")[1])
-                versions.append(event.split("data: ")[1].split()[0])
-    except (ConnectionError, asyncio.IncompleteReadError):
-        pass
-    finally:
-        writer.close()
-    parts = [v for i, v in enumerate(versions) if i == 0 or v != versions[i - 1]]
-    fleet.note("stream %d: %d events from %s, whole: %s"
-               % (number, len(versions), " then ".join(parts), whole))
-    return versions, whole
+def more_routes():
+    return [route_entry("r-" + word(7), "/%s/" % word(7), "desk", "idempotent",
+                        host=word(6) + ".example") for _ in range(ROUTES_A_CHANGE)]
 
 
 async def main(trouble):
@@ -112,44 +29,89 @@
     try:
         tasks.append(asyncio.ensure_future(fleet.watch()))
         await fleet.start_list()
-        for number in range(1, RUNNERS + 1):
-            runner = Engine(fleet, "llm", number)
+        for number in range(1, 4):
+            runner = Runner(fleet, "desk", number)
             fleet.runners.append(runner)
             await runner.start()
         for each in fleet.processes:
             each.start()
-        routes = [route_entry("chat", "/chat/", "llm", "streaming", timeout_ms=15000,
-                              target_latency_ms=1000, target_gap_ms=600, attempts=2,
-                              stream_resumption=True, session_affinity=True)]
-        status, _ = await fleet.order(
-            "PUT", "/manifest", fleet.manifest(1, routes, [service_entry("llm")]))
-        if status != 200:
+        routes = [route_entry("lookups", "/lookups/", "desk", "idempotent")]
+        services = [service_entry("desk")]
+        version = [0]
+
+        async def change(keys):
+            version[0] += 1
+            status, _ = await fleet.order("PUT", "/manifest", fleet.manifest(
+                version[0], routes, services, keys=keys))
+            fleet.note("version %d with keys %s is acknowledged: %d"
+                       % (version[0], ",".join(keys), status))
+            return status == 200
+
+        if not await change(["k1", "key-0"]):
             return 2
         for gateway in fleet.gateways:
             if not await fleet.wait_ready(gateway):
                 return 2
-        await asyncio.sleep(3)
-        clients = []
-        for number in range(STREAMS):
-            clients.append(asyncio.ensure_future(
-                stream(fleet, number, fleet.front(number % GATEWAYS))))
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(1.0)
-        for runner in fleet.runners[:UPGRADED]:
-            tasks.append(asyncio.ensure_future(runner.upgrade(same_id=trouble)))
-            await asyncio.sleep(GAP_S)
-        answers = await asyncio.gather(*clients)
-        joined = sum(1 for versions, _ in answers if len(set(versions)) > 1)
-        text = ("%d streams, %d whole; with events of two software versions in one answer: "
-                "%d" % (len(answers), sum(1 for a in answers if a[1]), joined))
+        await asyncio.sleep(5)
+        late, before = [], []
+
+        async def client(gateway, key, until, sent):
+            while fleet.now() < until:
+                attempt, began = new_id(), fleet.now()
+                sent.append((began, attempt))
+                await client_request((gateway.fields["ip_address"], fleet.port),
+                                     "/lookups/1", method="GET", key=key, limit_ms=3000,
+                                     attempt=attempt)
+
+        for number in range(ROUNDS):
+            key = "key-%d" % number
+            frozen = random.sample(fleet.gateways, FROZEN)
+            sent = []
+            await asyncio.gather(*[client(g, key, fleet.now() + 0.5, sent) for g in frozen])
+            before += sent
+            if trouble:
+                for gateway in frozen:
+                    gateway.signal(signal.SIGSTOP)
+                fleet.note("%s are frozen" % ", ".join(g.name for g in frozen))
+            await asyncio.sleep(FROZEN_BEFORE_S)
+            routes.extend(more_routes())
+            if not await change(["k1", "key-%d" % (number + 1)]):
+                return 2
+            acknowledged = fleet.now()
+            fleet.note("%s is taken away" % key)
+            await asyncio.sleep(REVOCATION_S + 0.2)
+            routes.extend(more_routes())
+            if not await change(["k1", "key-%d" % (number + 1)]):
+                return 2
+            if trouble:
+                for gateway in frozen:
+                    gateway.signal(signal.SIGCONT)
+                fleet.note("they wake")
+            sent = []
+            until = fleet.now() + 2.0
+            await asyncio.gather(*[client(g, key, until, sent)
+                                   for g in frozen for _ in range(CLIENTS)])
+            late += [row for row in sent if row[0] > acknowledged + REVOCATION_S]
+            await asyncio.sleep(5)
+        runs = {attempt: at for r in fleet.runners for at, attempt, _ in r.runs}
+        ran = [row for row in late if row[1] in runs]
+        for began, attempt in ran:
+            fleet.note("request %s with a key taken away, sent at %.3f, ran at %.3f"
+                       % (attempt, began, runs[attempt]))
+        text = ("requests with the key before: %d, run: %d; sent over %.0f s after the ack "
+                "that took it away: %d, run: %d"
+                % (len(before), sum(1 for row in before if row[1] in runs), REVOCATION_S,
+                   len(late), len(ran)))
         fleet.note(text)
         print(text)
-        if not any(versions for versions, _ in answers):
+        if not any(row[1] in runs for row in before) or not late:
             return 2
-        return 1 if joined > 2 else 0
+        return 1 if ran else 0
     finally:
         for task in tasks:
             task.cancel()
+        for gateway in fleet.gateways:
+            gateway.signal(signal.SIGCONT)
         fleet.stop()
 
 
