--- a/review/common-2/fleet2.py
+++ b/review/common-2/fleet2.py
@@ -587,8 +587,16 @@
     if not os.access(os.path.join(ROOT, "target", "vanillaferry"), os.X_OK):
         print("target/vanillaferry is missing: run the build line of deploy/system.toml")
         sys.exit(2)
+    async def bounded():
+        task = asyncio.ensure_future(main(trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_event_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, 112)
     try:
-        code = asyncio.run(asyncio.wait_for(main(trouble), 112))
+        code = asyncio.run(bounded())
+    except asyncio.CancelledError:
+        print("not run: ended from outside")
+        code = 2
     except Exception as fault:  # the case could not run
         print("not run: %r" % (fault,))
         code = 2
