--- a/tests/process/GatewayFleet.hpp
+++ b/tests/process/GatewayFleet.hpp
@@ -58,6 +58,10 @@
   LoopbackAddress readyAddress(std::size_t Index) const {
     return {m_Gateways[Index].m_Real.m_Ip, m_ReadyPort};
   }
+  /// Address at which other gateways pass requests on.
+  LoopbackAddress relayAddress(std::size_t Index) const {
+    return {m_Gateways[Index].m_Real.m_Ip, m_RelayPort};
+  }
   const std::string &folder() const { return m_Folder.path(); }
 
   /// With a limit, the keeper's disk is full once a file has that many bytes.
--- /dev/null
+++ b/tests/process/OrdinaryCaller.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "ProcessFleet.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace vanillaferry::tests {
+
+/// A socket that gives up sending after a short time; -1 without a connection.
+int connectTo(const LoopbackAddress &To);
+
+bool sendText(int Socket, const std::string &Text);
+
+/// Status of the answer to one request on this connection; 0 without one. The
+/// answer's body is read to its stated length.
+int exchange(int Socket, const std::string &Text);
+
+/// The same on a connection of its own.
+int askOnce(const LoopbackAddress &To, const std::string &Text);
+
+/// The largest resident size that the process has had.
+std::int64_t peakKb(const ChildProcess &Process);
+
+/// Open descriptors of the process.
+std::size_t descriptors(const ChildProcess &Process);
+
+} // namespace vanillaferry::tests
--- a/tests/process/ProcessFleet.cpp
+++ b/tests/process/ProcessFleet.cpp
@@ -236,14 +236,16 @@
 }
 
 void KeeperFleet::start(std::size_t Index, bool Initialize,
-                        std::int64_t FileSizeLimit) {
+                        std::int64_t FileSizeLimit,
+                        std::int64_t DescriptorLimit) {
   std::vector<std::string> Arguments = {"keeper", "--settings",
                                         settingsPath(Index)};
   if (Initialize)
     Arguments.push_back("--initialize");
-  m_Keepers[Index].m_Process.start(
-      VANILLAFERRY_BINARY, Arguments,
-      m_Folder.path() + "/" + m_Keepers[Index].m_Name + ".log", FileSizeLimit);
+  m_Keepers[Index].m_Process.start(VANILLAFERRY_BINARY, Arguments,
+                                   m_Folder.path() + "/" +
+                                       m_Keepers[Index].m_Name + ".log",
+                                   FileSizeLimit, DescriptorLimit);
 }
 
 void KeeperFleet::startAll(bool Initialize) {
--- a/tests/process/ProcessFleet.hpp
+++ b/tests/process/ProcessFleet.hpp
@@ -86,7 +86,7 @@
 
   std::size_t size() const { return m_Keepers.size(); }
   void start(std::size_t Index, bool Initialize = false,
-             std::int64_t FileSizeLimit = 0);
+             std::int64_t FileSizeLimit = 0, std::int64_t DescriptorLimit = 0);
   void startAll(bool Initialize = false);
   void wipe(std::size_t Index);
   ChildProcess &process(std::size_t Index) {
--- a/tests/process/UntrustedCallers.tests.cpp
+++ b/tests/process/UntrustedCallers.tests.cpp
@@ -1,11 +1,8 @@
 #include "GatewayFleet.hpp"
+#include "OrdinaryCaller.hpp"
 
-#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
-#include <filesystem>
-#include <fstream>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -32,9 +29,8 @@
 constexpr std::size_t ExcessiveBodies = 16;
 constexpr std::size_t IdleConnections = 400;
 constexpr std::size_t ClosedConnections = 150;
-/// A sender gives up after this time, or when it cannot send for SendLimitMs.
+/// A sender gives up after this time.
 constexpr std::chrono::seconds SenderLimit{6};
-constexpr int SendLimitMs = 300;
 constexpr int StartLimitMs = 20000;
 constexpr int ServedLimitMs = 15000;
 constexpr std::size_t MaxBody = 4 * 1024 * 1024;
@@ -54,88 +50,12 @@
   std::string m_BodyPath;
 };
 
-int connectTo(const LoopbackAddress &To) {
-  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  timeval SendLimit = {0, SendLimitMs * 1000};
-  ::setsockopt(Socket, SOL_SOCKET, SO_SNDTIMEO, &SendLimit, sizeof SendLimit);
-  timeval ReadLimit = {3, 0};
-  ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &ReadLimit, sizeof ReadLimit);
-  sockaddr_in Address = {};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = ::inet_addr(To.m_Ip.c_str());
-  Address.sin_port = htons(To.m_Port);
-  if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                sizeof Address) == 0)
-    return Socket;
-  ::close(Socket);
-  return -1;
-}
-
-bool sendText(int Socket, const std::string &Text) {
-  std::size_t Sent = 0;
-  while (Sent < Text.size()) {
-    ssize_t Count =
-        ::send(Socket, &Text[Sent], Text.size() - Sent, MSG_NOSIGNAL);
-    if (Count <= 0)
-      return false;
-    Sent += static_cast<std::size_t>(Count);
-  }
-  return true;
-}
-
-/// Status of the answer to one request on this connection; 0 without one. The
-/// answer's body is read to its stated length.
-int exchange(int Socket, const std::string &Text) {
-  if (Socket < 0 || !sendText(Socket, Text))
-    return 0;
-  std::string Answer;
-  char Part[4096];
-  ssize_t Count = 0;
-  while ((Count = ::recv(Socket, Part, sizeof Part, 0)) > 0) {
-    Answer.append(Part, static_cast<std::size_t>(Count));
-    std::size_t End = Answer.find("\r\n\r\n");
-    if (End == std::string::npos)
-      continue;
-    FakeRequest Head;
-    Head.m_Head = Answer.substr(0, End + 2);
-    std::string Length = Head.field("Content-Length");
-    if (!Length.empty() && Answer.size() >= End + 4 + std::stoul(Length))
-      return std::atoi(Answer.c_str() + sizeof("HTTP/1.1"));
-  }
-  return 0;
-}
-
 bool isServed(const Subject &Asked) {
   return waitUntil(
-      [&] {
-        int Socket = connectTo(Asked.m_Address);
-        int Status = exchange(Socket, Asked.m_Ordinary);
-        ::close(Socket);
-        return Status == 200;
-      },
+      [&] { return askOnce(Asked.m_Address, Asked.m_Ordinary) == 200; },
       ServedLimitMs);
 }
 
-std::int64_t peakKb(const ChildProcess &Process) {
-  std::ifstream File("/proc/" + std::to_string(Process.pid()) + "/status");
-  std::string Line;
-  while (std::getline(File, Line))
-    if (Line.compare(0, 6, "VmHWM:") == 0)
-      return std::atoll(Line.c_str() + 6);
-  return 0;
-}
-
-std::size_t descriptors(const ChildProcess &Process) {
-  std::error_code Fault;
-  std::filesystem::directory_iterator Files(
-      "/proc/" + std::to_string(Process.pid()) + "/fd", Fault);
-  std::size_t Count = 0;
-  for (; !Fault && Files != std::filesystem::directory_iterator();
-       Files.increment(Fault))
-    ++Count;
-  return Count;
-}
-
 /// Sends all at once, keeps the connections open until all have ended or given
 /// up, and then checks the process.
 void sendAtOnce(const Subject &Sent, const std::vector<Nuisance> &Crowd) {
