Count the heads of requests in the callers' budget

Callers saw channels closed without an answer when a gateway was killed for its memory under bodies that did not end, each behind a head within the limits.

Cause: the budget counted buffers and bodies. A parsed head of 15.8 KB takes some 85 KB, twice (Beast's fields and our own), and was counted nowhere; nor were connections, decoded requests and the rest of events.

Change: HeldBytes holds a number of bytes in the budget for as long as its owner lives, by what the allocator uses. Fields are held once: the body's parser gives its own up. Exchanges count their decoded request, connections themselves.

--- a/src/daemon/connection/caller.hpp
+++ b/src/daemon/connection/caller.hpp
@@ -2,6 +2,7 @@
 
 #include "connection/fd_watcher.hpp"
 #include "connection/glib_handle.hpp"
+#include "connection/held_bytes.hpp"
 #include "vanillaferry/process/ids.hpp"
 #include "vanillaferry/process/reason.hpp"
 #include "vanillaferry/process/units.hpp"
@@ -55,6 +56,8 @@
   /// True for a question mark, also before an empty query.
   bool m_HasQuery = false;
   SharedBody m_Body;
+  /// What the fields take up; null when the request came over no connection.
+  std::shared_ptr<HeldBytes> m_HeldFields;
 };
 
 /// Path and query as they came.
--- a/src/daemon/connection/caller_connection.cpp
+++ b/src/daemon/connection/caller_connection.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t MaxRequestIdLength = 128;
 /// A buffer with more unused bytes than this is shrunk.
 constexpr std::size_t MaxUnusedBytes = 1024;
+/// What a connection takes up without a request: this object, its entries in
+/// the front's and the pool's sets, its watch and an empty queue.
+constexpr std::int64_t ConnectionBytes = 2048;
 
 /// A caller's own id is used when it is a short token, so that it cannot break
 /// a header or a log line.
@@ -65,16 +68,17 @@
 }
 
 /// A body that counts as held until its last user lets go of it.
-std::shared_ptr<const std::string> countedBody(std::string Body) {
-  if (Body.empty())
+std::shared_ptr<const std::string> countedBody(std::string Text) {
+  struct Counted {
+    std::string m_Text;
+    HeldBytes m_Held;
+  };
+  if (Text.empty())
     return nullptr;
-  std::int64_t Size = static_cast<std::int64_t>(Body.capacity());
-  CallerPool::instance().changeQuietly(Size);
-  return std::shared_ptr<const std::string>(
-      new std::string(std::move(Body)), [Size](const std::string *Held) {
-        CallerPool::instance().changeQuietly(-Size);
-        delete Held;
-      });
+  std::shared_ptr<Counted> Body = std::make_shared<Counted>();
+  Body->m_Text = std::move(Text);
+  Body->m_Held.set(allocatedFor(Body->m_Text));
+  return std::shared_ptr<const std::string>(Body, &Body->m_Text);
 }
 
 } // namespace
@@ -100,11 +104,11 @@
     : m_Watcher(Watcher.shared_from_this()), m_Front(std::move(Front)),
       m_Fd(Fd), m_IdleSince(monotonicNow()) {
   CallerPool::instance().add(*this);
+  account();
 }
 
 CallerConnection::~CallerConnection() {
   close();
-  CallerPool::instance().changeQuietly(-m_Counted);
   CallerPool::instance().remove(*this);
 }
 
@@ -248,11 +252,14 @@
   Request.m_Query = std::move(Head.m_Query);
   Request.m_HasQuery = Head.m_HasQuery;
   Request.m_Fields = std::move(Head.m_Fields);
-  Request.m_Body = SharedBody(countedBody(std::move(m_Reader->body())));
+  std::string Body = std::move(m_Reader->body());
   m_Reader.reset();
   m_Phase = Phase::Running;
   m_Caller = std::make_shared<Caller>(shared_from_this(), Request.m_Id);
   account();
+  Request.m_HeldFields =
+      std::make_shared<HeldBytes>(allocatedFor(Request.m_Fields));
+  Request.m_Body = SharedBody(countedBody(std::move(Body)));
   rearm();
   std::shared_ptr<FrontState> Front = m_Front;
   if (Front->m_OnRequest)
@@ -262,7 +269,7 @@
 std::size_t CallerConnection::incompleteBytes() const {
   if (m_Phase != Phase::Reading)
     return 0;
-  return m_In.capacity() + (m_Reader ? m_Reader->body().capacity() : 0);
+  return static_cast<std::size_t>(m_Held.count());
 }
 
 void CallerConnection::refuseForMemory() {
@@ -529,12 +536,11 @@
 }
 
 void CallerConnection::account() {
-  std::size_t Held = m_Queued + m_In.capacity();
+  std::int64_t Held = ConnectionBytes + allocatedFor(m_In) +
+                      static_cast<std::int64_t>(m_Queued);
   if (m_Reader)
-    Held += m_Reader->body().capacity();
-  std::int64_t Change = static_cast<std::int64_t>(Held) - m_Counted;
-  m_Counted += Change;
-  CallerPool::instance().change(Change);
+    Held += m_Reader->heldBytes().m_Value;
+  m_Held.set(Held);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/connection/caller_connection.hpp
+++ b/src/daemon/connection/caller_connection.hpp
@@ -113,7 +113,7 @@
   /// Bytes in m_Queue, and those of its first part that were sent.
   std::size_t m_Queued = 0;
   std::size_t m_SentOfFirst = 0;
-  std::int64_t m_Counted = 0;
+  HeldBytes m_Held;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   std::uint32_t m_Events = 0;
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -35,9 +35,6 @@
   /// Changes the number of held bytes; more than the limit closes the largest
   /// incomplete requests.
   void change(std::int64_t Bytes);
-  /// Counts without closing anything.
-  void changeQuietly(std::int64_t Bytes) { m_Budget.m_Held.m_Value += Bytes; }
-
   void add(CallerConnection &Connection);
   void remove(CallerConnection &Connection);
   /// True when another connection may be accepted; may close the one that has
--- a/src/daemon/connection/request_reader.cpp
+++ b/src/daemon/connection/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "connection/request_reader.hpp"
 
+#include "connection/held_bytes.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -60,6 +62,11 @@
 
 RequestReader::~RequestReader() = default;
 
+Bytes RequestReader::heldBytes() const {
+  std::int64_t Own = sizeof *this + (m_Parser ? sizeof *m_Parser : 0);
+  return Bytes(Own + m_HeadBytes + allocatedFor(m_Body));
+}
+
 ReadStep RequestReader::refuse(RefusalReason Reason, const std::string &Text) {
   m_Fault = Reason;
   m_FaultText = Text;
@@ -124,7 +131,13 @@
       !Read.is_header_done() || Used != Size)
     return refuse(RefusalReason::MalformedRequest,
                   "not an HTTP request: " + Fault.message());
-  return checkFields();
+  ReadStep Step = checkFields();
+  m_HeadBytes = allocatedFor(m_Head.m_Fields) + allocatedFor(m_Head.m_Path) +
+                allocatedFor(m_Head.m_Query);
+  // The body needs the parser's state, not the fields, which m_Head holds.
+  Read.get().clear();
+  Read.get().target("");
+  return Step;
 }
 
 ReadStep RequestReader::checkFields() {
--- a/src/daemon/connection/request_reader.hpp
+++ b/src/daemon/connection/request_reader.hpp
@@ -67,6 +67,8 @@
   bool begun() const { return m_Begun; }
   RequestHead &head() { return m_Head; }
   std::string &body() { return m_Body; }
+  /// What the head and the body take up.
+  Bytes heldBytes() const;
   RefusalReason fault() const { return m_Fault; }
   const std::string &faultText() const { return m_FaultText; }
 
@@ -85,6 +87,7 @@
   std::string m_Body;
   std::string m_FaultText;
   RefusalReason m_Fault = RefusalReason::None;
+  std::int64_t m_HeadBytes = 0;
   /// Bytes of the head that were searched for its end.
   std::size_t m_Searched = 0;
   std::size_t m_EmptyLineBytes = 0;
--- a/src/daemon/gateway/exchange.cpp
+++ b/src/daemon/gateway/exchange.cpp
@@ -1,6 +1,5 @@
 #include "gateway/exchange.hpp"
 
-#include "connection/caller_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "vanillaferry/request/control_wait.hpp"
@@ -44,6 +43,15 @@
   return Text;
 }
 
+/// What the fields and the prompt's parts take up.
+std::int64_t allocatedBy(const RoutedRequest &Request) {
+  std::int64_t Sum = allocatedFor(Request.m_Fields);
+  for (const PromptPart &Part : Request.m_PromptParts)
+    Sum += static_cast<std::int64_t>(sizeof Part) +
+           allocatedFor(Part.m_Id.m_Value);
+  return Sum;
+}
+
 std::uint64_t hashText(const std::string &Text) {
   return XXH3_64bits(Text.data(), Text.size());
 }
@@ -85,6 +93,8 @@
     return false;
   }
   m_Request = std::move(Decoded.value());
+  m_HeldRequest.set(static_cast<std::int64_t>(sizeof *this) +
+                    allocatedBy(m_Request));
   return !isRelayedHere() || readRelayed();
 }
 
@@ -474,7 +484,7 @@
   leaveRoom();
   m_PauseTimer.stop();
   m_Gateway.m_BufferedAnswers -= m_Buffered;
-  CallerPool::instance().changeQuietly(-static_cast<std::int64_t>(m_Buffered));
+  m_HeldAnswer.set(0);
   logEvent(
       Event::RequestEnded,
       {{"request", m_Request.m_Id.m_Value},
--- a/src/daemon/gateway/exchange.hpp
+++ b/src/daemon/gateway/exchange.hpp
@@ -184,6 +184,7 @@
   void relayEvents(const std::string &Events);
   /// Ends the try when its answer exceeds the memory for it.
   bool exceedsMemory(std::size_t Size);
+  void countAnswer();
   /// Continues a stream elsewhere after a pause that its caller would not wait
   /// out.
   void checkPause();
@@ -327,6 +328,10 @@
   Timer m_PauseTimer;
   /// Part of Gateway::m_BufferedAnswers that this exchange uses.
   std::size_t m_Buffered = 0;
+  /// This object and the decoded request, in the callers' budget.
+  HeldBytes m_HeldRequest;
+  /// What the target has sent and the caller has not got yet.
+  HeldBytes m_HeldAnswer;
   bool m_Done = false;
 };
 
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -1,6 +1,5 @@
 #include "gateway/exchange.hpp"
 
-#include "connection/caller_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "vanillaferry/request/stream_progress.hpp"
@@ -116,6 +115,11 @@
   return TooLarge;
 }
 
+void Exchange::countAnswer() {
+  m_HeldAnswer.set(static_cast<std::int64_t>(m_Buffered) +
+                   allocatedFor(m_Events.m_Rest));
+}
+
 void Exchange::onData(const char *Data, std::size_t Size) {
   if (m_Done || !m_Try || !m_Try->m_Answer)
     return;
@@ -127,10 +131,10 @@
     m_Try->m_Body.append(Data, Size);
     m_Buffered += Size;
     m_Gateway.m_BufferedAnswers += Size;
-    CallerPool::instance().change(static_cast<std::int64_t>(Size));
-    return;
+    return countAnswer();
   }
   std::string Events = extractEvents(m_Events, Data, Size);
+  countAnswer();
   if (!Events.empty())
     relayEvents(Events);
 }
