Let a request that holds room and doesn't go on give way

Callers saw 503 to every request with a body, for up to three minutes, while a dozen unfinished bodies of 4 MiB were open.

Cause: new bodies were refused from three quarters of the budget on, and only above the whole of it did an incomplete request end. A crowd that stays between the two closes the process to everybody else; a body of 4 MiB that stops has header_timeout_ms 64 times. An order that had come whole was refused for want of room for a body.

Change: one decision, without I/O (chooseGivingWay). What has not gone on by 16 KiB for 500 ms gives way to any other, first what holds most for longest. Large bodies leave a quarter of the room to small ones; a small or a whole request displaces large bodies that go on too, the latest first, so that those under way are completed. Small requests of operators and status checks have a quarter of the room beyond it.

Ruled out: reserving by the announced length, which refuses ordinary bodies in chunks after ten of them; ending the largest, which never completes one.

--- a/include/vanillaferry/connection/caller_budget.hpp
+++ b/include/vanillaferry/connection/caller_budget.hpp
@@ -3,33 +3,72 @@
 #include "vanillaferry/process/units.hpp"
 
 #include <cstddef>
+#include <vector>
 
 namespace vanillaferry {
 
-/// The bytes that a process holds for callers, against their limit.
+/// The bytes that a process holds for callers, against their limits.
 struct CallerBudget {
   /// 0 for no limit.
   Bytes m_Limit{0};
   Bytes m_Held{0};
 };
 
-/// New bodies are taken up to this part of the limit, so that bodies under way
-/// can be completed.
-constexpr std::int64_t NewBodyShareDivisor = 4;
+/// What asks for room.
+enum class RoomFor {
+  /// A body that has or states more than SmallBodyBytes.
+  LargeBody,
+  /// Any other request that is not whole.
+  SmallBody,
+  /// A request that has arrived whole.
+  WholeRequest,
+  /// A small one of an operator or a status check.
+  OperatorRequest,
+};
+
+/// Requests up to this size are taken as long as there is any room.
+constexpr Bytes SmallBodyBytes{64 * 1024};
+
+/// What may be held: the limit, or any number of bytes without one.
+Bytes callerRoom(const CallerBudget &Budget);
+
+/// Bytes that must be freed before this may be taken; 0 when there is room.
+/// Large bodies leave a quarter of the room to the others; operators may use a
+/// quarter more, so that callers do not lock them out.
+Bytes missingRoom(const CallerBudget &Budget, RoomFor For);
 
-/// True while another body may begin.
-inline bool mayBeginBody(const CallerBudget &Budget) {
-  return Budget.m_Limit <= Bytes(0) ||
-         Budget.m_Held.m_Value <
-             Budget.m_Limit.m_Value -
-                 Budget.m_Limit.m_Value / NewBodyShareDivisor;
+inline bool hasRoom(const CallerBudget &Budget, RoomFor For) {
+  return missingRoom(Budget, For) <= Bytes(0);
 }
 
-/// True while all that is held is within the limit.
-inline bool isWithin(const CallerBudget &Budget) {
-  return Budget.m_Limit <= Bytes(0) || Budget.m_Held <= Budget.m_Limit;
+/// What one connection holds, as far as it may give way to others.
+struct CallerHolding {
+  Bytes m_Held;
+  /// Time since it last went on by ProgressBytes, or began.
+  Millis m_Still;
+  /// When its request began, on the monotonic clock.
+  Millis m_BegunAt;
+};
+
+/// An incomplete request goes on when this much more has arrived.
+constexpr Bytes ProgressBytes{16 * 1024};
+/// One that has not gone on for so long gives way to any other.
+constexpr Millis GivesWayAfter{500};
+
+inline bool isStill(const CallerHolding &Holding) {
+  return GivesWayAfter <= Holding.m_Still;
 }
 
+/// Chooses among incomplete requests those that give way, in order, until
+/// Missing bytes and a margin are free. First come those that do not go on, by
+/// the room that they hold times its duration. If this is for a large body, no
+/// other gives way, so that those under way can be completed. Otherwise the
+/// large ones that began last follow, and then the small ones, by the same
+/// product.
+std::vector<std::size_t>
+chooseGivingWay(const std::vector<CallerHolding> &Holdings,
+                const CallerBudget &Budget, RoomFor For);
+
 /// The limit: as stated, else a quarter of the VM's memory.
 inline Bytes callerLimit(Bytes Stated, Bytes VmMemory) {
   constexpr std::int64_t VmShareDivisor = 4;
--- /dev/null
+++ b/src/core/connection/caller_budget.cpp
@@ -0,0 +1,80 @@
+#include "vanillaferry/connection/caller_budget.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace vanillaferry {
+
+namespace {
+
+/// Part of the room that large bodies leave to others.
+constexpr std::int64_t ReservedShareDivisor = 4;
+/// Part of the room that operators have beyond it.
+constexpr std::int64_t OperatorShareDivisor = 4;
+/// Freed beyond what is missing, so that not each newcomer has to look for
+/// room.
+constexpr std::int64_t MarginDivisor = 32;
+
+double heldInVain(const CallerHolding &Holding) {
+  return static_cast<double>(Holding.m_Held.m_Value) *
+         static_cast<double>(Holding.m_Still.m_Value + 1);
+}
+
+/// Rank of a holding: lower ones give way first.
+int rankOf(const CallerHolding &Holding) {
+  if (isStill(Holding))
+    return 0;
+  return Holding.m_Held > SmallBodyBytes ? 1 : 2;
+}
+
+bool givesWayBefore(const CallerHolding &A, const CallerHolding &B) {
+  int Rank = rankOf(A);
+  if (Rank != rankOf(B))
+    return Rank < rankOf(B);
+  if (Rank == 1)
+    return A.m_BegunAt > B.m_BegunAt;
+  return heldInVain(A) > heldInVain(B);
+}
+
+} // namespace
+
+Bytes callerRoom(const CallerBudget &Budget) {
+  return Budget.m_Limit > Bytes(0)
+             ? Budget.m_Limit
+             : Bytes(std::numeric_limits<std::int64_t>::max());
+}
+
+Bytes missingRoom(const CallerBudget &Budget, RoomFor For) {
+  Bytes Room = callerRoom(Budget);
+  if (For == RoomFor::LargeBody)
+    Room = Room - Bytes(Room.m_Value / ReservedShareDivisor + 1);
+  if (For == RoomFor::OperatorRequest && Budget.m_Limit > Bytes(0))
+    Room = Room + Bytes(Room.m_Value / OperatorShareDivisor);
+  return std::max(Budget.m_Held - Room, Bytes(0));
+}
+
+std::vector<std::size_t>
+chooseGivingWay(const std::vector<CallerHolding> &Holdings,
+                const CallerBudget &Budget, RoomFor For) {
+  std::vector<std::size_t> Chosen;
+  Bytes Missing = missingRoom(Budget, For);
+  if (Missing <= Bytes(0))
+    return Chosen;
+  Missing = Missing + Bytes(callerRoom(Budget).m_Value / MarginDivisor);
+  std::vector<std::size_t> Order(Holdings.size());
+  std::iota(Order.begin(), Order.end(), std::size_t(0));
+  std::sort(Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+    return givesWayBefore(Holdings[A], Holdings[B]);
+  });
+  for (std::size_t Index : Order) {
+    if (Missing <= Bytes(0) ||
+        (For == RoomFor::LargeBody && !isStill(Holdings[Index])))
+      break;
+    Missing = Missing - Holdings[Index].m_Held;
+    Chosen.push_back(Index);
+  }
+  return Chosen;
+}
+
+} // namespace vanillaferry
--- a/src/daemon/connection/caller_connection.cpp
+++ b/src/daemon/connection/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "process/clock.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/status.hpp>
 #include <cctype>
@@ -196,18 +197,20 @@
     if (m_Reader->begun() && m_Phase == Phase::Idle) {
       m_Phase = Phase::Reading;
       m_FirstByte = monotonicNow();
+      m_WentOnAt = m_FirstByte;
+      m_ArrivedMark = 0;
+      m_BodyRoom = BodyRoom::None;
     }
     if (Step == ReadStep::Refused)
       refuse({m_Reader->fault(), NotRun::True, m_Reader->faultText()});
-    else if (Step == ReadStep::Head && Offset == m_In.size())
-      headRead();
-    else if (Step == ReadStep::Head &&
-             !mayBeginBody(CallerPool::instance().budget()))
-      refuseForMemory();
     else if (Step == ReadStep::Whole)
       dispatch();
-    More = Step != ReadStep::NeedMore;
+    More = Step != ReadStep::NeedMore && Offset < m_In.size();
+    if (!More && isReading() && m_Reader && m_Reader->headRead())
+      awaitBody();
   }
+  if (m_Phase == Phase::Reading)
+    noteArrived();
   m_In.erase(0, Offset);
   if (!isReading() && m_Phase != Phase::Running && m_Phase != Phase::Answering)
     m_In.clear();
@@ -218,15 +221,35 @@
   rearm();
 }
 
-void CallerConnection::headRead() {
-  if (!mayBeginBody(CallerPool::instance().budget()))
+void CallerConnection::awaitBody() {
+  Bytes Arrived(static_cast<std::int64_t>(m_Reader->body().size()));
+  Bytes Size = std::max(m_Reader->head().m_BodyLength, Arrived);
+  BodyRoom Wanted = Size > SmallBodyBytes ? BodyRoom::Large : BodyRoom::Small;
+  if (m_BodyRoom >= Wanted)
+    return;
+  bool Begins = m_BodyRoom == BodyRoom::None;
+  m_BodyRoom = Wanted;
+  RoomFor For =
+      Wanted == BodyRoom::Large ? RoomFor::LargeBody : RoomFor::SmallBody;
+  if (!CallerPool::instance().takeRoom(For, this))
     return refuseForMemory();
-  if (!m_Reader->head().m_ExpectsContinue)
+  if (!Begins || Arrived > Bytes(0) || !m_Reader->head().m_ExpectsContinue)
     return;
   queue("HTTP/1.1 100 Continue\r\n\r\n");
   flush();
 }
 
+void CallerConnection::noteArrived() {
+  bool InBody = m_Reader && m_Reader->headRead();
+  std::size_t Arrived = InBody ? m_Reader->body().size() : m_In.size();
+  // A body begins anew at 0.
+  m_ArrivedMark = std::min(m_ArrivedMark, Arrived);
+  if (Arrived - m_ArrivedMark < static_cast<std::size_t>(ProgressBytes.m_Value))
+    return;
+  m_ArrivedMark = Arrived;
+  m_WentOnAt = monotonicNow();
+}
+
 RequestId CallerConnection::requestId() const {
   if (m_Reader) {
     std::map<std::string, std::string> &Fields = m_Reader->head().m_Fields;
@@ -239,7 +262,10 @@
 }
 
 void CallerConnection::dispatch() {
-  if (!isWithin(CallerPool::instance().budget()))
+  bool IsOperators =
+      kind() == CallerKind::Operator && m_BodyRoom != BodyRoom::Large;
+  RoomFor For = IsOperators ? RoomFor::OperatorRequest : RoomFor::WholeRequest;
+  if (!CallerPool::instance().takeRoom(For, this))
     return refuseForMemory();
   RequestHead &Head = m_Reader->head();
   CallerRequest Request;
@@ -266,10 +292,8 @@
     Front->m_OnRequest(m_Caller, std::move(Request));
 }
 
-std::size_t CallerConnection::incompleteBytes() const {
-  if (m_Phase != Phase::Reading)
-    return 0;
-  return static_cast<std::size_t>(m_Held.count());
+CallerHolding CallerConnection::holding(Millis Now) const {
+  return {Bytes(m_Held.count()), Now - m_WentOnAt, m_FirstByte};
 }
 
 void CallerConnection::refuseForMemory() {
--- a/src/daemon/connection/caller_connection.hpp
+++ b/src/daemon/connection/caller_connection.hpp
@@ -56,8 +56,10 @@
   CallerKind kind() const { return m_Front->m_Kind; }
   bool isIdle() const { return m_Phase == Phase::Idle; }
   Millis idleSince() const { return m_IdleSince; }
-  /// Bytes held of a request that is still being read.
-  std::size_t incompleteBytes() const;
+  /// True while a request has begun and is not whole.
+  bool isIncomplete() const { return m_Phase == Phase::Reading; }
+  /// What an incomplete request holds.
+  CallerHolding holding(Millis Now) const;
   void refuseForMemory();
   /// False when bytes of a request have arrived.
   bool closeIfIdle();
@@ -81,12 +83,15 @@
     Lingering,
     Closed,
   };
+  enum class BodyRoom { None, Small, Large };
   CallerConnection(FdWatcher &Watcher, int Fd,
                    std::shared_ptr<FrontState> Front);
   void onReady(std::uint32_t Events);
   void receive();
   void process();
-  void headRead();
+  /// Asks for room for the rest of a body.
+  void awaitBody();
+  void noteArrived();
   void dispatch();
   void refuse(const Refusal &Why);
   RequestId requestId() const;
@@ -114,6 +119,11 @@
   std::size_t m_Queued = 0;
   std::size_t m_SentOfFirst = 0;
   HeldBytes m_Held;
+  /// The room that the present body was given.
+  BodyRoom m_BodyRoom = BodyRoom::None;
+  /// Bytes of the present request that had arrived when it last went on.
+  std::size_t m_ArrivedMark = 0;
+  Millis m_WentOnAt;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   std::uint32_t m_Events = 0;
--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -55,22 +55,33 @@
 
 void CallerPool::change(std::int64_t Bytes) {
   m_Budget.m_Held.m_Value += Bytes;
-  if (Bytes > 0 && !isWithin(m_Budget) && !m_Relieving)
-    relieve();
+  if (Bytes > 0)
+    relieve(RoomFor::SmallBody, nullptr);
 }
 
-void CallerPool::relieve() {
+bool CallerPool::takeRoom(RoomFor For, const CallerConnection *Newcomer) {
+  relieve(For, Newcomer);
+  return hasRoom(m_Budget, For);
+}
+
+void CallerPool::relieve(RoomFor For, const CallerConnection *Newcomer) {
+  if (m_Relieving || hasRoom(m_Budget, For))
+    return;
   m_Relieving = true;
-  while (!isWithin(m_Budget)) {
-    CallerConnection *Largest = nullptr;
-    for (CallerConnection *Each : m_Open)
-      if (Each->incompleteBytes() > 0 &&
-          (!Largest || Each->incompleteBytes() > Largest->incompleteBytes()))
-        Largest = Each;
-    if (!Largest)
-      break;
+  Millis Now = monotonicNow();
+  // Owned, since one that gives way may be destroyed at once.
+  std::vector<std::shared_ptr<CallerConnection>> Incomplete;
+  std::vector<CallerHolding> Holdings;
+  for (CallerConnection *Each : m_Open) {
+    std::shared_ptr<CallerConnection> Owned = Each->weak_from_this().lock();
+    if (Each == Newcomer || !Owned || !Each->isIncomplete())
+      continue;
+    Incomplete.push_back(std::move(Owned));
+    Holdings.push_back(Each->holding(Now));
+  }
+  for (std::size_t Index : chooseGivingWay(Holdings, m_Budget, For)) {
     ++m_Counts.m_IncompleteClosed;
-    Largest->refuseForMemory();
+    Incomplete[Index]->refuseForMemory();
   }
   m_Relieving = false;
 }
@@ -80,8 +91,10 @@
   if (m_LoggedAt != 0 && Now - m_LoggedAt < LogIntervalMs)
     return;
   m_LoggedAt = Now;
-  logEvent(Event::CallerMemoryFull, {{"held", m_Budget.m_Held.m_Value},
-                                     {"limit", m_Budget.m_Limit.m_Value}});
+  logEvent(Event::CallerMemoryFull,
+           {{"held", m_Budget.m_Held.m_Value},
+            {"limit", m_Budget.m_Limit.m_Value},
+            {"connections", static_cast<std::uint64_t>(m_Open.size())}});
 }
 
 void CallerPool::add(CallerConnection &Connection) {
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -3,8 +3,9 @@
 #include "vanillaferry/connection/caller_budget.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <set>
-#include <string>
+#include <vector>
 
 namespace vanillaferry {
 
@@ -20,6 +21,7 @@
   std::uint64_t m_IdleClosed = 0;
   std::uint64_t m_IdleClosedForRoom = 0;
   std::uint64_t m_BodiesRefused = 0;
+  /// Incomplete requests that gave way to others for their bytes.
   std::uint64_t m_IncompleteClosed = 0;
 };
 
@@ -32,9 +34,12 @@
   /// Takes the limits from settings, /proc/meminfo and the descriptor limit.
   void configure(const MemorySettings &Memory);
   const CallerBudget &budget() const { return m_Budget; }
-  /// Changes the number of held bytes; more than the limit closes the largest
-  /// incomplete requests.
+  /// Changes the number of held bytes. More than there is room for makes
+  /// incomplete requests give way.
   void change(std::int64_t Bytes);
+  /// True when there is room, after incomplete requests other than that of
+  /// Newcomer have given way.
+  bool takeRoom(RoomFor For, const CallerConnection *Newcomer);
   void add(CallerConnection &Connection);
   void remove(CallerConnection &Connection);
   /// True when another connection may be accepted; may close the one that has
@@ -50,7 +55,7 @@
 
 private:
   CallerPool();
-  void relieve();
+  void relieve(RoomFor For, const CallerConnection *Newcomer);
 
   CallerBudget m_Budget;
   DescriptorParts m_Parts;
--- a/src/daemon/connection/request_reader.cpp
+++ b/src/daemon/connection/request_reader.cpp
@@ -195,6 +195,7 @@
                   "the body is larger than " +
                       std::to_string(m_Limits.m_MaxBody.m_Value) + " bytes");
   m_Head.m_HasBody = Length > 0 || Codings > 0;
+  m_Head.m_BodyLength = Bytes(static_cast<std::int64_t>(Length));
   m_Head.m_ExpectsContinue =
       !m_Head.m_Http10 && equals(Request[http::field::expect], "100-continue");
   return m_Head.m_HasBody ? ReadStep::Head : ReadStep::Whole;
--- a/src/daemon/connection/request_reader.hpp
+++ b/src/daemon/connection/request_reader.hpp
@@ -36,6 +36,8 @@
   bool m_Http10 = false;
   bool m_HasBody = false;
   bool m_ExpectsContinue = false;
+  /// As stated; 0 for a chunked body.
+  Bytes m_BodyLength{0};
 };
 
 enum class ReadStep {
--- a/tests/daemon/RequestBytes.tests.cpp
+++ b/tests/daemon/RequestBytes.tests.cpp
@@ -157,12 +157,12 @@
 // Guards against a budget that takes new bodies until none can be completed.
 BOOST_AUTO_TEST_CASE(NewBodiesLeaveRoomForThoseUnderWay) {
   CallerBudget Budget{Bytes(100), Bytes(74)};
-  BOOST_TEST(mayBeginBody(Budget));
+  BOOST_TEST(hasRoom(Budget, RoomFor::LargeBody));
   Budget.m_Held = Bytes(75);
-  BOOST_TEST(!mayBeginBody(Budget));
-  BOOST_TEST(isWithin(Budget));
+  BOOST_TEST(!hasRoom(Budget, RoomFor::LargeBody));
+  BOOST_TEST(hasRoom(Budget, RoomFor::WholeRequest));
   Budget.m_Held = Bytes(101);
-  BOOST_TEST(!isWithin(Budget));
+  BOOST_TEST(!hasRoom(Budget, RoomFor::WholeRequest));
   BOOST_TEST(callerLimit(Bytes(0), Bytes(160)) == Bytes(40));
   BOOST_TEST(callerLimit(Bytes(7), Bytes(160)) == Bytes(7));
 }
