Hold less for callers when the process nears its VM's memory

Cause: the budget counts what we know of; free memory that the allocator keeps and what libraries hold is not in it, so it bounds no process by itself.

Change: while a quarter of the limit or more is held, the resident size is measured every 50 ms. What it exceeds three quarters of the VM's memory by is taken from the callers' room, down to a quarter of it, and free memory is returned to the system once a second. The resident size stands beside the counted one in the metrics and in CallerMemoryFull.

Measured: CallerBudgets/AProcessNearItsMemoryHasLessRoom, in core.

--- a/include/vanillaferry/connection/caller_budget.hpp
+++ b/include/vanillaferry/connection/caller_budget.hpp
@@ -12,6 +12,10 @@
   /// 0 for no limit.
   Bytes m_Limit{0};
   Bytes m_Held{0};
+  /// Memory of the VM; 0 when it is not known.
+  Bytes m_Vm{0};
+  /// Resident size of the process when it was last measured.
+  Bytes m_Resident{0};
 };
 
 /// What asks for room.
@@ -29,7 +33,12 @@
 /// Requests up to this size are taken as long as there is any room.
 constexpr Bytes SmallBodyBytes{64 * 1024};
 
-/// What may be held: the limit, or any number of bytes without one.
+/// A process that is larger than this part of its VM's memory holds less for
+/// callers: what the counted bytes leave out has to fit in the rest.
+Bytes residentLimit(const CallerBudget &Budget);
+
+/// What may be held at present: the limit, less what the process is over
+/// residentLimit(), but at least a quarter of the limit.
 Bytes callerRoom(const CallerBudget &Budget);
 
 /// Bytes that must be freed before this may be taken; 0 when there is room.
--- a/src/core/connection/caller_budget.cpp
+++ b/src/core/connection/caller_budget.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t ReservedShareDivisor = 4;
 /// Part of the room that operators have beyond it.
 constexpr std::int64_t OperatorShareDivisor = 4;
+/// Part of the limit that is never taken away.
+constexpr std::int64_t LeastRoomDivisor = 4;
 /// Freed beyond what is missing, so that not each newcomer has to look for
 /// room.
 constexpr std::int64_t MarginDivisor = 32;
@@ -39,10 +41,17 @@
 
 } // namespace
 
+Bytes residentLimit(const CallerBudget &Budget) {
+  return Bytes(Budget.m_Vm.m_Value - Budget.m_Vm.m_Value / 4);
+}
+
 Bytes callerRoom(const CallerBudget &Budget) {
-  return Budget.m_Limit > Bytes(0)
-             ? Budget.m_Limit
-             : Bytes(std::numeric_limits<std::int64_t>::max());
+  if (Budget.m_Limit <= Bytes(0))
+    return Bytes(std::numeric_limits<std::int64_t>::max());
+  if (Budget.m_Vm <= Bytes(0) || Budget.m_Resident <= residentLimit(Budget))
+    return Budget.m_Limit;
+  Bytes Left = Budget.m_Limit - (Budget.m_Resident - residentLimit(Budget));
+  return std::max(Left, Bytes(Budget.m_Limit.m_Value / LeastRoomDivisor));
 }
 
 Bytes missingRoom(const CallerBudget &Budget, RoomFor For) {
--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -9,12 +9,19 @@
 #include <fstream>
 #include <malloc.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace vanillaferry {
 
 namespace {
 
 constexpr std::int64_t LogIntervalMs = 10000;
+constexpr Millis SweepInterval{50};
+/// With less than this part of the limit held, the resident size is not
+/// measured.
+constexpr std::int64_t MeasuredShareDivisor = 4;
+/// Returning free memory walks through all of it.
+constexpr Millis TrimInterval{1000};
 /// Larger buffers go back to the system when they are freed. glibc raises the
 /// threshold with each freed buffer otherwise, and keeps what bodies left.
 constexpr int LargeBuffer = 128 * 1024;
@@ -28,6 +35,15 @@
   return Bytes(0);
 }
 
+/// Resident size of this process; 0 when it cannot be read.
+Bytes residentSize() {
+  static const std::int64_t PageBytes = sysconf(_SC_PAGESIZE);
+  std::ifstream File("/proc/self/statm");
+  std::int64_t Total = 0;
+  std::int64_t Resident = 0;
+  return File >> Total >> Resident ? Bytes(Resident * PageBytes) : Bytes(0);
+}
+
 std::size_t descriptorLimit() {
   rlimit Limit = {};
   constexpr std::size_t Unlimited = 1 << 20;
@@ -47,8 +63,8 @@
 }
 
 void CallerPool::configure(const MemorySettings &Memory) {
-  Bytes Vm = Memory.m_Vm > Bytes(0) ? Memory.m_Vm : machineMemory();
-  m_Budget.m_Limit = callerLimit(Memory.m_Callers, Vm);
+  m_Budget.m_Vm = Memory.m_Vm > Bytes(0) ? Memory.m_Vm : machineMemory();
+  m_Budget.m_Limit = callerLimit(Memory.m_Callers, m_Budget.m_Vm);
   m_Parts = shareDescriptors(descriptorLimit());
   mallopt(M_MMAP_THRESHOLD, LargeBuffer);
 }
@@ -86,6 +102,30 @@
   m_Relieving = false;
 }
 
+void CallerPool::sweep(Millis Now) {
+  if (Now - m_SweptAt < SweepInterval)
+    return;
+  m_SweptAt = Now;
+  bool HoldsLittle = m_Budget.m_Held.m_Value <
+                     m_Budget.m_Limit.m_Value / MeasuredShareDivisor;
+  if (HoldsLittle && m_Budget.m_Resident <= residentLimit(m_Budget))
+    return;
+  measure();
+  if (residentLimit(m_Budget) < m_Budget.m_Resident)
+    returnFreeMemory(Now);
+  relieve(RoomFor::SmallBody, nullptr);
+}
+
+void CallerPool::returnFreeMemory(Millis Now) {
+  if (Now - m_TrimmedAt < TrimInterval)
+    return;
+  m_TrimmedAt = Now;
+  malloc_trim(0);
+  measure();
+}
+
+void CallerPool::measure() { m_Budget.m_Resident = residentSize(); }
+
 void CallerPool::noteRefused() {
   std::int64_t Now = monotonicNow().m_Value;
   if (m_LoggedAt != 0 && Now - m_LoggedAt < LogIntervalMs)
@@ -94,6 +134,8 @@
   logEvent(Event::CallerMemoryFull,
            {{"held", m_Budget.m_Held.m_Value},
             {"limit", m_Budget.m_Limit.m_Value},
+            {"room", callerRoom(m_Budget).m_Value},
+            {"resident", m_Budget.m_Resident.m_Value},
             {"connections", static_cast<std::uint64_t>(m_Open.size())}});
 }
 
@@ -127,7 +169,8 @@
 }
 
 void setCallerMetrics(Metrics &M) {
-  const CallerPool &Pool = CallerPool::instance();
+  CallerPool &Pool = CallerPool::instance();
+  Pool.measure();
   const CallerPoolCounts &Counts = Pool.m_Counts;
   M.m_Counters["vanillaferry_caller_idle_closed_total"] = Counts.m_IdleClosed;
   M.m_Counters["vanillaferry_caller_idle_closed_for_room_total"] =
@@ -138,6 +181,10 @@
       Counts.m_IncompleteClosed;
   setGauge(M, "vanillaferry_caller_bytes",
            static_cast<double>(Pool.budget().m_Held.m_Value));
+  setGauge(M, "vanillaferry_caller_room_bytes",
+           static_cast<double>(callerRoom(Pool.budget()).m_Value));
+  setGauge(M, "vanillaferry_resident_bytes",
+           static_cast<double>(Pool.budget().m_Resident.m_Value));
   setGauge(M, "vanillaferry_caller_connections",
            static_cast<double>(Pool.connections()));
 }
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -40,6 +40,12 @@
   /// True when there is room, after incomplete requests other than that of
   /// Newcomer have given way.
   bool takeRoom(RoomFor For, const CallerConnection *Newcomer);
+  /// Measures the resident size.
+  void measure();
+  /// Measures when much is held, and lets go of what takes up room in vain; to
+  /// be called regularly.
+  void sweep(Millis Now);
+
   void add(CallerConnection &Connection);
   void remove(CallerConnection &Connection);
   /// True when another connection may be accepted; may close the one that has
@@ -56,10 +62,13 @@
 private:
   CallerPool();
   void relieve(RoomFor For, const CallerConnection *Newcomer);
+  void returnFreeMemory(Millis Now);
 
   CallerBudget m_Budget;
   DescriptorParts m_Parts;
   std::set<CallerConnection *> m_Open;
+  Millis m_SweptAt;
+  Millis m_TrimmedAt;
   std::int64_t m_LoggedAt = 0;
   bool m_Relieving = false;
 };
--- a/src/daemon/connection/http_front.cpp
+++ b/src/daemon/connection/http_front.cpp
@@ -151,6 +151,7 @@
 
 void HttpFront::sweep() {
   Millis Now = monotonicNow();
+  CallerPool::instance().sweep(Now);
   std::vector<std::shared_ptr<CallerConnection>> Open(m_State->m_Open.begin(),
                                                       m_State->m_Open.end());
   for (const std::shared_ptr<CallerConnection> &Each : Open)
--- a/tests/core/CallerBudget.tests.cpp
+++ b/tests/core/CallerBudget.tests.cpp
@@ -163,4 +163,18 @@
   BOOST_TEST(Chosen.front() == 2U);
 }
 
+// Guards against callers whose bytes are counted too low.
+BOOST_AUTO_TEST_CASE(AProcessNearItsMemoryHasLessRoom) {
+  CallerBudget Budget;
+  Budget.m_Vm = Bytes(160 * Mb);
+  Budget.m_Limit = callerLimit(Bytes(0), Budget.m_Vm);
+  BOOST_TEST(callerRoom(Budget) == Bytes(40 * Mb));
+  Budget.m_Resident = Bytes(120 * Mb);
+  BOOST_TEST(callerRoom(Budget) == Bytes(40 * Mb));
+  Budget.m_Resident = Bytes(130 * Mb);
+  BOOST_TEST(callerRoom(Budget) == Bytes(30 * Mb));
+  Budget.m_Resident = Bytes(159 * Mb);
+  BOOST_TEST(callerRoom(Budget) == Bytes(10 * Mb));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
