Close what doesn't go on when descriptors for connections run out

Operators and status checks saw no answer while a crowd held all connections of their part: unfinished heads stay for 10 s there, and new connections waited in the backlog.

Cause: only an idle connection gave way to a new one. Incomplete requests and connections that linger after a refusal kept theirs.

Change: without an idle connection, the one that has not gone on for longest gives way, if it has not for 500 ms: an incomplete request (503, not run) or one whose answer has been acknowledged. Connections are counted by kind in place of a walk through all of them at each accept.

--- a/src/daemon/connection/caller_connection.cpp
+++ b/src/daemon/connection/caller_connection.cpp
@@ -296,6 +296,30 @@
   return {Bytes(m_Held.count()), Now - m_WentOnAt, m_FirstByte};
 }
 
+Millis CallerConnection::stillFor(Millis Now) const {
+  if (m_Phase == Phase::Lingering)
+    return Now - (m_LingerUntil - LingerTime);
+  return Now - m_WentOnAt;
+}
+
+bool CallerConnection::givesUpDescriptor(Millis Now) const {
+  if (!isIncomplete() && m_Phase != Phase::Lingering)
+    return false;
+  return stillFor(Now) >= GivesWayAfter &&
+         (isIncomplete() || unsentBytes(m_Fd) == 0);
+}
+
+void CallerConnection::giveUp() {
+  std::shared_ptr<CallerConnection> Self = shared_from_this();
+  if (isIncomplete())
+    refuse({RefusalReason::QueueFull, NotRun::True,
+            "too many connections are open"});
+  if (m_Phase == Phase::Lingering)
+    close();
+  else
+    lost();
+}
+
 void CallerConnection::refuseForMemory() {
   ++CallerPool::instance().m_Counts.m_BodiesRefused;
   CallerPool::instance().noteRefused();
--- a/src/daemon/connection/caller_connection.hpp
+++ b/src/daemon/connection/caller_connection.hpp
@@ -61,6 +61,12 @@
   /// What an incomplete request holds.
   CallerHolding holding(Millis Now) const;
   void refuseForMemory();
+  /// Time for which nothing went on; only for what givesUpDescriptor().
+  Millis stillFor(Millis Now) const;
+  /// True when the connection may be closed for another one.
+  bool givesUpDescriptor(Millis Now) const;
+  /// Refuses what is incomplete, and closes at once.
+  void giveUp();
   /// False when bytes of a request have arrived.
   bool closeIfIdle();
   /// Ends what took too long.
--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -141,30 +141,42 @@
 
 void CallerPool::add(CallerConnection &Connection) {
   m_Open.insert(&Connection);
+  ++m_Counted[static_cast<std::size_t>(Connection.kind())];
 }
 
 void CallerPool::remove(CallerConnection &Connection) {
   m_Open.erase(&Connection);
+  --m_Counted[static_cast<std::size_t>(Connection.kind())];
 }
 
 bool CallerPool::makeRoom(CallerKind Kind) {
-  std::size_t Count = 0;
-  for (const CallerConnection *Each : m_Open)
-    Count += Each->kind() == Kind ? 1 : 0;
   std::size_t Part =
       Kind == CallerKind::Caller ? m_Parts.m_Callers : m_Parts.m_Operators;
-  return Count < Part || closeIdlest(Kind);
+  return m_Counted[static_cast<std::size_t>(Kind)] < Part ||
+         closeLeastUsed(Kind);
 }
 
-bool CallerPool::closeIdlest(CallerKind Kind) {
+bool CallerPool::closeLeastUsed(CallerKind Kind) {
+  Millis Now = monotonicNow();
   CallerConnection *Idlest = nullptr;
-  for (CallerConnection *Each : m_Open)
-    if (Each->kind() == Kind && Each->isIdle() &&
-        (!Idlest || Each->idleSince() < Idlest->idleSince()))
+  CallerConnection *Stillest = nullptr;
+  for (CallerConnection *Each : m_Open) {
+    if (Each->kind() != Kind)
+      continue;
+    if (Each->isIdle() && (!Idlest || Each->idleSince() < Idlest->idleSince()))
       Idlest = Each;
-  if (!Idlest || !Idlest->closeIfIdle())
+    if (Each->givesUpDescriptor(Now) &&
+        (!Stillest || Stillest->stillFor(Now) < Each->stillFor(Now)))
+      Stillest = Each;
+  }
+  if (Idlest && Idlest->closeIfIdle()) {
+    ++m_Counts.m_IdleClosedForRoom;
+    return true;
+  }
+  if (!Stillest)
     return false;
-  ++m_Counts.m_IdleClosedForRoom;
+  ++m_Counts.m_ClosedForDescriptors;
+  Stillest->giveUp();
   return true;
 }
 
@@ -179,6 +191,8 @@
       Counts.m_BodiesRefused;
   M.m_Counters["vanillaferry_caller_incomplete_closed_total"] =
       Counts.m_IncompleteClosed;
+  M.m_Counters["vanillaferry_caller_closed_for_descriptors_total"] =
+      Counts.m_ClosedForDescriptors;
   setGauge(M, "vanillaferry_caller_bytes",
            static_cast<double>(Pool.budget().m_Held.m_Value));
   setGauge(M, "vanillaferry_caller_room_bytes",
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "vanillaferry/connection/caller_budget.hpp"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -15,6 +16,7 @@
 
 /// Which part of the process's descriptors a connection counts against.
 enum class CallerKind { Caller, Operator };
+constexpr std::size_t CallerKinds = 2;
 
 /// What the limits of a pool did, for counters.
 struct CallerPoolCounts {
@@ -23,6 +25,8 @@
   std::uint64_t m_BodiesRefused = 0;
   /// Incomplete requests that gave way to others for their bytes.
   std::uint64_t m_IncompleteClosed = 0;
+  /// Connections that gave way to others for their descriptors.
+  std::uint64_t m_ClosedForDescriptors = 0;
 };
 
 /// All connections of callers of this process, with the limits that they share.
@@ -48,11 +52,12 @@
 
   void add(CallerConnection &Connection);
   void remove(CallerConnection &Connection);
-  /// True when another connection may be accepted; may close the one that has
-  /// been idle longest.
+  /// True when another connection may be accepted; may close one that is idle
+  /// or does not go on.
   bool makeRoom(CallerKind Kind);
-  /// Closes the connection that has been idle longest.
-  bool closeIdlest(CallerKind Kind);
+  /// Closes the connection that has been idle longest, or else has not gone on
+  /// for longest; false when there is none.
+  bool closeLeastUsed(CallerKind Kind);
   std::size_t connections() const { return m_Open.size(); }
   /// Notes that the budget refused a body.
   void noteRefused();
@@ -67,6 +72,8 @@
   CallerBudget m_Budget;
   DescriptorParts m_Parts;
   std::set<CallerConnection *> m_Open;
+  /// Members of m_Open by CallerKind.
+  std::array<std::size_t, CallerKinds> m_Counted{};
   Millis m_SweptAt;
   Millis m_TrimmedAt;
   std::int64_t m_LoggedAt = 0;
--- a/src/daemon/connection/http_front.cpp
+++ b/src/daemon/connection/http_front.cpp
@@ -143,7 +143,7 @@
     }
     if (errno == ECONNABORTED || errno == EINTR)
       continue;
-    if (errno != EAGAIN && !Pool.closeIdlest(m_State->m_Kind))
+    if (errno != EAGAIN && !Pool.closeLeastUsed(m_State->m_Kind))
       watch(false);
     return;
   }
