Give up answers that are not read when there is no room for them

Beside callers who ask for answers of 1 MiB and read none of them, a gateway of 64 MB reached 152,412 kB, and others saw 503 for as long as slow_reader_ms.

Cause: answers that wait for their callers were counted, but nothing gave way to them, and answers of targets were taken whatever was held. Strings that grow hold up to twice what has arrived.

Change: without room, the largest answer whose caller has not read on by 16 KiB for 2 s is given up; 100 ms where there is none for operators either. Answers of targets are taken up to that limit, streams to slow callers pause at 64 KiB in place of 1 MiB, and an event of over 16 KiB ends its try then. Buffers grow by half and count with what they take up.

--- a/include/vanillaferry/connection/caller_budget.hpp
+++ b/include/vanillaferry/connection/caller_budget.hpp
@@ -64,6 +64,12 @@
 /// One that has not gone on for so long gives way to any other.
 constexpr Millis GivesWayAfter{500};
 
+/// A caller that has not gone on to read its answer for so long loses it when
+/// there is no room.
+constexpr Millis UnreadGivesWayAfter{2000};
+/// The same once there is no room for operators either.
+constexpr Millis UnreadGivesWayAtOnceAfter{100};
+
 inline bool isStill(const CallerHolding &Holding) {
   return GivesWayAfter <= Holding.m_Still;
 }
--- a/src/daemon/connection/caller_connection.cpp
+++ b/src/daemon/connection/caller_connection.cpp
@@ -296,13 +296,19 @@
   return {Bytes(m_Held.count()), Now - m_WentOnAt, m_FirstByte};
 }
 
+Millis CallerConnection::unreadFor(Millis Now) const {
+  return m_Blocked ? Now - m_ReadOnAt : Millis(0);
+}
+
 Millis CallerConnection::stillFor(Millis Now) const {
   if (m_Phase == Phase::Lingering)
     return Now - (m_LingerUntil - LingerTime);
-  return Now - m_WentOnAt;
+  return isIncomplete() ? Now - m_WentOnAt : unreadFor(Now);
 }
 
 bool CallerConnection::givesUpDescriptor(Millis Now) const {
+  if (m_Blocked)
+    return unreadFor(Now) >= UnreadGivesWayAfter;
   if (!isIncomplete() && m_Phase != Phase::Lingering)
     return false;
   return stillFor(Now) >= GivesWayAfter &&
@@ -429,6 +435,11 @@
     if (Count < 0)
       return lost();
     m_LastProgress = monotonicNow();
+    m_SentMark += static_cast<std::size_t>(Count);
+    if (m_SentMark >= static_cast<std::size_t>(ProgressBytes.m_Value)) {
+      m_SentMark = 0;
+      m_ReadOnAt = m_LastProgress;
+    }
     m_SentOfFirst += static_cast<std::size_t>(Count);
     m_Queued -= static_cast<std::size_t>(Count);
     if (m_SentOfFirst < First.size())
@@ -438,8 +449,11 @@
   }
   bool WasBlocked = m_Blocked;
   m_Blocked = !m_Queue.empty();
-  if (m_Blocked && !WasBlocked)
+  if (m_Blocked && !WasBlocked) {
     m_LastProgress = monotonicNow();
+    m_ReadOnAt = m_LastProgress;
+    m_SentMark = 0;
+  }
   account();
   rearm();
   if (m_Blocked)
@@ -528,6 +542,7 @@
   m_Fd = -1;
   m_Queue.clear();
   m_Queued = 0;
+  m_Blocked = false;
   m_Reader.reset();
   if (!m_Processing)
     std::string().swap(m_In);
@@ -584,8 +599,9 @@
 }
 
 void CallerConnection::account() {
-  std::int64_t Held = ConnectionBytes + allocatedFor(m_In) +
-                      static_cast<std::int64_t>(m_Queued);
+  std::int64_t Held = ConnectionBytes + allocatedFor(m_In);
+  for (const std::string &Part : m_Queue)
+    Held += allocatedFor(Part);
   if (m_Reader)
     Held += m_Reader->heldBytes().m_Value;
   m_Held.set(Held);
--- a/src/daemon/connection/caller_connection.hpp
+++ b/src/daemon/connection/caller_connection.hpp
@@ -61,6 +61,12 @@
   /// What an incomplete request holds.
   CallerHolding holding(Millis Now) const;
   void refuseForMemory();
+  /// True while the rest of an answer is written that its owner has done with.
+  bool isAnswering() const {
+    return m_Phase == Phase::Answering || m_Phase == Phase::Ending;
+  }
+  /// Time for which the caller has not gone on to read what waits for it.
+  Millis unreadFor(Millis Now) const;
   /// Time for which nothing went on; only for what givesUpDescriptor().
   Millis stillFor(Millis Now) const;
   /// True when the connection may be closed for another one.
@@ -130,6 +136,9 @@
   /// Bytes of the present request that had arrived when it last went on.
   std::size_t m_ArrivedMark = 0;
   Millis m_WentOnAt;
+  /// Bytes sent since the caller last went on to read.
+  std::size_t m_SentMark = 0;
+  Millis m_ReadOnAt;
   int m_Fd = -1;
   std::uint64_t m_Watch = 0;
   std::uint32_t m_Events = 0;
--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -114,6 +114,16 @@
   if (residentLimit(m_Budget) < m_Budget.m_Resident)
     returnFreeMemory(Now);
   relieve(RoomFor::SmallBody, nullptr);
+  closeUnread(Now, Unread::All);
+}
+
+bool CallerPool::takeAnswerRoom() {
+  if (hasRoom(m_Budget, RoomFor::OperatorRequest))
+    return true;
+  relieve(RoomFor::OperatorRequest, nullptr);
+  // A stream's owner may be the one that asks, or depend on it.
+  closeUnread(monotonicNow(), Unread::WithoutStreams);
+  return hasRoom(m_Budget, RoomFor::OperatorRequest);
 }
 
 void CallerPool::returnFreeMemory(Millis Now) {
@@ -126,6 +136,24 @@
 
 void CallerPool::measure() { m_Budget.m_Resident = residentSize(); }
 
+void CallerPool::closeUnread(Millis Now, Unread Which) {
+  while (!hasRoom(m_Budget, RoomFor::SmallBody)) {
+    Millis Patience = hasRoom(m_Budget, RoomFor::OperatorRequest)
+                          ? UnreadGivesWayAfter
+                          : UnreadGivesWayAtOnceAfter;
+    CallerConnection *Largest = nullptr;
+    for (CallerConnection *Each : m_Open)
+      if ((Which == Unread::All || Each->isAnswering()) &&
+          Patience <= Each->unreadFor(Now) &&
+          (!Largest || Each->waiting() > Largest->waiting()))
+        Largest = Each;
+    if (!Largest)
+      return;
+    ++m_Counts.m_UnreadClosed;
+    Largest->giveUp();
+  }
+}
+
 void CallerPool::noteRefused() {
   std::int64_t Now = monotonicNow().m_Value;
   if (m_LoggedAt != 0 && Now - m_LoggedAt < LogIntervalMs)
@@ -193,6 +221,8 @@
       Counts.m_IncompleteClosed;
   M.m_Counters["vanillaferry_caller_closed_for_descriptors_total"] =
       Counts.m_ClosedForDescriptors;
+  M.m_Counters["vanillaferry_caller_unread_closed_total"] =
+      Counts.m_UnreadClosed;
   setGauge(M, "vanillaferry_caller_bytes",
            static_cast<double>(Pool.budget().m_Held.m_Value));
   setGauge(M, "vanillaferry_caller_room_bytes",
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -27,6 +27,8 @@
   std::uint64_t m_IncompleteClosed = 0;
   /// Connections that gave way to others for their descriptors.
   std::uint64_t m_ClosedForDescriptors = 0;
+  /// Answers that were given up since their callers did not read them.
+  std::uint64_t m_UnreadClosed = 0;
 };
 
 /// All connections of callers of this process, with the limits that they share.
@@ -44,6 +46,9 @@
   /// True when there is room, after incomplete requests other than that of
   /// Newcomer have given way.
   bool takeRoom(RoomFor For, const CallerConnection *Newcomer);
+  /// True when there is room for more of a target's answer, after answers that
+  /// their callers do not read have given way.
+  bool takeAnswerRoom();
   /// Measures the resident size.
   void measure();
   /// Measures when much is held, and lets go of what takes up room in vain; to
@@ -67,6 +72,9 @@
 private:
   CallerPool();
   void relieve(RoomFor For, const CallerConnection *Newcomer);
+  /// Which unread answers may be given up.
+  enum class Unread { All, WithoutStreams };
+  void closeUnread(Millis Now, Unread Which);
   void returnFreeMemory(Millis Now);
 
   CallerBudget m_Budget;
--- a/src/daemon/connection/held_bytes.cpp
+++ b/src/daemon/connection/held_bytes.cpp
@@ -2,6 +2,8 @@
 
 #include "connection/caller_pool.hpp"
 
+#include <algorithm>
+
 namespace vanillaferry {
 
 namespace {
@@ -18,6 +20,13 @@
   m_Count = Count;
 }
 
+void appendByHalf(std::string &Text, const char *Data, std::size_t Size) {
+  std::size_t Needed = Text.size() + Size;
+  if (Needed > Text.capacity())
+    Text.reserve(std::max(Needed, Text.capacity() + Text.capacity() / 2));
+  Text.append(Data, Size);
+}
+
 std::int64_t allocatedFor(const std::string &Text) {
   // Short texts lie inside the object.
   static const std::size_t Inside = std::string().capacity();
--- a/src/daemon/connection/held_bytes.hpp
+++ b/src/daemon/connection/held_bytes.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -26,6 +27,10 @@
   std::int64_t m_Count = 0;
 };
 
+/// Appends and grows by half at most, so that little more is held than has
+/// arrived.
+void appendByHalf(std::string &Text, const char *Data, std::size_t Size);
+
 /// What the allocator uses for the content of containers, by the sizes of
 /// libstdc++ and glibc.
 std::int64_t allocatedFor(const std::string &Text);
--- a/src/daemon/connection/request_reader.cpp
+++ b/src/daemon/connection/request_reader.cpp
@@ -242,11 +242,7 @@
   if (m_Body.size() + Size > Max)
     return refuse(RefusalReason::BodyTooLarge,
                   "the body is larger than " + std::to_string(Max) + " bytes");
-  // Grows by half at most, so that little more is held than was received.
-  if (m_Body.size() + Size > m_Body.capacity())
-    m_Body.reserve(std::max(m_Body.size() + Size,
-                            m_Body.capacity() + m_Body.capacity() / 2));
-  m_Body.append(Data, Size);
+  appendByHalf(m_Body, Data, Size);
   return ReadStep::NeedMore;
 }
 
--- a/src/daemon/gateway/exchange_answer.cpp
+++ b/src/daemon/gateway/exchange_answer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.hpp"
 
+#include "connection/caller_pool.hpp"
 #include "process/clock.hpp"
 #include "process/log.hpp"
 #include "vanillaferry/request/stream_progress.hpp"
@@ -22,12 +23,22 @@
 /// breaks off is never delivered. A gateway has 160 MB for everything.
 constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
 constexpr std::size_t MaxBufferedAnswers = 48 * 1024 * 1024;
-/// An event holds a few tokens.
+/// An event holds a few tokens. Larger ones end their try when there is no room
+/// for them.
 constexpr std::size_t MaxEventBytes = 1024 * 1024;
+constexpr std::size_t UsualEventBytes = 16 * 1024;
 /// With more bytes waiting for a slow caller, nothing is read from the target.
 constexpr std::size_t CallerHighWater = 1024 * 1024;
+/// The same while there is no room.
+constexpr std::size_t CallerHighWaterWithoutRoom = 64 * 1024;
 constexpr Millis PauseCheckInterval{250};
 
+std::size_t callerHighWater() {
+  return hasRoom(CallerPool::instance().budget(), RoomFor::SmallBody)
+             ? CallerHighWater
+             : CallerHighWaterWithoutRoom;
+}
+
 bool isSuccess(int Status) {
   return Status >= FirstSuccess && Status < FirstRedirection;
 }
@@ -106,9 +117,13 @@
 }
 
 bool Exchange::exceedsMemory(std::size_t Size) {
-  bool TooLarge = m_Try->m_Body.size() + Size > MaxAnswerBytes ||
-                  m_Events.m_Rest.size() > MaxEventBytes ||
-                  m_Gateway.m_BufferedAnswers + Size > MaxBufferedAnswers;
+  bool TooLarge =
+      m_Try->m_Body.size() + Size > MaxAnswerBytes ||
+      m_Events.m_Rest.size() > MaxEventBytes ||
+      m_Gateway.m_BufferedAnswers + Size > MaxBufferedAnswers ||
+      (Size > 0 && !CallerPool::instance().takeAnswerRoom()) ||
+      (m_Events.m_Rest.size() > UsualEventBytes &&
+       !hasRoom(CallerPool::instance().budget(), RoomFor::SmallBody));
   if (TooLarge)
     abandonTry(RetryReason::StreamBroken,
                "the answer is larger than the memory for it");
@@ -116,8 +131,12 @@
 }
 
 void Exchange::countAnswer() {
-  m_HeldAnswer.set(static_cast<std::int64_t>(m_Buffered) +
-                   allocatedFor(m_Events.m_Rest));
+  std::int64_t Held = allocatedFor(m_Events.m_Rest);
+  if (m_Try)
+    Held += allocatedFor(m_Try->m_Body);
+  if (m_FallbackAnswer)
+    Held += allocatedFor(m_FallbackAnswer->m_Body);
+  m_HeldAnswer.set(Held);
 }
 
 void Exchange::onData(const char *Data, std::size_t Size) {
@@ -128,7 +147,7 @@
   if (exceedsMemory(Relayed ? 0 : Size))
     return;
   if (!Relayed) {
-    m_Try->m_Body.append(Data, Size);
+    appendByHalf(m_Try->m_Body, Data, Size);
     m_Buffered += Size;
     m_Gateway.m_BufferedAnswers += Size;
     return countAnswer();
@@ -175,7 +194,7 @@
       return finish("caller_left", 0);
   }
   m_Caller->append(Events);
-  if (m_Caller->waiting() > CallerHighWater && m_Try) {
+  if (m_Caller->waiting() > callerHighWater() && m_Try) {
     m_Try->m_Rollout.m_Untimed = true;
     m_Try->m_Call->pause();
   }
@@ -315,6 +334,8 @@
   observe(m_Gateway.m_Metrics, "vanillaferry_answer_seconds",
           static_cast<double>((*m_FirstEvent - m_ArrivedAt).m_Value) /
               MillisPerSecond);
+  // From here on, the connection counts it.
+  m_HeldAnswer.set(0);
   m_Caller->respond(Answer.m_Status, Answer.m_ContentType,
                     std::move(Answer.m_Body), Fields);
   finish("answered", Answer.m_Status);
--- a/tests/process/CallerCrowd.cpp
+++ b/tests/process/CallerCrowd.cpp
@@ -17,6 +17,8 @@
 /// Sends of one connection in one round, so that all get their turn.
 constexpr int SendsPerRound = 8;
 constexpr std::size_t DrainBytes = 4096;
+/// Receive buffer of a caller that does not read.
+constexpr int UnreadBuffer = 4096;
 
 /// The bytes that follow the first Sent ones, up to the end of their part.
 std::pair<const char *, std::size_t> nextPart(const CrowdScript &Script,
@@ -72,7 +74,7 @@
         return;
       if (Each.m_Socket < 0 && Now >= Each.m_NextAt)
         open(Each, Now);
-      if (Each.m_Socket >= 0)
+      if (Each.m_Socket >= 0 && Each.m_Script->m_Reads)
         drain(Each, Now);
       if (Each.m_Socket >= 0 && Now >= Each.m_NextAt)
         send(Each, Now);
@@ -86,6 +88,9 @@
   Each.m_NextAt = Now;
   Each.m_Socket =
       ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (!Each.m_Script->m_Reads)
+    ::setsockopt(Each.m_Socket, SOL_SOCKET, SO_RCVBUF, &UnreadBuffer,
+                 sizeof UnreadBuffer);
   sockaddr_in Address = {};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = ::inet_addr(m_To.m_Ip.c_str());
--- a/tests/process/CallerCrowd.hpp
+++ b/tests/process/CallerCrowd.hpp
@@ -22,6 +22,8 @@
   std::string m_Tail = {};
   /// Pause between two units.
   std::chrono::milliseconds m_Pause{0};
+  /// False for a caller that reads nothing of its answers.
+  bool m_Reads = true;
 };
 
 /// Callers that nobody controls. One thread keeps a connection for each script;
--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -399,7 +399,8 @@
     return false;
   }
   std::string Answer =
-      withLength(Head, IsError ? "failed" : answerOf(RequestId));
+      withLength(Head, (IsError ? "failed" : answerOf(RequestId)) +
+                           std::string(Faults.m_Padding, ' '));
   if (Broken) {
     sendAll(Socket, Answer.substr(0, Answer.size() / 2));
     return false;
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -74,6 +74,8 @@
   bool m_SaysLeaving = false;
   /// Requests are refused with 503; the target wants none for so many seconds.
   double m_PauseSeconds = 0;
+  /// Bytes of padding behind each answer's body.
+  std::size_t m_Padding = 0;
 };
 
 /// A request that a target started to run.
--- a/tests/process/UntrustedCrowds.tests.cpp
+++ b/tests/process/UntrustedCrowds.tests.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t BodyCallers = 32;
 constexpr std::size_t SmallChunkCallers = 300;
 constexpr std::size_t EmptyLineCallers = 200;
+constexpr std::size_t UnreadCallers = 200;
+constexpr std::size_t RequestsAhead = 8;
+constexpr std::size_t AnswerBytes = 1024 * 1024;
 constexpr std::size_t MaxHead = 16 * 1024;
 constexpr std::size_t MaxBody = 4 * 1024 * 1024;
 /// Body of an ordinary order.
@@ -47,12 +50,13 @@
   BOOST_TEST(descriptors(Sent.m_Process) <= MaxDescriptors);
 }
 
-/// Lets the crowd come, and asks an ordinary request while it is there and
-/// after it has left.
+/// Lets the crowd come and stay, and asks an ordinary request while it is there
+/// and after it has left.
 void playCrowd(const Subject &Sent, const std::vector<CrowdScript> &Scripts,
-               std::size_t Each) {
+               std::size_t Each, std::chrono::milliseconds Stays = {}) {
   CallerCrowd Crowd(Sent.m_Address, Scripts, Each);
   BOOST_TEST(Crowd.waitUntilSent(SentLimitMs));
+  std::this_thread::sleep_for(Stays);
   BOOST_TEST(waitUntil(Sent.m_Ask, ServedLimitMs),
              "no ordinary request was answered beside the crowd");
   checkProcess(Sent);
@@ -317,6 +321,22 @@
   playCrowd(m_Front, {sizedBody(m_Front)}, BodyCallers);
 }
 
+// Guards against answers that callers ask for and do not read.
+BOOST_FIXTURE_TEST_CASE(AGatewayBoundsUnreadAnswers, SmallGateway) {
+  constexpr std::size_t Desk = 2;
+  TargetFaults Large;
+  Large.m_Padding = AnswerBytes;
+  m_Fleet.targets().setFaults(Desk, Large);
+  // The kernel takes the first answers.
+  CrowdScript Ask{"",
+                  "GET /desk/lookup/x HTTP/1.1\r\nHost: fleet.example\r\n"
+                  "Vanillaferry-Attempt-Id: unread\r\n"
+                  "X-Api-Key: key-0-first\r\n\r\n",
+                  RequestsAhead};
+  Ask.m_Reads = false;
+  playCrowd(m_Front, {Ask}, UnreadCallers, std::chrono::seconds(4));
+}
+
 BOOST_FIXTURE_TEST_CASE(AReadyAddressBoundsCrowds, SmallGateway) {
   playAll(m_Ready);
 }
