--- a/tests/process/PlatformFakes.cpp
+++ b/tests/process/PlatformFakes.cpp
@@ -20,6 +20,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds EventTime{8};
+constexpr std::size_t EndlessPart = 16 * 1024;
 constexpr std::chrono::milliseconds WorkTime{5};
 /// Time from the head of an answer to the end of its engine.
 constexpr std::chrono::milliseconds CrashDelay{40};
@@ -391,8 +392,9 @@
       (Faults.m_SaysLeaving ? "Server-Leaving: 1\r\n" : "");
   bool Broken = draw(Faults.m_Broken);
   if (Request.m_Path.compare(0, 5, "/desk") != 0 && !IsError)
-    return serveStream(Each, Head, Socket, Request,
-                       {Broken, draw(Faults.m_Unframed)});
+    return serveStream(
+        Each, Head, Socket, Request,
+        {Broken, draw(Faults.m_Unframed), Faults.m_EndlessEvents});
   std::this_thread::sleep_for(WorkTime);
   if (crashes(Request)) {
     crash(Each);
@@ -424,6 +426,9 @@
   auto Framed = [&Faults](const std::string &Data) {
     return Faults.m_Unframed ? Data : chunkOf(Data);
   };
+  while (Faults.m_Endless)
+    if (!sendAll(Socket, Framed(std::string(EndlessPart, 'x'))))
+      return false;
   if (crashes(Request)) {
     std::this_thread::sleep_for(CrashDelay);
     crash(Each);
--- a/tests/process/PlatformFakes.hpp
+++ b/tests/process/PlatformFakes.hpp
@@ -74,6 +74,8 @@
   bool m_SaysLeaving = false;
   /// Requests are refused with 503; the target wants none for so many seconds.
   double m_PauseSeconds = 0;
+  /// Streams consist of one event without an end.
+  bool m_EndlessEvents = false;
   /// Bytes of padding behind each answer's body.
   std::size_t m_Padding = 0;
 };
@@ -165,6 +167,7 @@
   struct StreamFaults {
     bool m_Broken = false;
     bool m_Unframed = false;
+    bool m_Endless = false;
   };
   bool serveStream(Target &Each, const std::string &Head, int Socket,
                    const FakeRequest &Request, const StreamFaults &Faults);
--- a/tests/process/UntrustedCrowds.tests.cpp
+++ b/tests/process/UntrustedCrowds.tests.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t EmptyLineCallers = 200;
 constexpr std::size_t UnreadCallers = 200;
 constexpr std::size_t RequestsAhead = 8;
+constexpr int EndlessStreams = 200;
 constexpr std::size_t AnswerBytes = 1024 * 1024;
 constexpr std::size_t MaxHead = 16 * 1024;
 constexpr std::size_t MaxBody = 4 * 1024 * 1024;
@@ -337,6 +338,24 @@
   playCrowd(m_Front, {Ask}, UnreadCallers, std::chrono::seconds(4));
 }
 
+// Guards against events of targets that have no end.
+BOOST_FIXTURE_TEST_CASE(AGatewayBoundsEndlessEvents, SmallGateway) {
+  constexpr std::size_t Engines = 2;
+  TargetFaults Endless;
+  Endless.m_EndlessEvents = true;
+  for (std::size_t Engine = 0; Engine < Engines; ++Engine)
+    m_Fleet.targets().setFaults(Engine, Endless);
+  m_Fleet.targets().setSlots(EndlessStreams);
+  CrowdScript Ask{"POST /ask/x HTTP/1.1\r\nHost: fleet.example\r\n"
+                  "Vanillaferry-Attempt-Id: endless\r\n"
+                  "X-Api-Key: key-0-first\r\nVanillaferry-Model: m\r\n"
+                  "Vanillaferry-Token-Counts: 100,60\r\n"
+                  "Vanillaferry-Prompt-Prefix: aa:80,endless:20\r\n"
+                  "Content-Length: 2\r\n\r\n{}",
+                  "", 0};
+  playCrowd(m_Front, {Ask}, EndlessStreams, std::chrono::seconds(4));
+}
+
 BOOST_FIXTURE_TEST_CASE(AReadyAddressBoundsCrowds, SmallGateway) {
   playAll(m_Ready);
 }
