Search for what gives way once in 10 ms when nothing can

Cause: while running requests and unread answers held more than the room, each byte that was queued walked through all connections, with nothing to end among them. Found by reading; not measured.

Change: after a search without a result, growth alone starts the next one 10 ms later. Newcomers still search at once.

--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::int64_t LogIntervalMs = 10000;
 constexpr Millis SweepInterval{50};
+/// Each byte that is written would else search all connections when none of
+/// them can give way.
+constexpr Millis VainSearchPause{10};
 /// With less than this part of the limit held, the resident size is not
 /// measured.
 constexpr std::int64_t MeasuredShareDivisor = 4;
@@ -71,7 +74,8 @@
 
 void CallerPool::change(std::int64_t Bytes) {
   m_Budget.m_Held.m_Value += Bytes;
-  if (Bytes > 0)
+  if (Bytes > 0 && !hasRoom(m_Budget, RoomFor::SmallBody) &&
+      m_RelieveAgainAt <= monotonicNow())
     relieve(RoomFor::SmallBody, nullptr);
 }
 
@@ -95,10 +99,13 @@
     Incomplete.push_back(std::move(Owned));
     Holdings.push_back(Each->holding(Now));
   }
-  for (std::size_t Index : chooseGivingWay(Holdings, m_Budget, For)) {
+  std::vector<std::size_t> Chosen = chooseGivingWay(Holdings, m_Budget, For);
+  for (std::size_t Index : Chosen) {
     ++m_Counts.m_IncompleteClosed;
     Incomplete[Index]->refuseForMemory();
   }
+  if (Chosen.empty())
+    m_RelieveAgainAt = Now + VainSearchPause;
   m_Relieving = false;
 }
 
@@ -106,8 +113,8 @@
   if (Now - m_SweptAt < SweepInterval)
     return;
   m_SweptAt = Now;
-  bool HoldsLittle = m_Budget.m_Held.m_Value <
-                     m_Budget.m_Limit.m_Value / MeasuredShareDivisor;
+  bool HoldsLittle =
+      m_Budget.m_Held.m_Value < m_Budget.m_Limit.m_Value / MeasuredShareDivisor;
   if (HoldsLittle && m_Budget.m_Resident <= residentLimit(m_Budget))
     return;
   measure();
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -82,6 +82,8 @@
   std::set<CallerConnection *> m_Open;
   /// Members of m_Open by CallerKind.
   std::array<std::size_t, CallerKinds> m_Counted{};
+  /// No search for what gives way before, when only held bytes have grown.
+  Millis m_RelieveAgainAt;
   Millis m_SweptAt;
   Millis m_TrimmedAt;
   std::int64_t m_LoggedAt = 0;
