Count held bytes before what they may end, and add a seeded soak of crowds

Cause: HeldBytes::set() told the pool first and noted its own number afterwards. When the growth made the owner itself give way, the owner counted anew in between, and the outer call then overwrote its number: the budget lost the difference for good and became negative, so that it bounded nothing.

Found by a new soak, AGatewayBoundsDrawnCrowds: by a seed, four kinds of callers at once, at paces, lengths and with bytes of their own; some don't read. Beside them an order and a status check must be answered, the peak stay within 64 MB, and nothing stay counted after they have left.

--- a/src/daemon/connection/held_bytes.cpp
+++ b/src/daemon/connection/held_bytes.cpp
@@ -16,8 +16,10 @@
 } // namespace
 
 void HeldBytes::set(std::int64_t Count) {
-  CallerPool::instance().change(Count - m_Count);
+  std::int64_t Change = Count - m_Count;
+  // First, since the owner itself may give way and count anew.
   m_Count = Count;
+  CallerPool::instance().change(Change);
 }
 
 void appendByHalf(std::string &Text, const char *Data, std::size_t Size) {
--- a/tests/process/UntrustedCrowds.tests.cpp
+++ b/tests/process/UntrustedCrowds.tests.cpp
@@ -2,7 +2,10 @@
 #include "GatewayFleet.hpp"
 #include "OrdinaryCaller.hpp"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
 
 using namespace vanillaferry;
 using namespace vanillaferry::tests;
@@ -23,6 +26,8 @@
 constexpr std::size_t UnreadCallers = 200;
 constexpr std::size_t RequestsAhead = 8;
 constexpr int EndlessStreams = 200;
+constexpr std::size_t DrawnCallers = 600;
+constexpr double MaxHeldForNobody = 1024 * 1024;
 constexpr std::size_t AnswerBytes = 1024 * 1024;
 constexpr std::size_t MaxHead = 16 * 1024;
 constexpr std::size_t MaxBody = 4 * 1024 * 1024;
@@ -173,6 +178,45 @@
   playCrowd(Sent, emptyLines(), EmptyLineCallers / 2);
 }
 
+/// Bytes of any value at any pace.
+CrowdScript anyBytes(std::mt19937_64 &Random) {
+  constexpr std::size_t MaxBytes = 4096;
+  std::string Text(Random() % MaxBytes, ' ');
+  for (char &Each : Text)
+    Each = static_cast<char>(Random());
+  return {Random() % 2 == 0 ? "GET / HTTP/1.1\r\n" : "", Text, 100};
+}
+
+/// Some kinds of callers, by a seed, each at a pace of its own and with another
+/// number of units.
+std::vector<CrowdScript> drawnCrowd(const Subject &Sent, std::uint64_t Seed) {
+  constexpr std::size_t Kinds = 4;
+  const std::array<int, 4> PausesMs = {0, 1, 20, 200};
+  std::mt19937_64 Random(Seed);
+  std::vector<CrowdScript> All;
+  for (const std::vector<CrowdScript> &Scripts :
+       {unfinishedAfterHeads(Sent), largeChunks(Sent), smallChunks(Sent),
+        piecesOfBodies(Sent), endlessHeads(Sent), emptyLines(),
+        std::vector<CrowdScript>{sizedBody(Sent), anyBytes(Random)}})
+    All.insert(All.end(), Scripts.begin(), Scripts.end());
+  std::vector<CrowdScript> Drawn;
+  for (std::size_t Kind = 0; Kind < Kinds; ++Kind) {
+    CrowdScript Script = All[Random() % All.size()];
+    Script.m_Pause =
+        std::chrono::milliseconds(PausesMs[Random() % PausesMs.size()]);
+    if (Script.m_Units > 1 && Random() % 2 == 0)
+      Script.m_Units = 1 + Random() % Script.m_Units;
+    Script.m_Reads = Random() % 4 != 0;
+    Drawn.push_back(Script);
+  }
+  return Drawn;
+}
+
+std::uint64_t numberOf(const char *Variable, std::uint64_t Default) {
+  const char *Text = std::getenv(Variable);
+  return Text ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
 bool isServed(const LoopbackAddress &Address, const std::string &Text) {
   return askOnce(Address, Text) == 200;
 }
@@ -208,6 +252,24 @@
                         " HTTP/1.1\r\nHost: fleet.example\r\n\r\n");
   }
 
+  /// The bytes that the gateway counts for its callers; -1 without an answer.
+  double heldForCallers() const {
+    const std::string Name = "\nvanillaferry_caller_bytes ";
+    std::string Text = httpCall("http://" + m_Fleet.readyAddress(0).text(),
+                                {"GET", "/metrics", {}, ""})
+                           .m_Body;
+    std::size_t Found = Text.find(Name);
+    return Found == std::string::npos
+               ? -1
+               : std::strtod(&Text[Found + Name.size()], nullptr);
+  }
+
+  /// True when it counts no more than some connections need.
+  bool holdsLittle() const {
+    double Held = heldForCallers();
+    return Held >= 0 && Held <= MaxHeldForNobody;
+  }
+
   bool order(std::size_t BodyBytes) {
     return isServed(m_Fleet.realFront(0),
                     "POST /desk/order/x HTTP/1.1\r\nHost: fleet.example\r\n"
@@ -356,6 +418,27 @@
   playCrowd(m_Front, {Ask}, EndlessStreams, std::chrono::seconds(4));
 }
 
+// A short seeded soak; docs/testing.md has the long one.
+BOOST_FIXTURE_TEST_CASE(AGatewayBoundsDrawnCrowds, SmallGateway) {
+  std::uint64_t First = numberOf("VANILLAFERRY_CROWD_SEED", 1);
+  std::uint64_t Count = numberOf("VANILLAFERRY_CROWD_SEEDS", 5);
+  for (std::uint64_t Seed = First; Seed < First + Count; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      CallerCrowd Crowd(m_Front.m_Address, drawnCrowd(m_Front, Seed),
+                        DrawnCallers / 4);
+      std::this_thread::sleep_for(std::chrono::seconds(2));
+      BOOST_TEST(waitUntil(m_Front.m_Ask, ServedLimitMs),
+                 "no ordinary request was answered beside the crowd");
+      BOOST_TEST(waitUntil(m_Ready.m_Ask, ServedLimitMs),
+                 "no status check was answered beside the crowd");
+      checkProcess(m_Front);
+      Crowd.stop();
+      BOOST_TEST(waitUntil([this] { return holdsLittle(); }, ServedLimitMs),
+                 heldForCallers() << " bytes are counted for no caller");
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(AReadyAddressBoundsCrowds, SmallGateway) {
   playAll(m_Ready);
 }
