Return free memory from half of the VM's memory on

Free memory was returned from three quarters on, too late for a process of 64 MB.

Change: while a quarter of the limit is held, free memory is returned from half of the VM's memory on, once a second at most.

--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -23,6 +23,8 @@
 /// With less than this part of the limit held, the resident size is not
 /// measured.
 constexpr std::int64_t MeasuredShareDivisor = 4;
+/// Free memory is returned above this part of the VM's memory.
+constexpr std::int64_t TrimmedShareDivisor = 2;
 /// Returning free memory walks through all of it.
 constexpr Millis TrimInterval{1000};
 /// Larger buffers go back to the system when they are freed. glibc raises the
@@ -118,7 +120,9 @@
   if (HoldsLittle && m_Budget.m_Resident <= residentLimit(m_Budget))
     return;
   measure();
-  if (residentLimit(m_Budget) < m_Budget.m_Resident)
+  // Before residentLimit() is reached, so that free memory does not count
+  // against callers.
+  if (m_Budget.m_Resident.m_Value > m_Budget.m_Vm.m_Value / TrimmedShareDivisor)
     returnFreeMemory(Now);
   relieve(RoomFor::SmallBody, nullptr);
   closeUnread(Now, Unread::All);
