--- a/src/daemon/connection/caller_connection.hpp
+++ b/src/daemon/connection/caller_connection.hpp
@@ -39,7 +39,7 @@
   CallerConnection(const CallerConnection &) = delete;
   CallerConnection &operator=(const CallerConnection &) = delete;
 
-  // For the request's Caller.
+  // For the request's Caller: caller_connection_answer.cpp
   void respond(int Status, const std::string &Head, std::string Body,
                bool Close);
   /// Begins a streamed answer; false when the connection is gone.
--- a/tests/process/OrdinaryCaller.cpp
+++ b/tests/process/OrdinaryCaller.cpp
@@ -95,4 +95,22 @@
   return Count;
 }
 
+void startLoneRouter(ChildProcess &Process, const TemporaryFolder &Folder,
+                     const LoopbackAddress &Http, const nlohmann::json &Extra,
+                     std::int64_t DescriptorLimit) {
+  nlohmann::json Settings = {
+      {"kind", "router"},
+      {"node", "router-1"},
+      {"vm", "vm-1"},
+      {"zone", "north"},
+      {"http", {{"address", Http.m_Ip}, {"port", Http.m_Port}}},
+      {"peer", {{"address", "127.0.0.1"}, {"port", freePort()}}},
+      {"keepers", {"ws://127.0.0.1:" + std::to_string(freePort())}}};
+  Settings.update(Extra);
+  writeWholeFile(Folder.path() + "/router.json", Settings.dump());
+  Process.start(VANILLAFERRY_BINARY,
+                {"router", "--settings", Folder.path() + "/router.json"},
+                Folder.path() + "/router.log", 0, DescriptorLimit);
+}
+
 } // namespace vanillaferry::tests
--- a/tests/process/OrdinaryCaller.hpp
+++ b/tests/process/OrdinaryCaller.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace vanillaferry::tests {
@@ -26,4 +27,10 @@
 /// Open descriptors of the process.
 std::size_t descriptors(const ChildProcess &Process);
 
+/// Starts a router that has no keepers and answers status checks. Extra is
+/// merged into its settings.
+void startLoneRouter(ChildProcess &Process, const TemporaryFolder &Folder,
+                     const LoopbackAddress &Http, const nlohmann::json &Extra,
+                     std::int64_t DescriptorLimit);
+
 } // namespace vanillaferry::tests
--- a/tests/process/UntrustedCallers.tests.cpp
+++ b/tests/process/UntrustedCallers.tests.cpp
@@ -221,19 +221,8 @@
                  "/v1/chat/completions"};
 
   RouterUnderTest() {
-    nlohmann::json Settings = {
-        {"kind", "router"},
-        {"node", "router-1"},
-        {"vm", "vm-1"},
-        {"zone", "north"},
-        {"http", {{"address", "127.0.0.1"}, {"port", m_Http.m_Address.m_Port}}},
-        {"peer", {{"address", "127.0.0.1"}, {"port", freePort()}}},
-        {"keepers", {"ws://127.0.0.1:" + std::to_string(freePort())}}};
-    Settings.update(Memory);
-    writeWholeFile(m_Folder.path() + "/router.json", Settings.dump());
-    m_Process.start(VANILLAFERRY_BINARY,
-                    {"router", "--settings", m_Folder.path() + "/router.json"},
-                    m_Folder.path() + "/router.log", 0, DescriptorLimit);
+    startLoneRouter(m_Process, m_Folder, m_Http.m_Address, Memory,
+                    DescriptorLimit);
     BOOST_REQUIRE(isServed(m_Http));
   }
 };
