End the use of a manifest with the one after it, not with the newest

Cause: a grant stated when the newest manifest was acknowledged, and the gateway used its own for 1.5 s from then on, however many lay in between. A leader that had not accepted the newest one itself stated nothing, which counts as "now".

Evidence: at all six gateways with late requests, each was sent after LeaseHeld and before ManifestApplied, by the manifest two versions back; so neither a lease that was taken for valid nor requests that waited.

The log entry carries its time, so another leader knows it too; where it does not, the gateway waits for the newest manifest. A gateway takes the earliest deadline that it is told, and an answer given before its deadline brings it forward.

Why it works: what ends the use of the held manifest is fixed when the next one is acknowledged; no later change can move it.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -235,8 +235,8 @@
   bool m_LoadsSummed = false;
   /// Their running requests by target, see encodeLoads().
   std::string m_OthersLoads;
-  /// Time until the manifest in force is acknowledged to its operator, for a
-  /// node that does not have it; negative when it was acknowledged before.
+  /// Time until the first manifest after the node's is acknowledged to its
+  /// operator; negative when it was acknowledged before.
   Millis m_ManifestAckedIn;
   /// The router that the grant is for, set while a follower relays it.
   NodeId m_Node;
--- a/include/vanillaferry/process/state_machine.hpp
+++ b/include/vanillaferry/process/state_machine.hpp
@@ -96,6 +96,8 @@
   std::uint64_t m_BaseVersion = 0;
   /// Edit script of makeTextDelta(), compressed.
   std::string m_Delta;
+  /// When the leader proposed it; earlier builds state none.
+  UnixMillis m_At = {};
 };
 
 /// Takes all targets of an availability zone out of service or back.
--- a/include/vanillaferry/version/manifest_knowledge.hpp
+++ b/include/vanillaferry/version/manifest_knowledge.hpp
@@ -25,7 +25,8 @@
 void noteManifestCurrent(ManifestKnowledge &Known, Millis SentAt);
 
 /// A grant states that this newer manifest exists, which has not arrived yet.
-/// It is acknowledged to its operator at AckedAt, which may be in the past.
+/// The first one after the held manifest is acknowledged to its operator at
+/// AckedAt, which may be in the past.
 void noteManifestOutdated(ManifestKnowledge &Known, std::uint64_t Version,
                           Millis AckedAt);
 
--- a/src/core/process/state_codec.cpp
+++ b/src/core/process/state_codec.cpp
@@ -120,6 +120,7 @@
   A("version", R.m_Version);
   A("base", R.m_BaseVersion);
   A("delta", R.m_Delta);
+  A.optional("at", R.m_At);
 }
 
 template <typename Archive> static void describe(Archive &A, SetZoneOut &S) {
--- a/src/core/version/manifest_knowledge.cpp
+++ b/src/core/version/manifest_knowledge.cpp
@@ -26,9 +26,12 @@
 void noteManifestOutdated(ManifestKnowledge &Known, std::uint64_t Version,
                           Millis AckedAt) {
   Known.m_NewestSeen = std::max(Known.m_NewestSeen, Version);
-  // A second newer manifest does not extend the use of the held one.
-  if (!Known.m_UsableUntil)
-    Known.m_UsableUntil = AckedAt + OutdatedUseLimit;
+  // A second newer manifest does not extend the use of the held one. A later
+  // statement may be stricter: the operator's answer did not take the whole
+  // time, or another leader knows more.
+  Millis Until = AckedAt + OutdatedUseLimit;
+  Known.m_UsableUntil =
+      Known.m_UsableUntil ? std::min(*Known.m_UsableUntil, Until) : Until;
 }
 
 bool mayRejectPermanently(const ManifestKnowledge &Known, Millis Now) {
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -255,6 +255,18 @@
   resumeWaiting(G);
 }
 
+/// The leader has stated a newer manifest than this router holds.
+void recordOutdated(Gateway &G, const Grant &Granted, Millis Now) {
+  ManifestKnowledge &Known = G.m_Control.m_ManifestKnowledge;
+  if (Known.m_NewestSeen < Granted.m_ManifestVersion)
+    logEvent(Event::ManifestOutdated,
+             {{"held", G.m_Control.m_Routes.m_Manifest.m_Version},
+              {"newest", Granted.m_ManifestVersion},
+              {"acked_ms_ago", -Granted.m_ManifestAckedIn.m_Value}});
+  noteManifestOutdated(Known, Granted.m_ManifestVersion,
+                       Now + Granted.m_ManifestAckedIn);
+}
+
 void handleGrant(Gateway &G, const Grant &Granted) {
   Millis Now = monotonicNow();
   bool HeldLease = leaseHolds(G.m_Lease, Now);
@@ -276,9 +288,7 @@
   if (Outcome == ManifestOutcome::UpToDate)
     noteManifestCurrent(G.m_Control.m_ManifestKnowledge, SentAt);
   else
-    noteManifestOutdated(G.m_Control.m_ManifestKnowledge,
-                         Granted.m_ManifestVersion,
-                         Now + Granted.m_ManifestAckedIn);
+    recordOutdated(G, Granted, Now);
   applyZones(G, Update);
   applyRefusedParts(G, Granted.m_QuarantineVersion, Granted.m_Quarantine);
   applyMembers(G, Granted);
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -25,6 +25,7 @@
 #include "vanillaferry/process/state_machine.hpp"
 #include "vanillaferry/request/load_board.hpp"
 #include "vanillaferry/request/stream_origin.hpp"
+#include "vanillaferry/version/manifest_acks.hpp"
 #include "vanillaferry/version/text_history.hpp"
 
 #include <deque>
@@ -125,13 +126,6 @@
   std::string m_Delta;
 };
 
-/// The latest time at which a manifest is acknowledged to its operator, whether
-/// or not all routers act on it by then.
-struct ManifestAck {
-  std::uint64_t m_Version = 0;
-  Millis m_Deadline;
-};
-
 /// Limits the large updates on a link: the time at which those already sent
 /// have left it.
 struct LinkBudget {
@@ -303,7 +297,9 @@
   std::map<std::uint64_t, ManifestUpdate> m_ManifestUpdates;
   std::uint64_t m_UpdatesTo = 0;
   LinkBudget m_ManifestLink;
+  /// The manifest that this leader acknowledged last, or will.
   ManifestAck m_ManifestAck;
+  ManifestAcks m_ManifestAcks;
   SharedTargetList m_SharedTargets;
   LoadTable m_LoadBoard;
   RelayBoard m_RelayBoard;
@@ -395,7 +391,8 @@
 // keeper_manifest.cpp
 /// Adds the members' ids to a grant for a router that asks for ids only.
 void attachMemberIds(Keeper &Self, const Renew &Request, Grant &Granted);
-/// States in the leader's grant when the manifest in force is acknowledged.
+/// States in the leader's grant when the router's manifest was, or will be,
+/// outdated.
 void stateManifestDeadline(const Keeper &Self, const Renew &Request,
                            Grant &Granted);
 /// Adds to a grant the update from the router's manifest to the one in force.
@@ -404,7 +401,8 @@
 /// link is busy with earlier ones.
 const ManifestUpdate *reserveManifestUpdate(Keeper &Self, std::uint64_t Held,
                                             Millis Now);
-/// Keeps the update that the log carries for gateways that hold its base.
+/// Keeps the update that the log carries for gateways that hold its base, and
+/// when it was acknowledged.
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change);
 
 // keeper_targets.cpp
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -21,6 +21,8 @@
 /// updates take longer to send over the leader's link.
 constexpr std::size_t RoutesWithinAckTime = 500;
 constexpr Millis AckTimePerThousandRoutes{2500};
+/// Stated for a manifest that was acknowledged too long ago to be known.
+constexpr Millis LongAgo{-60000};
 
 /// Keeps the manifest in force as a base for later updates.
 void rememberManifest(Keeper &Self) {
@@ -87,8 +89,19 @@
   if (Self.m_ManifestAck.m_Version != Version)
     Self.m_ManifestAck = {Version, Now + ackTimeLimit(Routes)};
   Self.m_InForceWaits.push_back(
-      {Self.m_State.m_Document.m_Version, Now, Self.m_ManifestAck.m_Deadline,
-       [Exchange, Version](bool) { answerVersion(*Exchange, Version); }});
+      {Self.m_State.m_Document.m_Version, Now, Self.m_ManifestAck.m_At,
+       [&Self, Exchange, Version](bool) {
+         noteManifestAcked(Self.m_ManifestAcks, {Version, monotonicNow()});
+         answerVersion(*Exchange, Version);
+       }});
+}
+
+/// Answers the upload that has put the manifest in force. Only its leader
+/// knows that it was not acknowledged before.
+void answerAccepted(Keeper &Self, const ExchangePtr &Exchange,
+                    std::uint64_t Version, std::size_t Routes) {
+  answerInForce(Self, Exchange, Version, Routes);
+  setManifestDeadline(Self.m_ManifestAcks, Self.m_ManifestAck);
 }
 
 void refuseManifest(Keeper &Self, HttpExchange &Exchange,
@@ -114,6 +127,7 @@
   Change.m_Version = Version;
   Change.m_BaseVersion = Held.m_Version;
   Change.m_Delta = compressText(makeTextDelta(Held.m_Text, Text));
+  Change.m_At = wallNow();
   std::uint64_t Bytes = Change.m_Delta.size();
   proposeCommand(
       Self, Change,
@@ -130,7 +144,10 @@
                  {{"version", Version},
                   {"held", Known->m_Version},
                   {"bytes", Bytes}});
-        answerInForce(Self, Exchange, Known->m_Version, Routes);
+        if (Applied)
+          answerAccepted(Self, Exchange, Version, Routes);
+        else
+          answerInForce(Self, Exchange, Known->m_Version, Routes);
       });
 }
 
@@ -218,12 +235,12 @@
 
 void stateManifestDeadline(const Keeper &Self, const Renew &Request,
                            Grant &Granted) {
-  const StoredManifest &Held = Self.m_State.m_Manifest;
-  // A leader that did not accept this manifest itself sends no deadline: the
-  // manifest counts as acknowledged.
-  if (Request.m_ManifestHeld < Held.m_Version &&
-      Self.m_ManifestAck.m_Version == Held.m_Version)
-    Granted.m_ManifestAckedIn = Self.m_ManifestAck.m_Deadline - monotonicNow();
+  if (Request.m_ManifestHeld >= Self.m_State.m_Manifest.m_Version)
+    return;
+  // The router's manifest was outdated by the one after it, not by the newest.
+  std::optional<Millis> Since =
+      outdatedSince(Self.m_ManifestAcks, Request.m_ManifestHeld);
+  Granted.m_ManifestAckedIn = Since ? *Since - monotonicNow() : LongAgo;
 }
 
 const ManifestUpdate *reserveManifestUpdate(Keeper &Self, std::uint64_t Held,
@@ -257,6 +274,14 @@
   refreshManifestUpdates(Self);
   Self.m_ManifestUpdates[Change.m_BaseVersion] = {Change.m_BaseVersion,
                                                   Change.m_Delta};
+  // This keeper may apply the entry late, and its clock may be behind that of
+  // the leader. A manifest that counts as acknowledged too early only makes
+  // routers without it wait.
+  Millis Now = monotonicNow();
+  Millis Age(wallNow().m_Value - Change.m_At.m_Value);
+  bool Known = Change.m_At > UnixMillis(0) && Age > Millis(0);
+  noteManifestReplaced(Self.m_ManifestAcks, Change.m_BaseVersion,
+                       {Change.m_Version, Known ? Now - Age : Now});
 }
 
 } // namespace vanillaferry::internal
--- a/tests/core/ManifestKnowledge.tests.cpp
+++ b/tests/core/ManifestKnowledge.tests.cpp
@@ -42,6 +42,17 @@
   BOOST_TEST(mayUseManifest(Known, Millis(9000)));
 }
 
+// Guards against using a manifest until the first deadline that was stated when
+// the operator was answered before it, or a later leader knows more.
+BOOST_AUTO_TEST_CASE(AStricterStatementShortensTheUse) {
+  ManifestKnowledge Known;
+  noteManifestCurrent(Known, Millis(1000));
+  noteManifestOutdated(Known, 2, Millis(5000));
+  noteManifestOutdated(Known, 2, Millis(1500));
+  BOOST_TEST(mayUseManifest(Known, Millis(3000)));
+  BOOST_TEST(!mayUseManifest(Known, Millis(3100)));
+}
+
 // Guards against refusals while a large manifest is being distributed. Its
 // operator has no acknowledgement yet, so nobody relies on it. With 81
 // gateways, up to a seventh of all requests was refused.
--- a/tests/core/StateCodec.tests.cpp
+++ b/tests/core/StateCodec.tests.cpp
@@ -46,7 +46,7 @@
       EndOrder{"order", OrderOutcome::OldToken, "HTTP 409"},
       AdvanceClock{UnixMillis(12)},
       StartOrder{"order", Term(4)},
-      ReplaceManifest{4, 0, "t2;{}"},
+      ReplaceManifest{4, 0, "t2;{}", UnixMillis(1LL << 40)},
       SetZoneOut{ZoneId("Cayambe"), true},
       QuarantinePart{PromptPartId("p"), UnixMillis(1LL << 40), "t1,t2", true},
       QuarantinePart{PromptPartId("q"), UnixMillis(-1), "", false},
