Send gateways the manifest that is in force, not one that lost against it

When two operators send different content under one version at the same time, the second is superseded, but its edit script replaced the first one's for gateways that hold the version before. Gateways acted on content that reads never showed (CONFIG), until the next change.

Cause: rememberManifestChange() took every entry with the version held for the one that had put it in force.

--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -401,8 +401,8 @@
 /// link is busy with earlier ones.
 const ManifestUpdate *reserveManifestUpdate(Keeper &Self, std::uint64_t Held,
                                             Millis Now);
-/// Keeps the update that the log carries for gateways that hold its base, and
-/// when it was acknowledged.
+/// Keeps the update of a change that is in force now for gateways that hold its
+/// base, and when it was acknowledged.
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change);
 
 // keeper_targets.cpp
--- a/src/daemon/process/keeper_manifest.cpp
+++ b/src/daemon/process/keeper_manifest.cpp
@@ -269,8 +269,6 @@
 }
 
 void rememberManifestChange(Keeper &Self, const ReplaceManifest &Change) {
-  if (Self.m_State.m_Manifest.m_Version != Change.m_Version)
-    return;
   refreshManifestUpdates(Self);
   Self.m_ManifestUpdates[Change.m_BaseVersion] = {Change.m_BaseVersion,
                                                   Change.m_Delta};
--- a/src/daemon/process/keeper_replica.cpp
+++ b/src/daemon/process/keeper_replica.cpp
@@ -96,9 +96,9 @@
       return;
     }
     Answer = applyCommand(Self.m_State, Entry.m_Index, Input.value());
-    if (const ReplaceManifest *Change =
-            std::get_if<ReplaceManifest>(&Input.value()))
-      rememberManifestChange(Self, *Change);
+    const ManifestAnswer *Replaced = std::get_if<ManifestAnswer>(&Answer);
+    if (Replaced && Replaced->m_Outcome == ManifestOutcome::InForce)
+      rememberManifestChange(Self, std::get<ReplaceManifest>(Input.value()));
     recordQuarantineChange(Self, Input.value());
     recordRolloutChange(Self, Input.value(), Entry.m_Index);
   } else if (Entry.m_Kind == EntryKind::KeeperSet) {
--- a/tests/process/ManifestChanges.tests.cpp
+++ b/tests/process/ManifestChanges.tests.cpp
@@ -1,7 +1,9 @@
 #include "EngineCrashes.hpp"
+#include "OrdinaryCaller.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <thread>
 
 using namespace vanillaferry;
 using namespace vanillaferry::tests;
@@ -83,6 +85,14 @@
   return Use;
 }
 
+std::string lookupAt(const std::string &Path) {
+  return "GET " + Path +
+         "x HTTP/1.1\r\nHost: fleet.example\r\nConnection: close\r\n"
+         "Vanillaferry-Attempt-Id: 1f\r\n"
+         "Vanillaferry-Deadline-Milliseconds: 2000\r\n"
+         "X-Api-Key: key-0-first\r\n\r\n";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ManifestChanges)
@@ -117,4 +127,37 @@
   }
 }
 
+// Guards against gateways that act on content which lost against other content
+// with the same version.
+BOOST_AUTO_TEST_CASE(GatewaysActOnTheContentThatIsReadBack) {
+  constexpr int Rounds = 12;
+  GatewayFleet Fleet(3, 2, 9, 1);
+  LargeChanges(Fleet).send({});
+  BOOST_REQUIRE(Fleet.waitAllReady(StartLimitMs));
+  for (std::uint64_t Version = 2; Version < 2 + Rounds; ++Version) {
+    const std::string Paths[] = {"/a" + std::to_string(Version) + "/",
+                                 "/b" + std::to_string(Version) + "/"};
+    std::vector<std::thread> Operators;
+    for (const std::string &Path : Paths) {
+      nlohmann::json Manifest = Fleet.manifest(Version, {});
+      Manifest["routes"].back()["path_prefix"] = Path;
+      // The leader takes one of each operator's.
+      for (std::size_t Keeper = 0; Keeper < Fleet.keepers(); ++Keeper)
+        Operators.emplace_back([&Fleet, Keeper, Text = Manifest.dump()] {
+          Fleet.orderAt(Keeper, "PUT", "/manifest", Text, 2000);
+        });
+    }
+    for (std::thread &Each : Operators)
+      Each.join();
+    pauseFor(500);
+    nlohmann::json Held =
+        Fleet.order("GET", "/manifest", "", StartLimitMs).m_Body;
+    BOOST_REQUIRE(Held["version"] == Version);
+    std::string InForce = Held["routes"].back()["path_prefix"];
+    for (std::size_t Gateway = 0; Gateway < Fleet.gateways(); ++Gateway)
+      BOOST_TEST(askOnce(Fleet.front(Gateway), lookupAt(InForce)) == 200,
+                 "version " << Version << " at gateway " << Gateway + 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
