Tell a keeper that has started again where streams began

Cause: gateways told a keeper once, keepers hold it in memory only, and nothing noticed that they had forgotten it. The gateway that began the streams ran on and knew. All 24 lines StreamTakenUp have keeper_answered 1 and known 0, so it was no missing answer.

Change: a process says in its Hello for how long it has run. A gateway whose keeper has run for less than a minute tells it again, 16 streams each 50 ms, not relayed. A keeper that does not know a stream asks the others (64 at once, 200 ms). News wait while no keeper is linked, and those of the last 3 s are told again to the next keeper. A refusal within 5 s of the keeper's start asks the caller to come again soon. New: event 3019 and two counters.

Why it works: each record has its gateway's copy as long as that runs, and every keeper finds it with one question to the others.

--- a/include/vanillaferry/connection/message.hpp
+++ b/include/vanillaferry/connection/message.hpp
@@ -28,6 +28,8 @@
   std::string m_HttpUrl;
   /// What the sender's build understands; earlier builds state none.
   FeatureLevel m_Level = {};
+  /// For how long the sender has run; 0 from earlier builds.
+  Millis m_RunningFor = {};
 };
 
 struct Heartbeat {
@@ -600,9 +602,13 @@
 struct StreamReport {
   PoolId m_Service;
   std::vector<BegunStream> m_Streams;
+  /// The keeper's former run was told of them, and other keepers may ask for
+  /// them; they are not relayed.
+  bool m_Again = false;
 };
 
-/// A router asks a keeper where a stream began that a caller takes up.
+/// A router asks a keeper where a stream began that a caller takes up. The
+/// keeper asks the others when it does not know.
 struct StreamQuery {
   RequestId m_Request;
   PoolId m_Service;
@@ -616,6 +622,8 @@
   /// The only version that the service has had for m_SoleFor; 0 for none.
   SoftwareVersion m_Sole;
   Millis m_SoleFor;
+  /// The keeper has started lately; routers still tell it of their streams.
+  bool m_Incomplete = false;
 };
 
 /// Every message between two of the system's processes.
--- a/include/vanillaferry/request/stream_origin.hpp
+++ b/include/vanillaferry/request/stream_origin.hpp
@@ -83,6 +83,8 @@
 struct OriginEvidence {
   std::optional<SoftwareVersion> m_Recorded;
   std::optional<SoleVersion> m_Sole;
+  /// More may become known within seconds.
+  bool m_Incomplete = false;
 };
 
 /// The version at which a stream may go on, with the evidence of this router
--- a/src/daemon/connection/internal/message_fields.hpp
+++ b/src/daemon/connection/internal/message_fields.hpp
@@ -88,6 +88,7 @@
   Visit("r", Data.m_Role);
   Visit("h", Data.m_HttpUrl);
   Visit("l", Data.m_Level);
+  Visit("a", Data.m_RunningFor);
 }
 
 template <typename V, typename M, IfMessage<M, Heartbeat> * = nullptr>
@@ -377,6 +378,7 @@
 void fields(V &Visit, M &Data) {
   Visit("p", Data.m_Service);
   Visit("s", Data.m_Streams);
+  Visit("a", Data.m_Again);
 }
 
 template <typename V, typename M, IfMessage<M, StreamQuery> * = nullptr>
@@ -392,6 +394,7 @@
   Visit("v", Data.m_Software);
   Visit("o", Data.m_Sole);
   Visit("t", Data.m_SoleFor);
+  Visit("i", Data.m_Incomplete);
 }
 
 template <typename V, typename M, IfMessage<M, TargetListRequest> * = nullptr>
--- a/src/daemon/connection/internal/peer_links.cpp
+++ b/src/daemon/connection/internal/peer_links.cpp
@@ -55,7 +55,7 @@
                      AtomicCounters &Counters)
     : m_Context(1), m_Options(std::move(Options)),
       m_OnEvent(std::move(OnEvent)), m_Counters(Counters), m_Timer(m_Context),
-      m_Random(randomSeed()) {
+      m_Random(randomSeed()), m_StartedAt(monotonicNow()) {
   std::size_t MaxFrame = static_cast<std::size_t>(m_Options.m_MaxFrame.m_Value);
   m_Server.init_asio(&m_Context);
   m_Client.init_asio(&m_Context);
@@ -234,9 +234,13 @@
 void PeerLinks::onOpen(PeerLink &Link) {
   setSocketOptions(*Link.m_Connection, m_Options.m_Liveness.m_SilenceLimit);
   Link.m_Open = true;
-  Link.m_Liveness = makeLiveness(m_Options.m_Liveness, monotonicNow());
+  Millis Now = monotonicNow();
+  Link.m_Liveness = makeLiveness(m_Options.m_Liveness, Now);
+  // 0 is what builds state that do not know the field.
+  Millis RunningFor = std::max(Now - m_StartedAt, Millis(1));
   append(Link, Hello{m_Options.m_Self, m_Options.m_Incarnation, ProtocolVersion,
-                     m_Options.m_Role, m_Options.m_HttpUrl, m_Options.m_Level});
+                     m_Options.m_Role, m_Options.m_HttpUrl, m_Options.m_Level,
+                     RunningFor});
   flush(Link);
 }
 
--- a/src/daemon/connection/internal/peer_links.hpp
+++ b/src/daemon/connection/internal/peer_links.hpp
@@ -131,6 +131,7 @@
   /// Links of each node that exchanged their hello, the newest last.
   std::map<NodeId, std::vector<std::uint64_t>> m_LinksOfNode;
   std::mt19937_64 m_Random;
+  Millis m_StartedAt;
   /// Unread messages since the last line about them.
   std::uint64_t m_UnreadSince = 0;
   Millis m_NextUnreadLine;
--- a/src/daemon/gateway/exchange_stream.cpp
+++ b/src/daemon/gateway/exchange_stream.cpp
@@ -60,9 +60,10 @@
             {"keeper_answered", Keepers.has_value()}});
   if (m_Need.m_Software)
     return dispatch();
-  // The keepers may know it when they answer again; else nothing changes while
-  // the caller waits.
-  Millis RetryAfter = Keepers ? m_Route.m_Timeout : OriginQueryTimeout;
+  // The keepers may know it when they answer again, or have been told again;
+  // else nothing changes while the caller waits.
+  bool MayChange = !Keepers || Keepers->m_Incomplete;
+  Millis RetryAfter = MayChange ? OriginQueryTimeout : m_Route.m_Timeout;
   refuse(RefusalReason::StreamOriginUnknown, RetryAfter,
          "it is not known at which software version the stream began");
 }
--- a/src/daemon/gateway/gateway.hpp
+++ b/src/daemon/gateway/gateway.hpp
@@ -14,7 +14,7 @@
 #include "vanillaferry/request/prompt_guard.hpp"
 #include "vanillaferry/request/relay_choice.hpp"
 #include "vanillaferry/request/rollout_answers.hpp"
-#include "vanillaferry/request/stream_origin.hpp"
+#include "vanillaferry/request/stream_news.hpp"
 #include "vanillaferry/request/waiting_room.hpp"
 #include "vanillaferry/version/manifest_knowledge.hpp"
 
@@ -68,12 +68,22 @@
   RepeatBudget m_Repeats;
 };
 
+/// A link to a keeper, and since when its process runs; earlier builds do not
+/// state that.
+struct KeeperLink {
+  std::uint64_t m_Connection = 0;
+  std::optional<Millis> m_RunsSince;
+};
+
 /// What this gateway knows of the software versions at which streams began.
 struct StreamVersions {
   StreamOrigins m_Origins;
   VersionHistory m_History;
-  /// Origins that the keepers have not been told yet, in order.
-  std::vector<StreamOrigin> m_News;
+  StreamNews m_News;
+  /// By the keeper's URL.
+  std::map<std::string, KeeperLink> m_KeeperLinks;
+  /// The connection over which the last news went.
+  std::uint64_t m_ToldOver = 0;
 };
 
 /// One service's rollout, as this gateway applies it.
@@ -204,6 +214,8 @@
 void recordStream(Gateway &G, const StreamOrigin &Origin);
 /// Records the versions of a new target list.
 void recordListedVersions(Gateway &G);
+/// A link to a keeper is up, or ended.
+void recordKeeperRun(Gateway &G, const PeerEvent &Event);
 /// Asks a keeper where the stream began.
 void askForOrigin(Gateway &G, const StreamQuery &Query);
 void handleStreamAnswer(Gateway &G, const StreamAnswer &Answer);
--- a/src/daemon/gateway/gateway_lease.cpp
+++ b/src/daemon/gateway/gateway_lease.cpp
@@ -399,8 +399,10 @@
     recordKeeperHeard(G.m_Keeper, Event.m_Url, monotonicNow());
     return handleControlMessage(G, Event.m_Message);
   case PeerEvent::Kind::Up:
+    recordKeeperRun(G, Event);
     return handleLinkChange(G, Event.m_Url, true);
   case PeerEvent::Kind::Down:
+    recordKeeperRun(G, Event);
     return handleLinkChange(G, Event.m_Url, false);
   case PeerEvent::Kind::Unsent:
     return;
--- a/src/daemon/gateway/gateway_streams.cpp
+++ b/src/daemon/gateway/gateway_streams.cpp
@@ -7,14 +7,46 @@
 
 namespace {
 
-/// Bounds one report; streams beyond it are known to this gateway only.
-constexpr std::size_t MaxNews = 4096;
+/// The streams that a keeper which has started lately does not know any more.
+std::vector<StreamOrigin> streamsOfMixedServices(const Gateway &G, Millis Now) {
+  const StreamVersions &Streams = G.m_Streams;
+  std::vector<StreamOrigin> All;
+  for (const std::pair<const PoolId, std::set<SoftwareVersion>> &Row :
+       Streams.m_History.m_Listed) {
+    if (!isMixed(Streams.m_History, Row.first, Now))
+      continue;
+    std::vector<StreamOrigin> Known = originsOf(Streams.m_Origins, Row.first);
+    All.insert(All.end(), Known.begin(), Known.end());
+  }
+  return All;
+}
+
+/// Begins to send the news over this link.
+void turnTo(Gateway &G, const KeeperLink &Link, Millis Now) {
+  G.m_Streams.m_ToldOver = Link.m_Connection;
+  std::vector<StreamOrigin> Forgotten;
+  if (mayLackStreams(Link.m_RunsSince, Now))
+    Forgotten = streamsOfMixedServices(G, Now);
+  if (!Forgotten.empty())
+    logEvent(Event::StreamsToldAgain,
+             {{"url", G.m_Keeper.m_Current},
+              {"streams", static_cast<std::uint64_t>(Forgotten.size())}});
+  beginTelling(G.m_Streams.m_News, std::move(Forgotten));
+}
 
-void addNews(StreamVersions &Streams, const StreamOrigin &Origin) {
-  bool Fits = Streams.m_News.size() < MaxNews &&
-              Origin.m_Request.m_Value.size() <= MaxOriginIdLength;
-  if (Fits)
-    Streams.m_News.push_back(Origin);
+void sendReports(Gateway &G, const std::vector<StreamOrigin> &Origins,
+                 bool Again) {
+  std::map<PoolId, StreamReport> Reports;
+  for (const StreamOrigin &Each : Origins) {
+    StreamReport &Report = Reports[Each.m_Service];
+    Report.m_Service = Each.m_Service;
+    Report.m_Again = Again;
+    Report.m_Streams.push_back({Each.m_Request, Each.m_Software});
+  }
+  for (std::pair<const PoolId, StreamReport> &Row : Reports) {
+    addCounter(G.m_Metrics, "vanillaferry_stream_reports_total");
+    G.m_Peers->sendToUrl(G.m_Keeper.m_Current, std::move(Row.second));
+  }
 }
 
 } // namespace
@@ -23,7 +55,7 @@
   Millis Now = monotonicNow();
   recordOrigin(G.m_Streams.m_Origins, Origin, Now);
   if (isMixed(G.m_Streams.m_History, Origin.m_Service, Now))
-    addNews(G.m_Streams, Origin);
+    addStreamNews(G.m_Streams.m_News, Origin);
 }
 
 void recordListedVersions(Gateway &G) {
@@ -35,7 +67,7 @@
              {{"service", Service.m_Value},
               {"streams", static_cast<std::uint64_t>(Known.size())}});
     for (const StreamOrigin &Each : Known)
-      addNews(Streams, Each);
+      addStreamNews(Streams.m_News, Each);
   }
 }
 
@@ -46,6 +78,7 @@
 
 void handleStreamAnswer(Gateway &G, const StreamAnswer &Answer) {
   OriginEvidence Evidence;
+  Evidence.m_Incomplete = Answer.m_Incomplete;
   if (Answer.m_Recorded)
     Evidence.m_Recorded = Answer.m_Software;
   if (Answer.m_SoleFor > Millis(0))
@@ -58,21 +91,32 @@
     Each->goOnWith(Evidence);
 }
 
-void sendStreamReports(Gateway &G) {
-  std::vector<StreamOrigin> &News = G.m_Streams.m_News;
-  if (News.empty())
+void recordKeeperRun(Gateway &G, const PeerEvent &Event) {
+  std::map<std::string, KeeperLink> &Links = G.m_Streams.m_KeeperLinks;
+  if (Event.m_Kind == PeerEvent::Kind::Down) {
+    Links.erase(Event.m_Url);
     return;
-  std::map<PoolId, StreamReport> Reports;
-  for (const StreamOrigin &Each : News) {
-    StreamReport &Report = Reports[Each.m_Service];
-    Report.m_Service = Each.m_Service;
-    Report.m_Streams.push_back({Each.m_Request, Each.m_Software});
-  }
-  News.clear();
-  for (std::pair<const PoolId, StreamReport> &Row : Reports) {
-    addCounter(G.m_Metrics, "vanillaferry_stream_reports_total");
-    G.m_Peers->sendToUrl(G.m_Keeper.m_Current, std::move(Row.second));
   }
+  KeeperLink Link{Event.m_Connection, std::nullopt};
+  const Hello *Greeting = std::get_if<Hello>(&Event.m_Message);
+  if (Greeting && Greeting->m_RunningFor > Millis(0))
+    Link.m_RunsSince = monotonicNow() - Greeting->m_RunningFor;
+  Links[Event.m_Url] = Link;
+}
+
+void sendStreamReports(Gateway &G) {
+  StreamVersions &Streams = G.m_Streams;
+  std::map<std::string, KeeperLink>::const_iterator Link =
+      Streams.m_KeeperLinks.find(G.m_Keeper.m_Current);
+  // The news wait for a keeper.
+  if (Link == Streams.m_KeeperLinks.end())
+    return;
+  Millis Now = monotonicNow();
+  if (Link->second.m_Connection != Streams.m_ToldOver)
+    turnTo(G, Link->second, Now);
+  StreamNewsBatch Batch = takeStreamNews(Streams.m_News, Now);
+  sendReports(G, Batch.m_New, false);
+  sendReports(G, Batch.m_Again, true);
 }
 
 } // namespace vanillaferry
--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -191,6 +191,15 @@
   std::string m_Why;
 };
 
+/// A question of routers that this keeper passes on to the other keepers.
+struct OriginSearch {
+  PoolId m_Service;
+  std::set<NodeId> m_Askers;
+  /// Answers of other keepers that are still to come.
+  std::size_t m_Awaited = 0;
+  Millis m_Deadline;
+};
+
 /// At which software versions the routers' streams began, in memory only.
 struct KeeperStreams {
   StreamOrigins m_Origins;
@@ -201,6 +210,7 @@
   /// Services of which a change of the versions is proposed and not applied
   /// yet.
   std::set<PoolId> m_Proposed;
+  std::map<RequestId, OriginSearch> m_Searches;
 };
 
 /// The leader's work on rollouts.
@@ -446,6 +456,11 @@
 void onStreamReport(Keeper &Self, const NodeId &From,
                     const StreamReport &Report);
 void onStreamQuery(Keeper &Self, const NodeId &From, const StreamQuery &Query);
+/// Takes another keeper's answer to a search.
+void onStreamAnswer(Keeper &Self, const NodeId &From,
+                    const StreamAnswer &Answer);
+/// Answers the searches that have lasted for too long.
+void endOldSearches(Keeper &Self, Millis Now);
 /// Records the software versions of a list, and that it is still the same.
 void recordKeeperVersions(Keeper &Self,
                           const Result<std::vector<ListedTarget>> &Listed);
--- a/src/daemon/process/keeper.cpp
+++ b/src/daemon/process/keeper.cpp
@@ -58,6 +58,7 @@
   readTargetsWhenDue(Self, Now);
   sendChanges(Self, Now);
   relayStreams(Self, Now);
+  endOldSearches(Self, Now);
   relayPromptReports(Self, Now);
   announceChanges(Self, Now);
   reportMessageLoad(Self.m_MessageLoad, Now);
--- a/src/daemon/process/keeper_requests.cpp
+++ b/src/daemon/process/keeper_requests.cpp
@@ -135,6 +135,8 @@
     onStreamReport(Self, From, *Streams);
   else if (const StreamQuery *Query = std::get_if<StreamQuery>(&Message))
     onStreamQuery(Self, From, *Query);
+  else if (const StreamAnswer *Origin = std::get_if<StreamAnswer>(&Message))
+    onStreamAnswer(Self, From, *Origin);
   else if (const LoadUpdate *Update = std::get_if<LoadUpdate>(&Message))
     onLoadUpdate(Self, From, *Update);
   else if (const JournalBegin *Begin = std::get_if<JournalBegin>(&Message))
--- a/src/daemon/process/keeper_streams.cpp
+++ b/src/daemon/process/keeper_streams.cpp
@@ -12,6 +12,14 @@
 constexpr Millis RelayInterval{100};
 /// An older list may lack a version.
 constexpr Millis ListLifetime{10000};
+/// Within this time after its start, routers tell a keeper of their streams
+/// again.
+constexpr Millis ToldAgainTime{5000};
+/// Routers wait for their answer a little longer.
+constexpr Millis SearchTimeLimit{200};
+/// More questions at once are answered from what this keeper knows. Each is a
+/// message to and from every other keeper.
+constexpr std::size_t MaxSearches = 64;
 
 /// The version that the service has had alone, by the lists that this process
 /// has seen and by the replicated state, which outlives it.
@@ -32,16 +40,87 @@
   return Sole;
 }
 
+bool isToldAgain(const Keeper &Self, Millis Now) {
+  return Now < Self.m_StartedAt + ToldAgainTime;
+}
+
+StreamAnswer answerTo(const Keeper &Self, const StreamQuery &Query) {
+  StreamAnswer Answer;
+  Answer.m_Request = Query.m_Request;
+  if (std::optional<SoftwareVersion> Known =
+          findOrigin(Self.m_Streams.m_Origins, Query.m_Request)) {
+    Answer.m_Recorded = true;
+    Answer.m_Software = *Known;
+  }
+  if (std::optional<SoleVersion> Sole = soleVersionOf(Self, Query.m_Service)) {
+    Answer.m_Sole = Sole->m_Software;
+    Answer.m_SoleFor = Sole->m_For;
+  }
+  Answer.m_Incomplete = isToldAgain(Self, monotonicNow());
+  return Answer;
+}
+
+/// True when no other keeper can know more.
+bool isFinal(const StreamAnswer &Answer) {
+  return Answer.m_Recorded ||
+         Answer.m_SoleFor > OriginLifetime + OriginLifetime;
+}
+
+/// Asks the other keepers for a router; false when there is nobody to ask.
+bool search(Keeper &Self, const NodeId &Asker, const StreamQuery &Query) {
+  std::map<RequestId, OriginSearch> &Searches = Self.m_Streams.m_Searches;
+  std::map<RequestId, OriginSearch>::iterator Known =
+      Searches.find(Query.m_Request);
+  if (Known != Searches.end()) {
+    Known->second.m_Askers.insert(Asker);
+    return true;
+  }
+  if (Searches.size() >= MaxSearches)
+    return false;
+  OriginSearch Search;
+  Search.m_Service = Query.m_Service;
+  Search.m_Askers.insert(Asker);
+  Search.m_Deadline = monotonicNow() + SearchTimeLimit;
+  for (const std::pair<const NodeId, ConnectedPeer> &Row : Self.m_Connected) {
+    if (Row.second.m_Role != NodeRole::Keeper)
+      continue;
+    ++Search.m_Awaited;
+    Self.m_Peers->send(Row.first, Query);
+  }
+  if (Search.m_Awaited == 0)
+    return false;
+  addCounter(Self.m_Metrics, "vanillaferry_stream_searches_total");
+  Searches.emplace(Query.m_Request, std::move(Search));
+  return true;
+}
+
+/// Answers the routers that wait for this search, with what is known now.
+void endSearch(Keeper &Self, const RequestId &Request) {
+  std::map<RequestId, OriginSearch> &Searches = Self.m_Streams.m_Searches;
+  std::map<RequestId, OriginSearch>::iterator Found = Searches.find(Request);
+  if (Found == Searches.end())
+    return;
+  OriginSearch Search = std::move(Found->second);
+  Searches.erase(Found);
+  StreamAnswer Answer = answerTo(Self, {Request, Search.m_Service});
+  if (Answer.m_Recorded)
+    addCounter(Self.m_Metrics, "vanillaferry_stream_searches_found_total");
+  for (const NodeId &Asker : Search.m_Askers)
+    Self.m_Peers->send(Asker, Answer);
+}
+
 } // namespace
 
 void onStreamReport(Keeper &Self, const NodeId &From,
                     const StreamReport &Report) {
   KeeperStreams &Streams = Self.m_Streams;
   Millis Now = monotonicNow();
-  for (const BegunStream &Each : Report.m_Streams)
+  for (const BegunStream &Each : Report.m_Streams) {
     recordOrigin(Streams.m_Origins,
                  {Each.m_Request, Report.m_Service, Each.m_Software}, Now);
-  if (isKeeper(Self, From))
+    endSearch(Self, Each.m_Request);
+  }
+  if (isKeeper(Self, From) || Report.m_Again)
     return;
   StreamReport &Relayed = Streams.m_ToRelay[Report.m_Service];
   Relayed.m_Service = Report.m_Service;
@@ -50,20 +129,39 @@
 }
 
 void onStreamQuery(Keeper &Self, const NodeId &From, const StreamQuery &Query) {
-  const KeeperStreams &Streams = Self.m_Streams;
-  StreamAnswer Answer;
-  Answer.m_Request = Query.m_Request;
-  if (std::optional<SoftwareVersion> Known =
-          findOrigin(Streams.m_Origins, Query.m_Request)) {
-    Answer.m_Recorded = true;
-    Answer.m_Software = *Known;
-  }
-  if (std::optional<SoleVersion> Sole = soleVersionOf(Self, Query.m_Service)) {
-    Answer.m_Sole = Sole->m_Software;
-    Answer.m_SoleFor = Sole->m_For;
-  }
   addCounter(Self.m_Metrics, "vanillaferry_stream_queries_total");
-  Self.m_Peers->send(From, Answer);
+  StreamAnswer Answer = answerTo(Self, Query);
+  if (isFinal(Answer) || isKeeper(Self, From) || !search(Self, From, Query))
+    Self.m_Peers->send(From, Answer);
+}
+
+void onStreamAnswer(Keeper &Self, const NodeId &From,
+                    const StreamAnswer &Answer) {
+  KeeperStreams &Streams = Self.m_Streams;
+  std::map<RequestId, OriginSearch>::iterator Found =
+      Streams.m_Searches.find(Answer.m_Request);
+  if (!isKeeper(Self, From) || Found == Streams.m_Searches.end())
+    return;
+  OriginSearch &Search = Found->second;
+  if (Search.m_Awaited > 0)
+    --Search.m_Awaited;
+  Millis Now = monotonicNow();
+  if (Answer.m_Recorded)
+    recordOrigin(Streams.m_Origins,
+                 {Answer.m_Request, Search.m_Service, Answer.m_Software}, Now);
+  // While routers tell of their streams again, their report may still come.
+  if (Answer.m_Recorded || (Search.m_Awaited == 0 && !isToldAgain(Self, Now)))
+    endSearch(Self, Answer.m_Request);
+}
+
+void endOldSearches(Keeper &Self, Millis Now) {
+  std::vector<RequestId> Old;
+  for (const std::pair<const RequestId, OriginSearch> &Row :
+       Self.m_Streams.m_Searches)
+    if (Now >= Row.second.m_Deadline)
+      Old.push_back(Row.first);
+  for (const RequestId &Each : Old)
+    endSearch(Self, Each);
 }
 
 void recordKeeperVersions(Keeper &Self,
--- a/tests/core/StreamOrigin.tests.cpp
+++ b/tests/core/StreamOrigin.tests.cpp
@@ -1,5 +1,5 @@
 #include "vanillaferry/request/dispatch.hpp"
-#include "vanillaferry/request/stream_origin.hpp"
+#include "vanillaferry/request/stream_news.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -138,4 +138,45 @@
               DispatchRefusal::NoneInService));
 }
 
+// Guards against streams that a keeper took and did not pass on before it
+// ended, and against old news in front of each report.
+BOOST_AUTO_TEST_CASE(ANewKeeperIsToldWhatTheFormerOneWasToldLast) {
+  StreamNews News;
+  addStreamNews(News, {RequestId("a"), Service, Old});
+  BOOST_TEST(takeStreamNews(News, Start).m_New.size() == 1U);
+  addStreamNews(News, {RequestId("b"), Service, Old});
+  Millis Later = Start + RetellTime + Second;
+  BOOST_TEST(takeStreamNews(News, Later).m_New.size() == 1U);
+  BOOST_TEST(takeStreamNews(News, Later).m_New.empty());
+  addStreamNews(News, {RequestId("c"), Service, New});
+  beginTelling(News, {});
+  std::vector<StreamOrigin> Told = takeStreamNews(News, Later).m_New;
+  BOOST_REQUIRE(Told.size() == 2U);
+  BOOST_TEST(Told[0].m_Request == RequestId("b"));
+  BOOST_TEST(Told[1].m_Request == RequestId("c"));
+}
+
+// Guards against links that are full of streams told again after all keepers
+// have ended, and against streams that are left out of them.
+BOOST_AUTO_TEST_CASE(AKeeperThatStartedIsToldAllStreamsInSmallParts) {
+  constexpr std::size_t Streams = 3 * MaxToldAgain + 1;
+  std::vector<StreamOrigin> Forgotten;
+  for (std::size_t Number = 0; Number < Streams; ++Number)
+    Forgotten.push_back({RequestId(std::to_string(Number)), Service, Old});
+  StreamNews News;
+  beginTelling(News, Forgotten);
+  std::set<RequestId> Told;
+  for (int Batch = 0; Batch < 4; ++Batch) {
+    std::vector<StreamOrigin> Part = takeStreamNews(News, Start).m_Again;
+    BOOST_TEST(Part.size() <= MaxToldAgain);
+    for (const StreamOrigin &Each : Part)
+      Told.insert(Each.m_Request);
+  }
+  BOOST_TEST(Told.size() == Streams);
+  BOOST_TEST(takeStreamNews(News, Start).m_Again.empty());
+  BOOST_TEST(mayLackStreams(Start, Start + Second));
+  BOOST_TEST(!mayLackStreams(Start, Start + OriginLifetime + OriginLifetime));
+  BOOST_TEST(!mayLackStreams(std::nullopt, Start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/daemon/MessageCodec.tests.cpp
+++ b/tests/daemon/MessageCodec.tests.cpp
@@ -40,9 +40,12 @@
 // Guards against a field that one end sets and the other end never sees.
 BOOST_AUTO_TEST_CASE(HelloAndHeartbeatKeepEveryField) {
   {
-    Hello Sent{NodeId("k"), Incarnation(7), 3, NodeRole::Keeper,
-               "http://127.0.0.1:2"};
+    Hello Sent{NodeId("k"),      Incarnation(7),       3,
+               NodeRole::Keeper, "http://127.0.0.1:2", FeatureLevel(1),
+               Millis(70)};
     Hello Got = roundTrip(Sent);
+    SAME(m_Level);
+    SAME(m_RunningFor);
     SAME(m_Node);
     SAME(m_Incarnation);
     SAME(m_Protocol);
@@ -560,9 +563,11 @@
     SAME(m_Served.at(0).m_Age);
   }
   {
-    StreamReport Sent{PoolId("p"), {{RequestId("r"), SoftwareVersion("v1")}}};
+    StreamReport Sent{
+        PoolId("p"), {{RequestId("r"), SoftwareVersion("v1")}}, true};
     StreamReport Got = roundTrip(Sent);
     SAME(m_Service);
+    SAME(m_Again);
     BOOST_REQUIRE_EQUAL(Got.m_Streams.size(), 1U);
     BOOST_TEST(Got.m_Streams[0].m_Request == RequestId("r"));
     BOOST_TEST(Got.m_Streams[0].m_Software == SoftwareVersion("v1"));
@@ -574,9 +579,10 @@
     SAME(m_Service);
   }
   {
-    StreamAnswer Sent{RequestId("r"), true, SoftwareVersion("v1"),
-                      SoftwareVersion("v2"), Millis(70)};
+    StreamAnswer Sent{RequestId("r"),        true,       SoftwareVersion("v1"),
+                      SoftwareVersion("v2"), Millis(70), true};
     StreamAnswer Got = roundTrip(Sent);
+    SAME(m_Incomplete);
     SAME(m_Request);
     SAME(m_Recorded);
     SAME(m_Software);
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -77,6 +77,10 @@
   return Stream;
 }
 
+const char *mixedVersions(std::size_t Index) {
+  return Index / 3 % 2 == 0 ? OldVersion : NewVersion;
+}
+
 /// A fleet with engines of one or two software versions.
 struct VersionFleet {
   GatewayFleet m_Fleet{3, 3, 12, 1};
@@ -87,6 +91,12 @@
     BOOST_REQUIRE(m_Operator.begin(StartLimitMs));
     waitReady();
   }
+  /// The same with engines of two versions.
+  void beginMixed() {
+    for (std::size_t Index = 0; Index < m_Fleet.targets().size(); ++Index)
+      m_Fleet.targets().setSoftware(Index, mixedVersions(Index));
+    begin();
+  }
   void waitReady() { BOOST_REQUIRE(m_Fleet.waitAllReady(StartLimitMs)); }
   /// Each engine begins anew with the version that the function gives for it.
   template <typename Choose> void replaceEngines(const Choose &VersionOf) {
@@ -102,6 +112,14 @@
     for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
       m_Fleet.gateway(Index).kill();
   }
+  void killKeepers() {
+    for (std::size_t Index = 0; Index < m_Fleet.keepers(); ++Index)
+      m_Fleet.keeper(Index).kill();
+  }
+  void startKeepers() {
+    for (std::size_t Index = 0; Index < m_Fleet.keepers(); ++Index)
+      m_Fleet.startKeeper(Index);
+  }
   void startGateways() {
     for (std::size_t Index = 0; Index < m_Fleet.gateways(); ++Index)
       m_Fleet.startGateway(Index);
@@ -129,10 +147,6 @@
   }
 };
 
-const char *mixedVersions(std::size_t Index) {
-  return Index / 3 % 2 == 0 ? OldVersion : NewVersion;
-}
-
 /// Streams that went on, and those of them that went on at another version.
 struct TakenUp {
   int m_GoneOn = 0;
@@ -209,9 +223,7 @@
 BOOST_AUTO_TEST_CASE(StreamsTakenUpAtRestartedGatewaysGoOnAtTheirVersion) {
   constexpr int Streams = 24;
   VersionFleet Fleet;
-  for (std::size_t Index = 0; Index < Fleet.m_Fleet.targets().size(); ++Index)
-    Fleet.m_Fleet.targets().setSoftware(Index, mixedVersions(Index));
-  Fleet.begin();
+  Fleet.beginMixed();
   std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
   pauseFor(500);
   Fleet.killGateways();
@@ -222,6 +234,40 @@
   BOOST_TEST(Result.m_Lost == 0);
 }
 
+// Guards against refusing to go on with streams of two versions once the
+// keepers' memory is gone, while the gateways that began them run on.
+BOOST_AUTO_TEST_CASE(StreamsOfTwoVersionsGoOnAfterAllKeepersWereKilled) {
+  constexpr int Streams = 24;
+  VersionFleet Fleet;
+  Fleet.beginMixed();
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  Fleet.killKeepers();
+  Fleet.startKeepers();
+  pauseFor(ContactMs);
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_Joined == 0);
+  BOOST_TEST(Result.m_GoneOn >= Streams / 2);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
+// Guards against the same when the keepers start again one after the other, as
+// with a new build.
+BOOST_AUTO_TEST_CASE(StreamsOfTwoVersionsGoOnAfterTheKeepersStartedInTurn) {
+  constexpr int Streams = 24;
+  VersionFleet Fleet;
+  Fleet.beginMixed();
+  std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
+  for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index) {
+    Fleet.m_Fleet.keeper(Index).kill();
+    Fleet.m_Fleet.startKeeper(Index);
+    pauseFor(ContactMs);
+  }
+  TakenUp Result = takeUp(Fleet, Begun);
+  BOOST_TEST(Result.m_Joined == 0);
+  BOOST_TEST(Result.m_GoneOn >= Streams / 2);
+  BOOST_TEST(Result.m_Lost == 0);
+}
+
 // Guards against streams that go on at the version that has replaced theirs
 // while all gateways were down.
 BOOST_AUTO_TEST_CASE(AStreamOfAReplacedVersionIsRefusedAsNotRun) {
@@ -260,10 +306,8 @@
   pauseFor(RouteTimeoutMs * 2);
   std::vector<StreamRequest> Begun = Fleet.beginStreams(Streams);
   Fleet.killGateways();
-  for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
-    Fleet.m_Fleet.keeper(Index).kill();
-  for (std::size_t Index = 0; Index < Fleet.m_Fleet.keepers(); ++Index)
-    Fleet.m_Fleet.startKeeper(Index);
+  Fleet.killKeepers();
+  Fleet.startKeepers();
   Fleet.startGateways();
   TakenUp Result = takeUp(Fleet, Begun);
   BOOST_TEST(Result.m_GoneOn == Streams);
