Connect in tests through one function

connectTo() stood twice beside a third copy in StreamVersions, and sendText() was sendAll() under another name. Limits of sockets stay what they were.

--- a/tests/process/GatewayCallers.cpp
+++ b/tests/process/GatewayCallers.cpp
@@ -1,8 +1,8 @@
 #include "process/GatewayCallers.hpp"
 
+#include "process/OrdinaryCaller.hpp"
 #include "process/RouterFleet.hpp"
 
-#include <arpa/inet.h>
 #include <chrono>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,21 +21,6 @@
 /// Requests that may run at more targets than their route allows.
 constexpr int ExtraRunsAllowed = 3;
 
-int connectTo(const LoopbackAddress &To) {
-  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  timeval Limit = {AnswerLimitMs / 1000, 0};
-  ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
-  sockaddr_in Address = {};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = ::inet_addr(To.m_Ip.c_str());
-  Address.sin_port = htons(To.m_Port);
-  if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                sizeof Address) == 0)
-    return Socket;
-  ::close(Socket);
-  return -1;
-}
-
 std::string requestText(const CallRecord &Record) {
   bool IsGet = Record.m_Kind == CallKind::Lookup;
   const std::string &Body = Record.m_Body;
@@ -173,7 +158,8 @@
 
 void GatewayCallers::call(Connection &Open, CallRecord &Record) {
   if (Open.m_Socket < 0)
-    Open.m_Socket = connectTo(m_Fleet.front(Record.m_Gateway));
+    Open.m_Socket =
+        connectTo(m_Fleet.front(Record.m_Gateway), {0, AnswerLimitMs});
   if (Open.m_Socket >= 0 && sendAll(Open.m_Socket, requestText(Record)))
     readAnswer(Open, Record);
   bool KeepOpen = Record.m_Ending == CallEnding::Answered ||
--- a/tests/process/OrdinaryCaller.cpp
+++ b/tests/process/OrdinaryCaller.cpp
@@ -13,15 +13,15 @@
 
 namespace {
 
-constexpr int SendLimitMs = 300;
+timeval limitOf(int Ms) { return {Ms / 1000, Ms % 1000 * 1000}; }
 
 } // namespace
 
-int connectTo(const LoopbackAddress &To) {
+int connectTo(const LoopbackAddress &To, const SocketLimits &Limits) {
   int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  timeval SendLimit = {0, SendLimitMs * 1000};
+  timeval SendLimit = limitOf(Limits.m_SendMs);
   ::setsockopt(Socket, SOL_SOCKET, SO_SNDTIMEO, &SendLimit, sizeof SendLimit);
-  timeval ReadLimit = {3, 0};
+  timeval ReadLimit = limitOf(Limits.m_ReadMs);
   ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &ReadLimit, sizeof ReadLimit);
   sockaddr_in Address = {};
   Address.sin_family = AF_INET;
@@ -34,22 +34,10 @@
   return -1;
 }
 
-bool sendText(int Socket, const std::string &Text) {
-  std::size_t Sent = 0;
-  while (Sent < Text.size()) {
-    ssize_t Count =
-        ::send(Socket, &Text[Sent], Text.size() - Sent, MSG_NOSIGNAL);
-    if (Count <= 0)
-      return false;
-    Sent += static_cast<std::size_t>(Count);
-  }
-  return true;
-}
-
 /// Status of the answer to one request on this connection; 0 without one. The
 /// answer's body is read to its stated length.
 int exchange(int Socket, const std::string &Text) {
-  if (Socket < 0 || !sendText(Socket, Text))
+  if (Socket < 0 || !sendAll(Socket, Text))
     return 0;
   std::string Answer;
   char Part[4096];
--- a/tests/process/OrdinaryCaller.hpp
+++ b/tests/process/OrdinaryCaller.hpp
@@ -9,10 +9,14 @@
 
 namespace vanillaferry::tests {
 
-/// A socket that gives up sending after a short time; -1 without a connection.
-int connectTo(const LoopbackAddress &To);
-
-bool sendText(int Socket, const std::string &Text);
+/// When a socket gives up; 0 for never.
+struct SocketLimits {
+  int m_SendMs = 300;
+  int m_ReadMs = 3000;
+};
+
+/// -1 without a connection.
+int connectTo(const LoopbackAddress &To, const SocketLimits &Limits = {});
 
 /// Status of the answer to one request on this connection; 0 without one. The
 /// answer's body is read to its stated length.
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -1,6 +1,6 @@
 #include "EngineCrashes.hpp"
+#include "OrdinaryCaller.hpp"
 
-#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
@@ -17,6 +17,8 @@
 /// The routes' timeout in the fleet's manifest, after which no caller takes a
 /// stream up.
 constexpr double RouteTimeoutMs = 8000;
+/// Longer than the routes' timeout.
+constexpr int ReadLimitMs = 9000;
 
 /// What a caller has of a stream.
 struct PartialStream {
@@ -55,16 +57,8 @@
                         const StreamRequest &Request, const std::string &Text) {
   PartialStream Stream;
   Stream.m_Id = Request.m_Id;
-  int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  timeval Limit = {9, 0};
-  ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
-  sockaddr_in Address = {};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = ::inet_addr(Front.m_Ip.c_str());
-  Address.sin_port = htons(Front.m_Port);
-  if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                sizeof Address) == 0 &&
-      sendAll(Socket, textOf(Request))) {
+  int Socket = connectTo(Front, {0, ReadLimitMs});
+  if (Socket >= 0 && sendAll(Socket, textOf(Request))) {
     char Part[4096];
     ssize_t Count = 0;
     while (Stream.m_Text.find(Text) == std::string::npos &&
--- a/tests/process/UntrustedCallers.tests.cpp
+++ b/tests/process/UntrustedCallers.tests.cpp
@@ -66,10 +66,10 @@
       Clock::time_point Until = Clock::now() + SenderLimit;
       const Nuisance &Each = Crowd[Index];
       Open[Index] = connectTo(Sent.m_Address);
-      bool Taken = Open[Index] >= 0 && sendText(Open[Index], Each.m_Head);
+      bool Taken = Open[Index] >= 0 && sendAll(Open[Index], Each.m_Head);
       for (std::size_t Unit = 0;
            Taken && Unit < Each.m_Units && Clock::now() < Until; ++Unit)
-        Taken = sendText(Open[Index], Each.m_Unit);
+        Taken = sendAll(Open[Index], Each.m_Unit);
     });
   for (std::thread &Each : Senders)
     Each.join();
