--- a/src/core/connection/caller_budget.cpp
+++ b/src/core/connection/caller_budget.cpp
@@ -17,24 +17,29 @@
 /// Freed beyond what is missing, so that not each newcomer has to look for
 /// room.
 constexpr std::int64_t MarginDivisor = 32;
+/// Part of the VM's memory that the process leaves free.
+constexpr std::int64_t FreeMemoryDivisor = 4;
 
 double heldInVain(const CallerHolding &Holding) {
   return static_cast<double>(Holding.m_Held.m_Value) *
          static_cast<double>(Holding.m_Still.m_Value + 1);
 }
 
-/// Rank of a holding: lower ones give way first.
-int rankOf(const CallerHolding &Holding) {
+/// The kinds of holdings, those that give way first before the others.
+enum class HoldingKind { Still, Large, Small };
+
+HoldingKind kindOf(const CallerHolding &Holding) {
   if (isStill(Holding))
-    return 0;
-  return Holding.m_Held > SmallBodyBytes ? 1 : 2;
+    return HoldingKind::Still;
+  return Holding.m_Held > SmallBodyBytes ? HoldingKind::Large
+                                         : HoldingKind::Small;
 }
 
 bool givesWayBefore(const CallerHolding &A, const CallerHolding &B) {
-  int Rank = rankOf(A);
-  if (Rank != rankOf(B))
-    return Rank < rankOf(B);
-  if (Rank == 1)
+  HoldingKind Kind = kindOf(A);
+  if (Kind != kindOf(B))
+    return Kind < kindOf(B);
+  if (Kind == HoldingKind::Large)
     return A.m_BegunAt > B.m_BegunAt;
   return heldInVain(A) > heldInVain(B);
 }
@@ -42,7 +47,7 @@
 } // namespace
 
 Bytes residentLimit(const CallerBudget &Budget) {
-  return Bytes(Budget.m_Vm.m_Value - Budget.m_Vm.m_Value / 4);
+  return Bytes(Budget.m_Vm.m_Value - Budget.m_Vm.m_Value / FreeMemoryDivisor);
 }
 
 Bytes callerRoom(const CallerBudget &Budget) {
--- a/src/daemon/connection/caller_pool.cpp
+++ b/src/daemon/connection/caller_pool.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr std::int64_t LogIntervalMs = 10000;
-constexpr Millis SweepInterval{50};
 /// Each byte that is written would else search all connections when none of
 /// them can give way.
 constexpr Millis VainSearchPause{10};
@@ -112,7 +111,7 @@
 }
 
 void CallerPool::sweep(Millis Now) {
-  if (Now - m_SweptAt < SweepInterval)
+  if (Now - m_SweptAt < CallerSweepInterval)
     return;
   m_SweptAt = Now;
   bool HoldsLittle =
@@ -129,9 +128,8 @@
 }
 
 bool CallerPool::takeAnswerRoom() {
-  if (hasRoom(m_Budget, RoomFor::OperatorRequest))
+  if (takeRoom(RoomFor::OperatorRequest, nullptr))
     return true;
-  relieve(RoomFor::OperatorRequest, nullptr);
   // A stream's owner may be the one that asks, or depend on it.
   closeUnread(monotonicNow(), Unread::WithoutStreams);
   return hasRoom(m_Budget, RoomFor::OperatorRequest);
--- a/src/daemon/connection/caller_pool.hpp
+++ b/src/daemon/connection/caller_pool.hpp
@@ -18,6 +18,9 @@
 enum class CallerKind { Caller, Operator };
 constexpr std::size_t CallerKinds = 2;
 
+/// Time limits of callers are noticed this late at most.
+constexpr Millis CallerSweepInterval{50};
+
 /// What the limits of a pool did, for counters.
 struct CallerPoolCounts {
   std::uint64_t m_IdleClosed = 0;
--- a/src/daemon/connection/http_front.cpp
+++ b/src/daemon/connection/http_front.cpp
@@ -19,8 +19,6 @@
 /// the kernel's repeat in a second.
 constexpr int ListenBacklog = 4096;
 constexpr int AcceptsPerRound = 64;
-/// Time limits are noticed this late at most.
-constexpr std::int64_t SweepMs = 50;
 
 struct SocketAddress {
   sockaddr_storage m_Storage = {};
@@ -82,7 +80,7 @@
                                         ": " + Listening.error().m_Text);
   Front->watch(true);
   HttpFront *Raw = Front.get();
-  Front->m_SweepTimer.start(SweepMs, [Raw] {
+  Front->m_SweepTimer.start(CallerSweepInterval.m_Value, [Raw] {
     Raw->sweep();
     return true;
   });
