Bound what keepers ask each other, and take no side where they differ

Read afresh: callers choose the stream that they take up and how long its id is (16 KB), and each unknown one cost two messages with every other keeper, so a caller could have used up the processors and links of all keepers. And the first answer counted, though a keeper that was away may hold the version of an earlier try, at which the stream did not begin.

Change: at most 64 searches in 4 s for each keeper, none for ids that nobody records; a search takes all answers, and keepers that differ give none. What a router tells meanwhile goes first.

That keepers differ has no test.

--- a/src/daemon/process/internal/keeper_task.hpp
+++ b/src/daemon/process/internal/keeper_task.hpp
@@ -24,6 +24,7 @@
 #include "vanillaferry/process/rollout_judgement.hpp"
 #include "vanillaferry/process/state_machine.hpp"
 #include "vanillaferry/request/load_board.hpp"
+#include "vanillaferry/request/rate_window.hpp"
 #include "vanillaferry/request/stream_origin.hpp"
 #include "vanillaferry/version/manifest_acks.hpp"
 #include "vanillaferry/version/text_history.hpp"
@@ -197,9 +198,16 @@
   std::set<NodeId> m_Askers;
   /// Answers of other keepers that are still to come.
   std::size_t m_Awaited = 0;
+  /// What the others have recorded.
+  std::set<SoftwareVersion> m_Found;
   Millis m_Deadline;
 };
 
+/// Each search is a message to and from every other keeper, and callers choose
+/// what they take up, so a keeper begins no more than these in one window.
+constexpr std::size_t MaxSearches = 64;
+constexpr Millis SearchWindow{4000};
+
 /// At which software versions the routers' streams began, in memory only.
 struct KeeperStreams {
   StreamOrigins m_Origins;
@@ -211,6 +219,7 @@
   /// yet.
   std::set<PoolId> m_Proposed;
   std::map<RequestId, OriginSearch> m_Searches;
+  RateWindow m_SearchesBegun{SearchWindow, {}};
 };
 
 /// The leader's work on rollouts.
--- a/src/daemon/process/keeper_streams.cpp
+++ b/src/daemon/process/keeper_streams.cpp
@@ -17,9 +17,6 @@
 constexpr Millis ToldAgainTime{5000};
 /// Routers wait for their answer a little longer.
 constexpr Millis SearchTimeLimit{200};
-/// More questions at once are answered from what this keeper knows. Each is a
-/// message to and from every other keeper.
-constexpr std::size_t MaxSearches = 64;
 
 /// The version that the service has had alone, by the lists that this process
 /// has seen and by the replicated state, which outlives it.
@@ -62,7 +59,9 @@
 
 /// True when no other keeper can know more.
 bool isFinal(const StreamAnswer &Answer) {
+  // Nobody records longer ids.
   return Answer.m_Recorded ||
+         Answer.m_Request.m_Value.size() > MaxOriginIdLength ||
          Answer.m_SoleFor > OriginLifetime + OriginLifetime;
 }
 
@@ -75,12 +74,13 @@
     Known->second.m_Askers.insert(Asker);
     return true;
   }
-  if (Searches.size() >= MaxSearches)
+  Millis Now = monotonicNow();
+  if (eventsWithin(Self.m_Streams.m_SearchesBegun, Now) >= MaxSearches)
     return false;
   OriginSearch Search;
   Search.m_Service = Query.m_Service;
   Search.m_Askers.insert(Asker);
-  Search.m_Deadline = monotonicNow() + SearchTimeLimit;
+  Search.m_Deadline = Now + SearchTimeLimit;
   for (const std::pair<const NodeId, ConnectedPeer> &Row : Self.m_Connected) {
     if (Row.second.m_Role != NodeRole::Keeper)
       continue;
@@ -90,6 +90,7 @@
   if (Search.m_Awaited == 0)
     return false;
   addCounter(Self.m_Metrics, "vanillaferry_stream_searches_total");
+  noteEvent(Self.m_Streams.m_SearchesBegun, Now);
   Searches.emplace(Query.m_Request, std::move(Search));
   return true;
 }
@@ -102,6 +103,13 @@
     return;
   OriginSearch Search = std::move(Found->second);
   Searches.erase(Found);
+  // What a router has told meanwhile is newer. Keepers that differ were not all
+  // told of the stream's last try.
+  if (Search.m_Found.size() == 1 &&
+      !findOrigin(Self.m_Streams.m_Origins, Request))
+    recordOrigin(Self.m_Streams.m_Origins,
+                 {Request, Search.m_Service, *Search.m_Found.begin()},
+                 monotonicNow());
   StreamAnswer Answer = answerTo(Self, {Request, Search.m_Service});
   if (Answer.m_Recorded)
     addCounter(Self.m_Metrics, "vanillaferry_stream_searches_found_total");
@@ -145,12 +153,11 @@
   OriginSearch &Search = Found->second;
   if (Search.m_Awaited > 0)
     --Search.m_Awaited;
-  Millis Now = monotonicNow();
   if (Answer.m_Recorded)
-    recordOrigin(Streams.m_Origins,
-                 {Answer.m_Request, Search.m_Service, Answer.m_Software}, Now);
+    Search.m_Found.insert(Answer.m_Software);
   // While routers tell of their streams again, their report may still come.
-  if (Answer.m_Recorded || (Search.m_Awaited == 0 && !isToldAgain(Self, Now)))
+  bool MayBeTold = Search.m_Found.empty() && isToldAgain(Self, monotonicNow());
+  if (Search.m_Awaited == 0 && !MayBeTold)
     endSearch(Self, Answer.m_Request);
 }
 
--- a/tests/process/StreamVersions.tests.cpp
+++ b/tests/process/StreamVersions.tests.cpp
@@ -2,9 +2,11 @@
 #include "OrdinaryCaller.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 #include <set>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace vanillaferry;
@@ -133,6 +135,20 @@
   LoopbackAddress frontOf(int Number) const {
     return m_Fleet.front(static_cast<std::size_t>(Number) % m_Fleet.gateways());
   }
+  /// Questions that the keepers have passed on to each other.
+  double searches() const {
+    const std::string Name = "\nvanillaferry_stream_searches_total ";
+    double Sum = 0;
+    for (std::size_t Index = 0; Index < m_Fleet.keepers(); ++Index) {
+      nlohmann::json Reply =
+          m_Fleet.orderAt(Index, "GET", "/metrics", "", StartLimitMs).m_Body;
+      std::string Text = Reply.is_string() ? Reply.get<std::string>() : "";
+      std::size_t At = Text.find(Name);
+      if (At != std::string::npos)
+        Sum += std::atof(&Text[At + Name.size()]);
+    }
+    return Sum;
+  }
   std::map<std::string, std::set<std::string>> versionsByRequest() {
     std::map<std::string, std::set<std::string>> Versions;
     for (const TargetRun &Run : m_Fleet.targets().runs())
@@ -262,6 +278,36 @@
   BOOST_TEST(Result.m_Lost == 0);
 }
 
+// Guards against callers who use up the keepers' processors with streams that
+// never began.
+BOOST_AUTO_TEST_CASE(StreamsThatNeverBeganCostTheKeepersABoundedNumber) {
+  constexpr std::size_t MaxIdLength = 128;
+  constexpr double MaxSearches = 64;
+  constexpr double SearchWindowMs = 4000;
+  VersionFleet Fleet;
+  Fleet.beginMixed();
+  // Longer ids are recorded nowhere.
+  std::string LongId(MaxIdLength + 1, 'b');
+  readUntil(Fleet.frontOf(0), {"ca", LongId, 2}, "\r\n\r\n");
+  BOOST_TEST(Fleet.searches() == 0);
+  double Start = historyNow();
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 6; ++Caller)
+    Callers.emplace_back([&Fleet, Caller] {
+      for (int Number = 0; Number < 150; ++Number) {
+        std::string Id = std::to_string(Caller * 1000 + Number);
+        readUntil(Fleet.frontOf(Caller), {"ca" + Id, "be" + Id, 2}, "\r\n\r\n");
+      }
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  double Windows = std::ceil((historyNow() - Start) / SearchWindowMs) + 1;
+  double Searches = Fleet.searches();
+  BOOST_TEST(Searches > 0);
+  BOOST_TEST(Searches <= MaxSearches * Windows *
+                             static_cast<double>(Fleet.m_Fleet.keepers()));
+}
+
 // Guards against streams that go on at the version that has replaced theirs
 // while all gateways were down.
 BOOST_AUTO_TEST_CASE(AStreamOfAReplacedVersionIsRefusedAsNotRun) {
