--- a/review/common-3/fleet3.py
+++ b/review/common-3/fleet3.py
@@ -318,6 +318,8 @@
         self.work_s = work_s
         self.zone = zone
         self.silent_until = 0.0
+        # It says in all its answers that it leaves.
+        self.leaving = False
         # Bytes that come in place of an answer's body, again and again.
         self.endless = None
         self.runs = []
@@ -357,10 +359,13 @@
         method, path, _ = line.split(" ")
         attempt = fields.get("vanillaferry-attempt-id", "")
         if path == "/health":
-            writer.write(b"HTTP/1.1 200 OK\r\nVanillaferry-Instance-Id: "
-                         + self.id.encode() + b"\r\nContent-Length: 0\r\n\r\n")
+            status = "503 Service Unavailable" if self.leaving else "200 OK"
+            writer.write((f"HTTP/1.1 {status}\r\nVanillaferry-Instance-Id: "
+                          f"{self.id}\r\nContent-Length: 0\r\n\r\n").encode())
             return
         head = f"Vanillaferry-Attempt-Id: {attempt}\r\n"
+        if self.leaving:
+            head += "Server-Leaving: 1\r\n"
         if fields.get("vanillaferry-expected-instance", self.id) != self.id:
             self.fleet.record.line(f"runner {self.id} refuses {attempt} 421")
             writer.write(("HTTP/1.1 421 Misdirected Request\r\n" + head +
